--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+MODULES := . ./experiment ./standin
+GO      := go
+
+.PHONY: check build fmt vet lint test spec known-red demo clean
+
+check: fmt vet lint build test spec known-red
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+	cd standin && $(GO) build -o ../bin/ ./...
+
+fmt:
+	@out=$$(gofmt -l $(MODULES)); test -z "$$out" || { echo "gofmt: $$out"; exit 1; }
+
+vet:
+	@for m in $(MODULES); do (cd $$m && $(GO) vet ./...) || exit 1; done
+
+lint:
+	@for m in $(MODULES); do \
+	  (cd $$m && $(GO) tool staticcheck ./...) || exit 1; \
+	  (cd $$m && $(GO) tool revive -config $(CURDIR)/tools/revive.toml ./...) || exit 1; \
+	done
+
+test:
+	@for m in $(MODULES); do (cd $$m && $(GO) test -race ./...) || exit 1; done
+
+spec:
+	@if [ -x spec/check ]; then spec/check; fi
+
+known-red:
+	@cat KNOWN-RED.txt
--- /dev/null
+++ b/tools/tools.go
@@ -0,0 +1,2 @@
+// Package tools pins the linters of this workspace in its go.mod.
+package tools
