--- /dev/null
+++ b/board/host.go
@@ -0,0 +1,176 @@
+package board
+
+import (
+	"slices"
+	"time"
+
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/wire"
+)
+
+const (
+	// minHold and maxHold bound how long a host that refused is not chosen: the
+	// hold doubles with each refusal in a row.
+	minHold = 2 * time.Second
+	maxHold = 30 * time.Second
+	// forgetAfter is how long what is known of an unlisted host is kept.
+	forgetAfter = 2 * time.Minute
+	// retiredCount is how many earlier incarnations of a host are remembered.
+	retiredCount = 4
+)
+
+// EvidenceKind tells what a process learnt of a peer first-hand.
+type EvidenceKind uint8
+
+// The kinds of evidence.
+const (
+	EvidenceAlive        EvidenceKind = iota + 1 // it answered and takes work
+	EvidenceLeaving                              // it said itself that it is leaving
+	EvidenceRefused                              // it refused the connection: nothing was sent
+	EvidenceTimeout                              // it did not answer in time
+	EvidenceUpstreamDown                         // it answered that its upstream is down
+)
+
+// Evidence is one first-hand observation of a peer.
+type Evidence struct {
+	Host          string
+	Kind          EvidenceKind
+	Incarnation   string     // of the process that answered; empty if none did
+	ConfigVersion uint64     // that the answer carried; 0 if none
+	Load          *wire.Load // that the answer carried; nil if none
+}
+
+// own is what a peer said of itself.
+type own struct {
+	incarnation   string
+	leaving       bool
+	configVersion uint64
+}
+
+// hostEntry is what is known of one host. Its shard's lock guards it.
+type hostEntry struct {
+	listed       Entry[platform.Host]
+	present      bool          // the last host list has the host
+	unlistedAt   time.Duration // since when not, if present is false
+	own          Entry[own]
+	retired      []string // earlier incarnations: late answers of theirs are ignored
+	load         Entry[*wire.Load]
+	holdUntil    time.Duration
+	hold         time.Duration // the last hold, to be doubled
+	wasChoosable bool          // when last announced
+}
+
+func (e *hostEntry) list(h platform.Host, version uint64, at time.Duration) {
+	if e.listed.Value.Address != h.Address {
+		e.clearHold()
+	}
+	e.present = true
+	e.listed = Entry[platform.Host]{Value: h, Origin: OriginHostList, Version: version, At: at}
+}
+
+func (e *hostEntry) unlist(at time.Duration) {
+	if e.present {
+		e.present, e.unlistedAt = false, at
+	}
+}
+
+func (e *hostEntry) clearHold() { e.hold, e.holdUntil = 0, 0 }
+
+func (e *hostEntry) observe(evidence Evidence, at time.Duration) {
+	if evidence.Incarnation != "" && !e.takeIncarnation(evidence.Incarnation) {
+		return
+	}
+	switch evidence.Kind {
+	case EvidenceAlive:
+		e.clearHold()
+	case EvidenceLeaving:
+		e.own.Value.leaving = true
+	case EvidenceRefused, EvidenceTimeout, EvidenceUpstreamDown:
+		e.extendHold(at)
+	}
+	if evidence.Incarnation == "" {
+		return
+	}
+	e.own.At, e.own.Origin = at, Origin(evidence.Host)
+	e.own.Version++
+	e.own.Value.configVersion = max(e.own.Value.configVersion, evidence.ConfigVersion)
+	if evidence.Load != nil {
+		load := *evidence.Load
+		e.load = Entry[*wire.Load]{Value: &load, Origin: Origin(evidence.Host), Version: e.load.Version + 1, At: at}
+	}
+}
+
+// takeIncarnation makes incarnation the current one, unless it is an earlier
+// one. A new incarnation starts without the marks of its predecessor.
+func (e *hostEntry) takeIncarnation(incarnation string) bool {
+	if incarnation == e.own.Value.incarnation {
+		return true
+	}
+	if slices.Contains(e.retired, incarnation) {
+		return false
+	}
+	if e.own.Value.incarnation != "" {
+		e.retired = append(e.retired, e.own.Value.incarnation)
+		e.retired = e.retired[max(0, len(e.retired)-retiredCount):]
+	}
+	e.own.Value = own{incarnation: incarnation}
+	e.load = Entry[*wire.Load]{}
+	e.clearHold()
+	return true
+}
+
+// extendHold starts a hold unless one runs: many requests that meet the same
+// refusal count once.
+func (e *hostEntry) extendHold(at time.Duration) {
+	if at < e.holdUntil {
+		return
+	}
+	e.hold = min(max(2*e.hold, minHold), maxHold)
+	e.holdUntil = at + e.hold
+}
+
+func (e *hostEntry) leaving() bool {
+	return !e.present || e.listed.Value.State != platform.HostLive || e.own.Value.leaving
+}
+
+func (e *hostEntry) choosable(now time.Duration) bool {
+	return !e.leaving() && now >= e.holdUntil
+}
+
+func (e *hostEntry) forgettable(now time.Duration) bool {
+	return !e.present && now-max(e.unlistedAt, e.own.At) > forgetAfter
+}
+
+// HostView is what is known of a host at one moment.
+type HostView struct {
+	platform.Host
+	Listed        bool          // the last host list has it
+	Leaving       bool          // by the list, by its own word, or by its absence from the list
+	Held          time.Duration // how long it is not to be chosen after it refused; 0 if it may be
+	Incarnation   string        // that last answered; empty if none did
+	ConfigVersion uint64        // that it last reported; 0 if none
+	ListAge       time.Duration // of its row
+	PeerAge       time.Duration // of its last own answer; meaningful if Incarnation is set
+	Load          *Load         // nil if it reported none
+}
+
+// Choosable tells whether new work may be sent to the host.
+func (v HostView) Choosable() bool { return !v.Leaving && v.Held == 0 }
+
+func (e *hostEntry) view(name string, now time.Duration) HostView {
+	v := HostView{
+		Host:          e.listed.Value,
+		Listed:        e.present,
+		Leaving:       e.leaving(),
+		Held:          max(0, e.holdUntil-now),
+		Incarnation:   e.own.Value.incarnation,
+		ConfigVersion: e.own.Value.configVersion,
+		ListAge:       now - e.listed.At,
+		PeerAge:       now - e.own.At,
+	}
+	v.Name = name
+	if e.load.Value != nil {
+		v.Load = &Load{Load: *e.load.Value, Age: now - e.load.At}
+	}
+	return v
+}
