--- a/config/config_test.go
+++ b/config/config_test.go
@@ -147,5 +147,9 @@
 		must.Eq(t, next, got)
 		_, err = delta.Apply(other)
 		must.ErrorIs(t, err, ErrDelta)
+		other.Version = old.Version
+		if got, err = delta.Apply(other); err == nil {
+			must.Eq(t, next, got)
+		}
 	})
 }
