Add the placement decisions: choice, load bound, fair queue, retries

The agent and router need them to build on.

Each guard was taken out once and its test seen failing: home limit, usable and ejected checks in place; replica count, age and NaN checks in admit; weight, limit and virtual time in fair; credit, attempts, deadline and may-have-run checks in retry.

--- /dev/null
+++ b/decide/place/place_test.go
@@ -0,0 +1,150 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func pool(n int, load func(i int) float64) []Candidate {
+	cs := make([]Candidate, n)
+	for i := range cs {
+		cs[i] = Candidate{Host: fmt.Sprintf("engine-%d", i), FailureDomain: fmt.Sprintf("fd-%d", i%4), Load: load(i), Weight: 1}
+	}
+	return cs
+}
+
+func even(int) float64 { return 10 }
+
+func TestPickPrefersTokenUnlessLoadedOrRuledOut(t *testing.T) {
+	cs := pool(12, even)
+	cs[3].Load = 40
+	cs[5].Weight = 0
+	p := NewPicker(Options{LoadMultiple: 1.5}, cs)
+	others := p.Allow(func(c Candidate) bool { return c.Host != "engine-2" })
+	for _, tc := range []struct {
+		name  string
+		query Query
+		home  bool
+	}{
+		{"home", Query{Prefer: "engine-1"}, true},
+		{"loaded", Query{Prefer: "engine-3"}, false},
+		{"ejected", Query{Prefer: "engine-5"}, false},
+		{"tried", Query{Prefer: "engine-1", Tried: []int{1}}, false},
+		{"forbidden", Query{Prefer: "engine-2", Allowed: others}, false},
+		{"unknown", Query{Prefer: "gone"}, false},
+	} {
+		for _, order := range []Order{OrderHash, OrderHashPair, OrderTwoChoices, OrderLeastLoaded} {
+			p.settings.Displaced, p.settings.Fresh = order, order
+			for key := range uint64(200) {
+				tc.query.Key, tc.query.Rand = mix(key), mix(key+7)
+				i, ok := p.Pick(tc.query)
+				must.True(t, ok)
+				must.Eq(t, tc.home, p.Candidate(i).Host == tc.query.Prefer, must.Sprint(tc.name, order))
+				must.NotEq(t, 5, i)
+				must.True(t, order == OrderTwoChoices || i != 3, must.Sprint(tc.name, order))
+				must.True(t, tc.query.Allowed == nil || i != 2)
+			}
+		}
+	}
+}
+
+// A candidate that leaves moves only its own chats; one at a low weight takes
+// a subset of what it takes at a higher one; loaded pools still get an answer.
+func TestPickProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "n")
+		loads := rapid.SliceOfN(rapid.Float64Range(-1, 50), n, n).Draw(t, "loads")
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		low := rapid.Float64Range(0, 1).Draw(t, "low")
+		order := Order(rapid.IntRange(0, 3).Draw(t, "order"))
+		q := Query{Key: rapid.Uint64().Draw(t, "key"), Rand: rapid.Uint64().Draw(t, "rand")}
+		opts := Options{LoadMultiple: 1.25, Settings: Settings{Fresh: order}}
+		i, ok := NewPicker(opts, pool(n, func(i int) float64 { return loads[i] })).Pick(q)
+		must.True(t, ok)
+		must.Less(t, n, i)
+
+		flat := pool(n, even)
+		whole, _ := NewPicker(Options{LoadMultiple: 2}, flat).Pick(q)
+		weighted := func(w float64) int {
+			cs := pool(n, even)
+			cs[gone].Weight = w
+			i, ok := NewPicker(Options{LoadMultiple: 2}, cs).Pick(q)
+			must.Eq(t, n > 1 || w > 0, ok)
+			return i
+		}
+		if whole != gone {
+			must.Eq(t, whole, weighted(0))
+		}
+		if n > 1 && weighted(low) == gone {
+			must.Eq(t, gone, weighted(low+(1-low)/2))
+		}
+	})
+}
+
+func TestPickTriesEveryCandidateOnce(t *testing.T) {
+	for _, order := range []Order{OrderHash, OrderHashPair, OrderTwoChoices, OrderLeastLoaded} {
+		p := NewPicker(Options{LoadMultiple: 1.25, Settings: Settings{Displaced: order, Fresh: order}}, pool(9, even))
+		var tried []int
+		for range p.Len() {
+			i, ok := p.Pick(Query{Key: 42, Rand: 42, Tried: tried})
+			must.True(t, ok)
+			must.SliceNotContains(t, tried, i)
+			tried = append(tried, i)
+		}
+		_, ok := p.Pick(Query{Key: 42, Tried: tried})
+		must.False(t, ok)
+	}
+}
+
+func TestPickDoesNotAllocate(t *testing.T) {
+	p := NewPicker(Options{LoadMultiple: 1.25}, pool(336, even))
+	allowed := p.Allow(func(Candidate) bool { return true })
+	tried := []int{1, 2}
+	must.Zero(t, testing.AllocsPerRun(100, func() {
+		p.Pick(Query{Key: 1, Prefer: "engine-9", Tried: tried, Allowed: allowed})
+		p.Pick(Query{Key: 1, Tried: tried, Allowed: allowed})
+	}))
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 336, 3700} {
+		p := NewPicker(Options{LoadMultiple: 1.25}, pool(n, func(i int) float64 { return float64(i % 20) }))
+		allowed := p.Allow(func(Candidate) bool { return true })
+		for name, order := range map[string]Order{"hash": OrderHash, "pair": OrderHashPair, "two": OrderTwoChoices, "least": OrderLeastLoaded} {
+			p.settings.Fresh = order
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := range b.N {
+					p.Pick(Query{Key: uint64(i) * gamma, Rand: uint64(i), Allowed: allowed})
+				}
+			})
+		}
+		b.Run(fmt.Sprintf("token/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				p.Pick(Query{Key: uint64(i), Prefer: "engine-1", Allowed: allowed})
+			}
+		})
+	}
+}
+
+// BenchmarkScan is the baseline: the least loaded of a plain slice.
+func BenchmarkScan(b *testing.B) {
+	for _, n := range []int{12, 336, 3700} {
+		cs := pool(n, func(i int) float64 { return float64(i % 20) })
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				best := 0
+				for i := range cs {
+					if cs[i].Weight > 0 && cs[i].Load < cs[best].Load {
+						best = i
+					}
+				}
+				_ = best
+			}
+		})
+	}
+}
--- /dev/null
+++ b/decide/retry/retry_test.go
@@ -0,0 +1,59 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func TestDecide(t *testing.T) {
+	const left = time.Second
+	for _, tc := range []struct {
+		name string
+		a    Attempt
+		want Decision
+	}{
+		{"not sent", Attempt{Failure: FailureNotSent, Made: 1, Left: left}, DecisionRetry},
+		{"refused", Attempt{Failure: FailureRefused, Made: 1, Left: left}, DecisionRetry},
+		{"revoked", Attempt{Failure: FailureRevoked, Made: 1, Left: left}, DecisionRetry},
+		{"final", Attempt{Failure: FailureFinal, Idempotent: true, Made: 1, Left: left}, DecisionFinal},
+		{"lost", Attempt{Failure: FailureMayHaveRun, Resumes: true, Made: 1, Left: left}, DecisionUnsafe},
+		{"lost, idempotent", Attempt{Failure: FailureMayHaveRun, Idempotent: true, Made: 1, Left: left}, DecisionRetry},
+		{"cut", Attempt{Failure: FailureCut, Idempotent: true, Made: 1, Left: left}, DecisionUnsafe},
+		{"cut, not idempotent", Attempt{Failure: FailureCut, Resumes: true, Made: 1, Left: left}, DecisionUnsafe},
+		{"cut, resumes", Attempt{Failure: FailureCut, Idempotent: true, Resumes: true, Made: 1, Left: left}, DecisionRetry},
+		{"attempts", Attempt{Failure: FailureRefused, Made: 3, Left: left}, DecisionAttempts},
+		{"deadline", Attempt{Failure: FailureRefused, Made: 1, Left: left, Need: left}, DecisionDeadline},
+	} {
+		must.Eq(t, tc.want, Decide(tc.a), must.Sprint(tc.name))
+	}
+}
+
+func TestBudgetHoldsRetriesToShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		opts := Options{Ratio: rapid.Float64Range(0.01, 1).Draw(t, "ratio"), Burst: rapid.Float64Range(1, 20).Draw(t, "burst")}
+		b := NewBudget(opts)
+		first, retries := 0, 0
+		for _, deposit := range rapid.SliceOf(rapid.Bool()).Draw(t, "steps") {
+			if deposit {
+				b.Deposit()
+				first++
+			} else if b.Withdraw() {
+				retries++
+			}
+			must.LessEq(t, opts.Burst+opts.Ratio*float64(first)+1e-9, float64(retries))
+		}
+	})
+}
+
+func TestRetryAfterSpreads(t *testing.T) {
+	p := Pressure{Waiting: 100, Refused: 300, DonePerSecond: 50}
+	must.Eq(t, 2*time.Second, RetryAfter(p, 0))
+	must.Between(t, 7*time.Second, RetryAfter(p, 1<<64-1), 8*time.Second)
+	must.Eq(t, MinRetryAfter, RetryAfter(Pressure{DonePerSecond: 1}, 0))
+	must.LessEq(t, 2*MaxRetryAfter, RetryAfter(Pressure{Waiting: 1 << 40, Refused: 1 << 40}, 1<<64-1))
+	must.LessEq(t, 3*time.Second, Jitter(time.Second, 3*time.Second, 60, 1<<64-1))
+	must.Zero(t, Jitter(time.Second, 3*time.Second, 1, 0))
+}
