Add link: net/rpc with limits, heartbeats and typed outcomes

net/rpc has no deadlines, no cancellation and no bound on a message. link wraps its gob codec: each message is limited before it is decoded, a call's bytes are claimed before they leave, so that ErrNotSent is exact, and a reply that comes late is decoded into memory that the caller never sees. Heartbeats run only while calls wait and no byte arrives, so that idle connections cost nothing.

--- /dev/null
+++ b/link/client.go
@@ -0,0 +1,226 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// dialAttempts is how often one call asks for a connection when the one it
+// was given closed before any byte of the call left.
+const dialAttempts = 2
+
+// ClientOptions configures a Client. Zero values mean the defaults.
+type ClientOptions struct {
+	Address           string
+	TLS               *tls.Config // nil means plain, allowed on loopback addresses only
+	DialTimeout       time.Duration
+	HeartbeatInterval time.Duration // between heartbeats while calls wait and the peer is quiet
+	HeartbeatTimeout  time.Duration // silence after which a connection with waiting calls is closed
+	IdleTimeout       time.Duration // after which a connection without calls is closed
+	MaxMessageBytes   int
+	// Dial opens the connection below TLS; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+func (o ClientOptions) withDefaults() ClientOptions {
+	o.DialTimeout = orDefault(o.DialTimeout, DefaultDialTimeout)
+	o.HeartbeatInterval = orDefault(o.HeartbeatInterval, DefaultHeartbeatInterval)
+	o.HeartbeatTimeout = orDefault(o.HeartbeatTimeout, DefaultHeartbeatTimeout)
+	o.IdleTimeout = orDefault(o.IdleTimeout, DefaultClientIdleTimeout)
+	o.MaxMessageBytes = orDefault(o.MaxMessageBytes, DefaultMaxMessageBytes)
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	return o
+}
+
+// Client calls the methods of one peer. It dials when it is first used and
+// after a connection was lost. All methods may be used from many goroutines.
+type Client struct {
+	opts ClientOptions
+
+	mu      sync.Mutex
+	current *connection
+	attempt *dialAttempt
+	closed  bool
+}
+
+// dialAttempt is one dial that all callers wait for. conn and err may be read
+// once done is closed.
+type dialAttempt struct {
+	done chan struct{}
+	conn *connection
+	err  error
+}
+
+// NewClient returns a client for opts.Address. It does not dial. It fails with
+// ErrPlainOffLoopback for a plain client of an address off loopback.
+func NewClient(opts ClientOptions) (*Client, error) {
+	if opts.TLS == nil && !isLoopback(opts.Address) {
+		return nil, errors.Wrapf(ErrPlainOffLoopback, "client of %s", opts.Address)
+	}
+	return &Client{opts: opts.withDefaults()}, nil
+}
+
+// Address returns the address of the peer.
+func (c *Client) Address() string { return c.opts.Address }
+
+// Call runs method at the peer and fills reply. It returns at the latest when
+// ctx ends. A failure is a *CallError that tells by ErrNotSent, ErrLost or
+// ErrRemote what became of the call. args must not be changed after a call
+// that failed with ErrLost; reply is only written on success.
+func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
+	counters.Add(countCalls, 1)
+	err := c.callOnce(ctx, method, args, reply)
+	for n := 1; n < dialAttempts && errors.Is(err, errClosedBeforeSend); n++ {
+		err = c.callOnce(ctx, method, args, reply)
+	}
+	switch {
+	case errors.Is(err, ErrNotSent):
+		counters.Add(countNotSent, 1)
+	case errors.Is(err, ErrLost):
+		counters.Add(countLost, 1)
+	}
+	return err
+}
+
+// errClosedBeforeSend is the cause when a connection closed between being
+// handed out and being used.
+var errClosedBeforeSend = errors.New("link: connection closed before the call was sent")
+
+func (c *Client) callOnce(ctx context.Context, method string, args, reply any) error {
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return c.failed(ErrNotSent, method, err)
+	}
+	out := &outgoing{args: args}
+	// A late reply of an abandoned call must not write into the caller's reply.
+	private := reflect.New(reflect.TypeOf(reply).Elem())
+	done := make(chan *rpc.Call, 1)
+	conn.begin()
+	defer conn.end()
+	go conn.rpc.Go(method, out, private.Interface(), done)
+	select {
+	case call := <-done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(private.Elem())
+			return nil
+		}
+		return c.classify(conn, out, method, call.Error)
+	case <-ctx.Done():
+		if out.abandon() {
+			return c.failed(ErrNotSent, method, ctx.Err())
+		}
+		return c.failed(ErrLost, method, ctx.Err())
+	}
+}
+
+func (c *Client) classify(conn *connection, out *outgoing, method string, err error) error {
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		return c.failed(ErrRemote, method, err)
+	}
+	if out.rejected() {
+		return c.failed(ErrNotSent, method, err)
+	}
+	if out.abandon() {
+		return c.failed(ErrNotSent, method, errors.Mark(err, errClosedBeforeSend))
+	}
+	if cause := conn.closeCause(); cause != nil {
+		err = cause
+	}
+	return c.failed(ErrLost, method, err)
+}
+
+func (c *Client) failed(outcome error, method string, cause error) error {
+	return &CallError{Outcome: outcome, Method: method, Address: c.opts.Address, Cause: cause}
+}
+
+// connection returns the open connection or waits for a dial, which all
+// callers share.
+func (c *Client) connection(ctx context.Context) (*connection, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, ErrClosed
+	}
+	if c.current != nil && !c.current.isClosed() {
+		defer c.mu.Unlock()
+		return c.current, nil
+	}
+	if c.attempt == nil {
+		c.attempt = &dialAttempt{done: make(chan struct{})}
+		go c.dial(c.attempt)
+	}
+	attempt := c.attempt
+	c.mu.Unlock()
+	select {
+	case <-attempt.done:
+		return attempt.conn, attempt.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *Client) dial(attempt *dialAttempt) {
+	conn, err := c.open()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil && c.closed {
+		conn.close(ErrClosed)
+		err = ErrClosed
+	}
+	attempt.conn, attempt.err = conn, err
+	c.attempt = nil
+	if err == nil {
+		c.current = conn
+	}
+	close(attempt.done)
+}
+
+func (c *Client) open() (*connection, error) {
+	counters.Add(countDials, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), c.opts.DialTimeout)
+	defer cancel()
+	raw, err := c.opts.Dial(ctx, c.opts.Address)
+	if err != nil {
+		counters.Add(countDialFailures, 1)
+		return nil, errors.Wrapf(err, "dial %s", c.opts.Address)
+	}
+	tracked := newTrackedConn(raw, 0, c.opts.HeartbeatTimeout)
+	var stream net.Conn = tracked
+	if c.opts.TLS != nil {
+		secure := tls.Client(tracked, c.opts.TLS)
+		if err := secure.HandshakeContext(ctx); err != nil {
+			counters.Add(countHandshakes, 1)
+			_ = raw.Close()
+			return nil, errors.Wrapf(err, "TLS handshake with %s", c.opts.Address)
+		}
+		stream = secure
+	}
+	return newConnection(c.opts, tracked, stream), nil
+}
+
+// Close ends the connection and all waiting calls, and makes later calls fail
+// with ErrNotSent.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.current != nil {
+		c.current.close(ErrClosed)
+	}
+}
--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,90 @@
+// Package link carries calls between the processes of the fleet by net/rpc
+// over TCP or mutual TLS. It adds what net/rpc lacks: deadlines and
+// cancellation, a limit on message size, heartbeats that find a connection
+// which has gone silent, redial, and errors that tell whether a call may have
+// reached its peer.
+package link
+
+import (
+	"expvar"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Outcomes of a failed call, to be tested with errors.Is.
+var (
+	// ErrNotSent says that no byte of the call reached the peer.
+	ErrNotSent = errors.New("link: not sent")
+	// ErrLost says that the call may have reached the peer and may have run.
+	ErrLost = errors.New("link: lost")
+	// ErrRemote says that the peer's method returned an error.
+	ErrRemote = errors.New("link: remote error")
+)
+
+// Causes of a failed call, to be tested with errors.Is.
+var (
+	ErrTooLarge         = errors.New("link: message exceeds the size limit")
+	ErrSilent           = errors.New("link: peer silent for longer than the heartbeat time-out")
+	ErrClosed           = errors.New("link: closed")
+	ErrPlainOffLoopback = errors.New("link: plain connections are allowed on loopback addresses only; set a certificate, key and CA")
+)
+
+// Defaults of the options.
+const (
+	DefaultMaxMessageBytes   = 6 << 20
+	DefaultMaxConnections    = 4096
+	DefaultMaxCalls          = 4096 // calls in progress on one connection
+	DefaultServerIdleTimeout = 2 * time.Minute
+	DefaultClientIdleTimeout = 1 * time.Minute
+	DefaultWriteTimeout      = 10 * time.Second // for one chunk of a message
+	DefaultDialTimeout       = 2 * time.Second
+	DefaultHeartbeatInterval = 1 * time.Second
+	DefaultHeartbeatTimeout  = 3 * time.Second
+)
+
+// CallError describes a failed call. Outcome is ErrNotSent, ErrLost or
+// ErrRemote.
+type CallError struct {
+	Outcome error
+	Method  string
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("%v: call %s at %s: %v", e.Outcome, e.Method, e.Address, e.Cause)
+}
+
+// Unwrap lets errors.Is find the outcome and the cause.
+func (e *CallError) Unwrap() []error { return []error{e.Outcome, e.Cause} }
+
+// counters are published by expvar under "link".
+var counters = expvar.NewMap("link")
+
+// Names of the counters.
+const (
+	countDials        = "dials"
+	countDialFailures = "dial_failures"
+	countCalls        = "calls"
+	countNotSent      = "calls_not_sent"
+	countLost         = "calls_lost"
+	countHeartbeats   = "heartbeats_sent"
+	countSilent       = "connections_silent"
+	countIdle         = "connections_idle_closed"
+	countAccepted     = "connections_accepted"
+	countRejected     = "connections_rejected"
+	countHandshakes   = "tls_handshake_failures"
+	countTooLarge     = "messages_too_large"
+	countBytesRead    = "bytes_read"
+	countBytesWritten = "bytes_written"
+)
+
+func orDefault[T int | time.Duration](v, d T) T {
+	if v > 0 {
+		return v
+	}
+	return d
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,179 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+// hangLimit only fails tests that hang.
+const hangLimit = 20 * time.Second
+
+type Message struct{ Data []byte }
+
+// echo is a receiver whose Block method waits until release is closed.
+type echo struct{ entered, release chan struct{} }
+
+func newEcho() *echo { return &echo{entered: make(chan struct{}, 64), release: make(chan struct{})} }
+
+func (*echo) Echo(args Message, reply *Message) error {
+	reply.Data = args.Data
+	return nil
+}
+
+func (*echo) Fail(Message, *Message) error { return errors.New("no such share") }
+
+func (e *echo) Block(args Message, reply *Message) error {
+	e.entered <- struct{}{}
+	<-e.release
+	reply.Data = args.Data
+	return nil
+}
+
+func startServer(t *testing.T, opts ServerOptions, e *echo) (*Server, string) {
+	t.Helper()
+	s, err := NewServer(opts, "Echo", e)
+	must.NoError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Shutdown(ctx)
+		must.NoError(t, <-served)
+	})
+	return s, ln.Addr().String()
+}
+
+func newTestClient(t *testing.T, opts ClientOptions) *Client {
+	t.Helper()
+	c, err := NewClient(opts)
+	must.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestCallOutcomes(t *testing.T) {
+	e := newEcho()
+	defer close(e.release)
+	_, address := startServer(t, ServerOptions{MaxMessageBytes: 1 << 20}, e)
+	c := newTestClient(t, ClientOptions{Address: address, MaxMessageBytes: 2 << 20})
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, gone.Close())
+	refused := newTestClient(t, ClientOptions{Address: gone.Addr().String()})
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+
+	for _, tc := range []struct {
+		name   string
+		client *Client
+		ctx    context.Context
+		method string
+		bytes  int
+		want   error
+		cause  error
+	}{
+		{"answer", c, testContext(t), "Echo.Echo", 1 << 19, nil, nil},
+		{"method error", c, testContext(t), "Echo.Fail", 1, ErrRemote, nil},
+		{"unknown method", c, testContext(t), "Echo.None", 1, ErrRemote, nil},
+		{"connection refused", refused, testContext(t), "Echo.Echo", 1, ErrNotSent, nil},
+		{"context ended before", c, ended, "Echo.Echo", 1, ErrNotSent, context.Canceled},
+		{"larger than the client sends", c, testContext(t), "Echo.Echo", 3 << 20, ErrNotSent, ErrTooLarge},
+		{"larger than the server reads", c, testContext(t), "Echo.Echo", 1<<20 + 1, ErrLost, nil},
+		{"answer after the lost connection", c, testContext(t), "Echo.Echo", 1, nil, nil},
+	} {
+		args, reply := Message{Data: bytes.Repeat([]byte{7}, tc.bytes)}, Message{}
+		err := tc.client.Call(tc.ctx, tc.method, args, &reply)
+		if tc.want == nil {
+			must.NoError(t, err, must.Sprint(tc.name))
+			must.True(t, bytes.Equal(args.Data, reply.Data), must.Sprint(tc.name))
+			continue
+		}
+		must.ErrorIs(t, err, tc.want, must.Sprint(tc.name))
+		if tc.cause != nil {
+			must.ErrorIs(t, err, tc.cause, must.Sprint(tc.name))
+		}
+	}
+}
+
+func TestDeadlineEndsCallAndLateReplyChangesNothing(t *testing.T) {
+	e := newEcho()
+	_, address := startServer(t, ServerOptions{}, e)
+	c := newTestClient(t, ClientOptions{Address: address})
+	ctx, cancel := context.WithCancel(testContext(t))
+	go func() { <-e.entered; cancel() }()
+	reply := Message{Data: []byte("kept")}
+	err := c.Call(ctx, "Echo.Block", Message{Data: []byte("late")}, &reply)
+	must.ErrorIs(t, err, ErrLost)
+	close(e.release)
+	var other Message
+	must.NoError(t, c.Call(testContext(t), "Echo.Echo", Message{Data: []byte("own")}, &other))
+	must.Eq(t, "own", string(other.Data))
+	must.Eq(t, "kept", string(reply.Data))
+}
+
+func TestShutdownWaitsForCalls(t *testing.T) {
+	e := newEcho()
+	s, address := startServer(t, ServerOptions{}, e)
+	c := newTestClient(t, ClientOptions{Address: address})
+	result := make(chan error, 1)
+	go func() { result <- c.Call(testContext(t), "Echo.Block", Message{}, &Message{}) }()
+	<-e.entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(testContext(t)) }()
+	for !s.isStopping() {
+		time.Sleep(time.Millisecond)
+	}
+	close(e.release)
+	must.NoError(t, <-result)
+	must.NoError(t, <-stopped)
+	<-c.current.done
+	must.ErrorIs(t, c.Call(testContext(t), "Echo.Echo", Message{}, &Message{}), ErrNotSent)
+}
+
+func TestPlainOnlyOnLoopback(t *testing.T) {
+	for address, want := range map[string]bool{
+		"127.0.0.1:80": true, "[::1]:80": true, "localhost:80": true,
+		"10.0.0.1:80": false, "0.0.0.0:80": false, ":80": false, "example.test:80": false, "bad": false,
+	} {
+		_, err := NewClient(ClientOptions{Address: address})
+		must.Eq(t, want, err == nil, must.Sprint(address))
+		must.Eq(t, !want, errors.Is(err, ErrPlainOffLoopback), must.Sprint(address))
+	}
+	s, err := NewServer(ServerOptions{}, "Echo", newEcho())
+	must.NoError(t, err)
+	must.ErrorIs(t, s.Serve(wildcardListener{}), ErrPlainOffLoopback)
+}
+
+type wildcardListener struct{ net.Listener }
+
+func (wildcardListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4zero, Port: 1} }
+
+func TestPool(t *testing.T) {
+	p := NewPool(ClientOptions{})
+	a, err := p.Client("127.0.0.1:1")
+	must.NoError(t, err)
+	again, err := p.Client("127.0.0.1:1")
+	must.NoError(t, err)
+	must.True(t, a == again)
+	p.Remove("127.0.0.1:1")
+	must.ErrorIs(t, a.Call(testContext(t), "Echo.Echo", Message{}, &Message{}), ErrClosed)
+	p.Close()
+	_, err = p.Client("127.0.0.1:2")
+	must.ErrorIs(t, err, ErrClosed)
+}
--- /dev/null
+++ b/link/pool.go
@@ -0,0 +1,83 @@
+package link
+
+import (
+	"hash/maphash"
+	"sync"
+)
+
+// poolShards is the number of independently locked parts of a Pool.
+const poolShards = 16
+
+// Pool holds one Client per address. All methods may be used from many
+// goroutines.
+type Pool struct {
+	opts   ClientOptions
+	seed   maphash.Seed
+	shards [poolShards]poolShard
+}
+
+type poolShard struct {
+	mu      sync.Mutex
+	clients map[string]*Client
+	closed  bool
+}
+
+// NewPool returns a pool whose clients share opts but for the address.
+func NewPool(opts ClientOptions) *Pool {
+	p := &Pool{opts: opts, seed: maphash.MakeSeed()}
+	for i := range p.shards {
+		p.shards[i].clients = make(map[string]*Client)
+	}
+	return p
+}
+
+func (p *Pool) shard(address string) *poolShard {
+	return &p.shards[maphash.String(p.seed, address)%poolShards]
+}
+
+// Client returns the client of address, made on first use. It fails like
+// NewClient, and with ErrClosed once the pool is closed.
+func (p *Pool) Client(address string) (*Client, error) {
+	s := p.shard(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil, ErrClosed
+	}
+	if c, ok := s.clients[address]; ok {
+		return c, nil
+	}
+	opts := p.opts
+	opts.Address = address
+	c, err := NewClient(opts)
+	if err != nil {
+		return nil, err
+	}
+	s.clients[address] = c
+	return c, nil
+}
+
+// Remove closes and forgets the client of an address that left the fleet.
+func (p *Pool) Remove(address string) {
+	s := p.shard(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c, ok := s.clients[address]; ok {
+		c.Close()
+		delete(s.clients, address)
+	}
+}
+
+// Close closes all clients.
+func (p *Pool) Close() {
+	for i := range p.shards {
+		s := &p.shards[i]
+		s.mu.Lock()
+		s.closed = true
+		for address, c := range s.clients {
+			c.Close()
+			delete(s.clients, address)
+		}
+		s.mu.Unlock()
+	}
+}
