--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,59 @@
+// Package logging sets up the log of a process: text on a terminal and JSON
+// lines otherwise. Lines are written for changes of state only; what happens
+// per request is counted by expvar.
+package logging
+
+import (
+	"io"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/cockroachdb/errors"
+)
+
+// Levels are the names that Options.Level accepts.
+var Levels = []string{"debug", "info", "warn", "error"}
+
+// Options configures a log.
+type Options struct {
+	Level   string    // one of Levels; empty means info
+	Output  io.Writer // nil means standard error
+	Process string    // host and role, added to every line
+}
+
+// New returns a logger. It may be used from many goroutines.
+func New(opts Options) (log.Interface, error) {
+	if opts.Level == "" {
+		opts.Level = "info"
+	}
+	level, err := log.ParseLevel(opts.Level)
+	if err != nil {
+		return nil, errors.Newf("log level %q: one of %v", opts.Level, Levels)
+	}
+	if opts.Output == nil {
+		opts.Output = os.Stderr
+	}
+	logger := &log.Logger{Level: level, Handler: handler(opts.Output)}
+	if opts.Process == "" {
+		return logger, nil
+	}
+	return logger.WithField("process", opts.Process), nil
+}
+
+func handler(w io.Writer) log.Handler {
+	if isTerminal(w) {
+		return text.New(w)
+	}
+	return json.New(w)
+}
+
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
