scripts: add fleet and demo; testfleet and bench to drive them

The scripts follow the planned flags of router and agent, which are not in the tree yet: neither script has run to its end.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := . ./experiment ./standin
 GO      := go
 
-.PHONY: check build fmt vet lint test spec known-red demo clean
+.PHONY: check build fmt vet lint test spec known-red demo bench clean
 
 check: fmt vet lint build test spec known-red
 
@@ -29,3 +29,12 @@
 
 known-red:
 	@cat KNOWN-RED.txt
+
+demo:
+	@scripts/demo
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 1x -timeout 30m ./bench
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/testfleet/testfleet.go
@@ -0,0 +1,159 @@
+// Package testfleet starts the fleet of scripts/fleet for tests and benchmarks
+// over real processes. No product package imports it.
+package testfleet
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// Ports are searched below the range that the kernel gives to outgoing
+	// connections.
+	firstPort = 20000
+	lastPort  = 32000
+	portStep  = 250
+)
+
+// Options sets the size of the fleet; zero values leave the script's defaults.
+type Options struct {
+	Engines      int
+	Replicas     int
+	Routers      int
+	EngineFlags  string  // flags of the engine stand-ins
+	LoadMultiple float64 // of both services
+}
+
+// Fleet is a running fleet. Its methods may be called concurrently.
+type Fleet struct {
+	directory string
+	addresses map[string]string
+	ids       map[string]int
+}
+
+// Start builds and starts a fleet that keeps its ids and logs in directory.
+func Start(directory string, options Options) (*Fleet, error) {
+	port, err := freePorts()
+	if err != nil {
+		return nil, err
+	}
+	environment := []string{"FLEET_RUN=" + directory, "FLEET_PORT=" + strconv.Itoa(port)}
+	set := func(name string, value any, given bool) {
+		if given {
+			environment = append(environment, fmt.Sprintf("%s=%v", name, value))
+		}
+	}
+	set("FLEET_ENGINES", options.Engines, options.Engines > 0)
+	set("FLEET_REPLICAS", options.Replicas, options.Replicas > 0)
+	set("FLEET_ROUTERS", options.Routers, options.Routers > 0)
+	set("FLEET_ENGINE_FLAGS", options.EngineFlags, options.EngineFlags != "")
+	set("FLEET_LOAD_MULTIPLE", options.LoadMultiple, options.LoadMultiple > 0)
+	f := &Fleet{directory: directory}
+	if err := f.script("up", environment...); err != nil {
+		return nil, err
+	}
+	if err := f.readState(); err != nil {
+		return nil, errors.CombineErrors(err, f.Stop())
+	}
+	return f, nil
+}
+
+// Stop ends the processes that Start started.
+func (f *Fleet) Stop() error {
+	return f.script("down", "FLEET_RUN="+f.directory)
+}
+
+// Address returns what the script printed under name, such as router-1.
+func (f *Fleet) Address(name string) string { return f.addresses[name] }
+
+// ID returns the process id of the process called name.
+func (f *Fleet) ID(name string) int { return f.ids[name] }
+
+// CustomerKey returns the key of the fleet's only customer.
+func (f *Fleet) CustomerKey() string { return f.addresses["customer-key"] }
+
+// AdminToken returns the token of the admin listeners.
+func (f *Fleet) AdminToken() string { return f.addresses["admin-token"] }
+
+func (f *Fleet) script(command string, environment ...string) error {
+	script := exec.Command(filepath.Join(root(), "scripts", "fleet"), command)
+	script.Env = append(os.Environ(), environment...)
+	output, err := os.CreateTemp(f.directory, "script-*.log")
+	if err != nil {
+		return errors.Wrap(err, "testfleet: script output")
+	}
+	defer func() { _ = output.Close() }()
+	script.Stdout, script.Stderr = output, output
+	if err := script.Run(); err != nil {
+		printed, _ := os.ReadFile(output.Name())
+		return errors.Wrapf(err, "testfleet: scripts/fleet %s: %s", command, printed)
+	}
+	return nil
+}
+
+func (f *Fleet) readState() error {
+	f.addresses, f.ids = make(map[string]string), make(map[string]int)
+	err := eachLine(filepath.Join(f.directory, "addresses"), func(line string) {
+		name, value, _ := strings.Cut(line, "=")
+		f.addresses[name] = value
+	})
+	if err != nil {
+		return err
+	}
+	return eachLine(filepath.Join(f.directory, "ids"), func(line string) {
+		fields := strings.Fields(line)
+		f.ids[fields[0]], _ = strconv.Atoi(fields[1])
+	})
+}
+
+func eachLine(path string, visit func(string)) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "testfleet: read state")
+	}
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		visit(lines.Text())
+	}
+	return errors.Wrap(lines.Err(), "testfleet: read state")
+}
+
+// root returns the directory of the repository.
+func root() string {
+	_, file, _, _ := runtime.Caller(0)
+	return filepath.Dir(filepath.Dir(file))
+}
+
+// freePorts returns the first of portStep ports that are all free. Where the
+// search begins depends on the process, so that runs side by side differ.
+func freePorts() (int, error) {
+	blocks := (lastPort - firstPort) / portStep
+	for i := range blocks {
+		port := firstPort + (os.Getpid()+i)%blocks*portStep
+		if allFree(port) {
+			return port, nil
+		}
+	}
+	return 0, errors.New("testfleet: no free ports")
+}
+
+func allFree(port int) bool {
+	for i := range portStep {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+i))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
