--- a/bench/load.go
+++ b/bench/load.go
@@ -68,7 +68,7 @@
 	for worker := range l.Streams {
 		workers.Go(func() {
 			for round := 0; time.Since(start) < l.Duration; round++ {
-				stream, err := l.stream(ctx, client, target, worker, round)
+				stream, err := l.stream(ctx, client, target, worker, round, nil)
 				mu.Lock()
 				result.Tokens += stream.Tokens
 				if err != nil || !stream.Whole {
@@ -89,13 +89,13 @@
 	return result
 }
 
-func (l Load) stream(ctx context.Context, client *http.Client, target Target, worker, round int) (testfleet.Stream, error) {
+func (l Load) stream(ctx context.Context, client *http.Client, target Target, worker, round int, onToken func(int)) (testfleet.Stream, error) {
 	chat := fmt.Sprintf("bench-%d-%d", worker, round)
 	header := http.Header{"Dandelionrill-Chat": {chat}}
 	if target.Key != "" {
 		header.Set("Authorization", "Bearer "+target.Key)
 	}
-	return testfleet.ReadStream(ctx, client, target.URL, header, l.body(chat), nil)
+	return testfleet.ReadStream(ctx, client, target.URL, header, l.body(chat), onToken)
 }
 
 func (l Load) body(chat string) string {
--- a/testfleet/testfleet.go
+++ b/testfleet/testfleet.go
@@ -78,6 +78,17 @@
 // ID returns the process id of the process called name.
 func (f *Fleet) ID(name string) int { return f.ids[name] }
 
+// IDs returns the ids of the processes whose names begin with prefix.
+func (f *Fleet) IDs(prefix string) []int {
+	var ids []int
+	for name, id := range f.ids {
+		if strings.HasPrefix(name, prefix) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // CustomerKey returns the key of the fleet's only customer.
 func (f *Fleet) CustomerKey() string { return f.addresses["customer-key"] }
 
