--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 MODULES := . ./experiment ./standin
 GO      := go
 
-.PHONY: check build fmt vet lint test spec known-red demo bench clean
+.PHONY: check build fmt vet lint test spec known-red demo bench clean setup
 
-check: fmt vet lint build test spec known-red
+check: setup fmt vet lint build test spec known-red
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -30,11 +30,15 @@
 known-red:
 	@cat KNOWN-RED.txt
 
-demo:
+setup:
+	@scripts/setup gcc curl
+
+demo: setup
 	@scripts/demo
 
-bench:
+bench: setup
 	$(GO) test -run '^$$' -bench . -benchtime 1x -timeout 30m ./bench
 
 clean:
+	@if [ -e run/ids ]; then scripts/fleet down; fi
 	rm -rf bin run
