Serve chats and non-idempotent calls through router and agent

Ruled out: long replies that carry a whole stream, since a silent connection would then lose bytes; resending a call on a broken connection, since only a revoke tells whether it started. Seen failing first: a chat token without a window could not be sealed, so a returning chat lost its engine; the test of the returning chat found it. After: in-process tests over loopback pass with the race detector: returning chat, transfer once through two routers, drawn and revoked tickets, resume through another router, continuation on another engine, typed refusals.

--- /dev/null
+++ b/agent/gate.go
@@ -0,0 +1,132 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/decide/admit"
+	"dandelionrill.example/fleet/decide/fair"
+	"dandelionrill.example/fleet/wire"
+)
+
+// gate admits work to the upstream: up to the load bound at once, the rest in
+// bounded queues that customers share by weight.
+type gate struct {
+	mu       sync.Mutex
+	bound    *admit.Bound
+	queue    *fair.Queue[*waiter]
+	held     map[string]int // running and queued requests by customer
+	running  int
+	tokens   int
+	started  time.Time
+	maxRun   int
+	maxQueue int
+}
+
+// waiter is one request at the gate. ready is closed once it may run.
+type waiter struct {
+	customer string
+	tokens   int
+	ready    chan struct{}
+	admitted bool
+}
+
+func newGate(bound *admit.Bound, queue *fair.Queue[*waiter], maxRun, maxQueue int) *gate {
+	return &gate{
+		bound:    bound,
+		queue:    queue,
+		held:     make(map[string]int),
+		started:  time.Now(),
+		maxRun:   maxRun,
+		maxQueue: maxQueue,
+	}
+}
+
+// enter admits or queues a request, or returns the reason of a refusal.
+func (g *gate) enter(c *config.Customer, args *wire.SubmitArgs) (*waiter, wire.Reason) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.MaxInFlight > 0 && g.held[c.ID] >= c.MaxInFlight {
+		return nil, wire.ReasonCustomerLimit
+	}
+	w := &waiter{customer: c.ID, tokens: args.PromptLoad, ready: make(chan struct{})}
+	if g.queue.Len() == 0 && g.running < g.limit() {
+		g.held[c.ID]++
+		g.admit(w)
+		return w, ""
+	}
+	if !args.MayQueue {
+		return nil, wire.ReasonOverload
+	}
+	limit := c.MaxQueued
+	if limit == 0 {
+		limit = g.maxQueue
+	}
+	if err := g.queue.Push(c.ID, max(1, c.Weight), args.Priority, 1+args.PromptLoad, limit, w); err != nil {
+		return nil, wire.ReasonQueueFull
+	}
+	g.held[c.ID]++
+	g.dispatch()
+	return w, ""
+}
+
+// leave gives up w's place, running or queued.
+func (g *gate) leave(w *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w.admitted {
+		g.running--
+		g.tokens -= w.tokens
+	} else {
+		g.queue.Remove(func(o *waiter) bool { return o == w })
+	}
+	if g.held[w.customer]--; g.held[w.customer] <= 0 {
+		delete(g.held, w.customer)
+	}
+	g.dispatch()
+}
+
+// observeMean takes a report of the mean load of the service's upstreams.
+func (g *gate) observeMean(mean float64, replicas int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bound.ObserveMean(mean, replicas, time.Since(g.started))
+	g.dispatch()
+}
+
+// load returns what the agent reports of its upstream.
+func (g *gate) load() wire.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return wire.Load{
+		InFlight: g.running,
+		Queued:   g.queue.Len(),
+		Tokens:   g.tokens,
+		Bound:    g.limit(),
+	}
+}
+
+// limit returns the most requests that may run now. The caller holds mu.
+func (g *gate) limit() int {
+	return min(g.maxRun, g.bound.Limit(time.Since(g.started)))
+}
+
+// dispatch admits queued requests up to the limit. The caller holds mu.
+func (g *gate) dispatch() {
+	for g.running < g.limit() {
+		w, ok := g.queue.Pop()
+		if !ok {
+			return
+		}
+		g.admit(w)
+	}
+}
+
+// admit lets w run. The caller holds mu.
+func (g *gate) admit(w *waiter) {
+	g.running++
+	g.tokens += w.tokens
+	w.admitted = true
+	close(w.ready)
+}
--- /dev/null
+++ b/agent/options.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/apex/log"
+
+	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/decide/ticket"
+	"dandelionrill.example/fleet/timeline"
+)
+
+// Defaults of Options.
+const (
+	DefaultKeptAnswerBytes = 32 << 20
+	DefaultMaxRunning      = 256
+	DefaultMaxQueued       = 32
+	DefaultMaxQueueWait    = 2 * time.Second
+	DefaultWindowDuration  = 10 * time.Minute
+	DefaultWindows         = 6
+	DefaultMaxRecords      = 100_000
+	DefaultUpstreamTimeout = 60 * time.Second
+	DefaultUnreadRetention = 30 * time.Second
+	DefaultDrainTimeout    = 2 * time.Minute
+)
+
+// Options configure an Agent. Zero values take the defaults above.
+type Options struct {
+	Host          string // name of the host, as in the host list
+	Service       string // service of the upstream
+	FailureDomain string
+	Address       string   // address of the RPC listener that routers dial
+	Upstream      *url.URL // base URL of the upstream
+
+	Signer   *ticket.Signer
+	Board    *board.Board
+	Timeline *timeline.Timeline
+	Log      log.Interface
+
+	KeptAnswerBytes int64         // bytes of answers kept for their readers
+	MaxRunning      int           // most requests on the upstream, whatever the mean
+	MaxQueued       int           // most queued requests of one customer, unless the configuration says
+	MaxQueueWait    time.Duration // longest wait for the load bound
+	WindowDuration  time.Duration // how long one ticket window stays open
+	Windows         int           // ticket windows remembered, the open one included
+	MaxRecords      int           // most tickets remembered
+	UpstreamTimeout time.Duration // longest upstream call, unless the configuration says
+	UnreadRetention time.Duration // how long idempotent work goes on without a reader
+	DrainTimeout    time.Duration // longest graceful stop
+
+	// Ahead is told of a peer that runs a greater configuration version. It must
+	// not block.
+	Ahead func(host string, version uint64)
+
+	// Listener serves the RPC of routers. The agent closes it.
+	Listener net.Listener
+}
+
+// withDefaults returns o with zero values replaced.
+func (o Options) withDefaults() Options {
+	setDefault(&o.KeptAnswerBytes, DefaultKeptAnswerBytes)
+	setDefault(&o.MaxRunning, DefaultMaxRunning)
+	setDefault(&o.MaxQueued, DefaultMaxQueued)
+	setDefault(&o.MaxQueueWait, DefaultMaxQueueWait)
+	setDefault(&o.WindowDuration, DefaultWindowDuration)
+	setDefault(&o.Windows, DefaultWindows)
+	setDefault(&o.MaxRecords, DefaultMaxRecords)
+	setDefault(&o.UpstreamTimeout, DefaultUpstreamTimeout)
+	setDefault(&o.UnreadRetention, DefaultUnreadRetention)
+	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
+	if o.Ahead == nil {
+		o.Ahead = func(string, uint64) {}
+	}
+	return o
+}
+
+func setDefault[T comparable](p *T, value T) {
+	var zero T
+	if *p == zero {
+		*p = value
+	}
+}
--- /dev/null
+++ b/agent/rpc.go
@@ -0,0 +1,162 @@
+package agent
+
+import (
+	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/decide/ticket"
+	"dandelionrill.example/fleet/wire"
+)
+
+// Service is the agent's net/rpc receiver. Its methods follow the contract of
+// net/rpc: they may be called concurrently, and an error means that the call
+// itself was malformed.
+type Service struct {
+	agent *Agent
+}
+
+// NewService returns the receiver for a.
+func NewService(a *Agent) *Service {
+	return &Service{agent: a}
+}
+
+// meta describes this process to its peers.
+func (a *Agent) meta() wire.Meta {
+	return wire.Meta{
+		From:          a.opts.Host,
+		Incarnation:   a.incarnation,
+		ConfigVersion: a.opts.Board.ConfigVersion(),
+		Clock:         a.opts.Timeline.Clock().Now(),
+	}
+}
+
+// observe takes what a message says of its sender.
+func (a *Agent) observe(m wire.Meta) {
+	a.opts.Timeline.Clock().Observe(m.Clock)
+	if m.ConfigVersion > a.opts.Board.ConfigVersion() {
+		a.opts.Ahead(m.From, m.ConfigVersion)
+	}
+}
+
+// Hello tells what this agent is.
+func (s *Service) Hello(args *wire.HelloArgs, reply *wire.HelloReply) error {
+	a := s.agent
+	a.observe(args.Meta)
+	a.mu.Lock()
+	window := a.ledger.Window()
+	a.mu.Unlock()
+	*reply = wire.HelloReply{
+		Meta:          a.meta(),
+		Service:       a.opts.Service,
+		FailureDomain: a.opts.FailureDomain,
+		Leaving:       a.leaving.Load(),
+		Window:        window,
+		Load:          a.gate.load(),
+	}
+	return nil
+}
+
+// Submit asks for a request to be run.
+func (s *Service) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
+	a := s.agent
+	a.observe(args.Meta)
+	v := a.submit(args)
+	*reply = wire.SubmitReply{
+		Meta:       a.meta(),
+		Verdict:    v.verdict,
+		Reason:     v.reason,
+		RetryAfter: v.retryAfter,
+		Load:       a.gate.load(),
+	}
+	return nil
+}
+
+// Read returns the next bytes of an answer.
+func (s *Service) Read(args *wire.ReadArgs, reply *wire.ReadReply) error {
+	a := s.agent
+	a.observe(args.Meta)
+	a.read(args, reply)
+	reply.Meta = a.meta()
+	return nil
+}
+
+func (a *Agent) read(args *wire.ReadArgs, reply *wire.ReadReply) {
+	reply.Request = args.Request
+	reply.Offset = args.Offset
+	if args.Holder != a.incarnation {
+		reply.Verdict = wire.VerdictWrongIncarnation
+		return
+	}
+	ans := a.answers.get(args.Request)
+	if ans == nil || ans.customer != args.Customer {
+		reply.Verdict = a.unknown(args.Request)
+		return
+	}
+	ans.read(args.Offset, min(args.Wait, maxReadWait), reply)
+}
+
+// unknown returns the verdict on a request whose answer is not kept.
+func (a *Agent) unknown(request string) wire.Verdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch a.ledger.Phase(request) {
+	case ticket.PhaseUnknown:
+		return wire.VerdictUnknown
+	case ticket.PhaseHeld:
+		return wire.VerdictKnown
+	case ticket.PhaseNotRun:
+		return wire.VerdictRefused
+	default:
+		return wire.VerdictMayHaveRun
+	}
+}
+
+// Cancel stops the work behind an idempotent request and forgets its answer.
+// Ticketed work goes on: its outcome is recorded.
+func (s *Service) Cancel(args *wire.RequestArgs, reply *wire.RequestReply) error {
+	a := s.agent
+	a.observe(args.Meta)
+	reply.Meta = a.meta()
+	reply.Verdict = a.release(args)
+	counters.Add("cancelled", 1)
+	return nil
+}
+
+// Confirm says that an answer has arrived whole and need not be kept.
+func (s *Service) Confirm(args *wire.RequestArgs, reply *wire.RequestReply) error {
+	a := s.agent
+	a.observe(args.Meta)
+	reply.Meta = a.meta()
+	reply.Verdict = a.release(args)
+	return nil
+}
+
+func (a *Agent) release(args *wire.RequestArgs) wire.Verdict {
+	if args.Holder != a.incarnation {
+		return wire.VerdictWrongIncarnation
+	}
+	ans := a.answers.get(args.Request)
+	if ans == nil || ans.customer != args.Customer {
+		return wire.VerdictUnknown
+	}
+	if !ans.ticketed {
+		a.answers.drop(args.Request)
+	}
+	return wire.VerdictKnown
+}
+
+// Config returns this agent's configuration if it is greater than args.After.
+func (s *Service) Config(args *wire.ConfigArgs, reply *wire.ConfigReply) error {
+	a := s.agent
+	a.observe(args.Meta)
+	reply.Meta = a.meta()
+	adopted := a.opts.Board.Configuration()
+	if adopted == nil || adopted.Config.Version <= args.After {
+		return nil
+	}
+	encoded, err := config.Encode(adopted.Config)
+	if err != nil {
+		return err
+	}
+	reply.Version = adopted.Config.Version
+	reply.Encoded = encoded
+	return nil
+}
--- /dev/null
+++ b/agent/upstream.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionrill.example/fleet/wire"
+)
+
+const (
+	upstreamDialTimeout = 2 * time.Second
+	upstreamReadBytes   = 32 << 10
+	maxIdleUpstream     = 256
+	tailBytes           = 64
+)
+
+// streamEnd is the last event of a chat completion stream, as the OpenAI API
+// defines it.
+const streamEnd = "data: [DONE]"
+
+// errTooLong says that an answer passed the limit of kept bytes.
+var errTooLong = errors.New("agent: answer exceeds the limit of kept bytes")
+
+// errConnUsed stops net/http from sending a request that may not repeat on a
+// second connection.
+var errConnUsed = errors.New("agent: the connection of a non-idempotent call was used")
+
+// upstream calls the one upstream beside this agent.
+type upstream struct {
+	base   *url.URL
+	dialer net.Dialer
+	client *http.Client
+}
+
+func newUpstream(base *url.URL) *upstream {
+	u := &upstream{base: base, dialer: net.Dialer{Timeout: upstreamDialTimeout}}
+	u.client = &http.Client{
+		CheckRedirect: keepRedirect,
+		Transport: &http.Transport{
+			DialContext:         u.dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdleUpstream,
+			DisableCompression:  true,
+		},
+	}
+	return u
+}
+
+func keepRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// dial opens a connection for one call that may not repeat.
+func (u *upstream) dial(ctx context.Context) (net.Conn, error) {
+	return u.dialer.DialContext(ctx, "tcp", u.base.Host)
+}
+
+// once returns a client that sends one request on conn and never another:
+// net/http repeats requests by itself when a reused connection dies, and takes
+// a request with an Idempotency-Key for one that it may repeat.
+func once(conn net.Conn) *http.Client {
+	var used atomic.Bool
+	return &http.Client{
+		CheckRedirect: keepRedirect,
+		Transport: &http.Transport{
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+			DialContext: func(context.Context, string, string) (net.Conn, error) {
+				if used.Swap(true) {
+					return nil, errConnUsed
+				}
+				return conn, nil
+			},
+		},
+	}
+}
+
+// request builds the upstream's request.
+func (u *upstream) request(ctx context.Context, args *wire.SubmitArgs) (*http.Request, error) {
+	target := *u.base
+	target.Path = strings.TrimSuffix(u.base.Path, "/") + args.Path
+	target.RawQuery = args.Query
+	req, err := http.NewRequestWithContext(ctx, args.Method, target.String(), bytes.NewReader(args.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "agent: build upstream request")
+	}
+	for name, values := range args.Header {
+		req.Header[name] = values
+	}
+	return req, nil
+}
+
+// sink receives an upstream's answer. write returns false to stop it.
+type sink interface {
+	start(status int, header http.Header)
+	write(p []byte) bool
+}
+
+// call sends args by client and passes the answer to out. It returns true only
+// when the whole answer was passed on.
+func (u *upstream) call(ctx context.Context, client *http.Client, args *wire.SubmitArgs, out sink) (bool, error) {
+	req, err := u.request(ctx, args)
+	if err != nil {
+		return false, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false, errors.Wrap(err, "agent: call upstream")
+	}
+	defer resp.Body.Close()
+	out.start(resp.StatusCode, resp.Header)
+	tail, err := copyAnswer(resp.Body, out)
+	if err != nil {
+		return false, err
+	}
+	return isWhole(resp, tail), nil
+}
+
+// copyAnswer passes body to out and returns its last bytes.
+func copyAnswer(body io.Reader, out sink) (tail []byte, err error) {
+	buf := make([]byte, upstreamReadBytes)
+	for {
+		n, err := body.Read(buf)
+		tail = appendTail(tail, buf[:n])
+		if n > 0 && !out.write(buf[:n]) {
+			return nil, errTooLong
+		}
+		if err == io.EOF {
+			return tail, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "agent: read upstream answer")
+		}
+	}
+}
+
+// appendTail returns the last tailBytes of tail and p.
+func appendTail(tail, p []byte) []byte {
+	tail = append(tail, p...)
+	return append([]byte(nil), tail[max(0, len(tail)-tailBytes):]...)
+}
+
+// isWhole tells whether an answer that ended without error is known to be
+// whole: an event stream by its last event, all else by its framing.
+func isWhole(resp *http.Response, tail []byte) bool {
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return bytes.HasSuffix(bytes.TrimSpace(tail), []byte(streamEnd))
+	}
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return framed
+}
+
+// isNotSent tells whether err says that nothing reached the upstream.
+func isNotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/router/chat.go
@@ -0,0 +1,252 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/problem"
+)
+
+// chatBody is a chat completion request: the fields that the router reads, and
+// all others as they came.
+type chatBody struct {
+	Model    string
+	Stream   bool
+	N        int
+	Messages []json.RawMessage
+	fields   map[string]json.RawMessage
+}
+
+// parseChat reads a chat completion request of the OpenAI API.
+func parseChat(body []byte) (*chatBody, error) {
+	if !utf8.Valid(body) {
+		return nil, errors.New("body: not valid UTF-8")
+	}
+	b := &chatBody{N: 1}
+	if err := json.Unmarshal(body, &b.fields); err != nil {
+		return nil, errors.Wrap(err, "body: not a JSON object")
+	}
+	targets := []struct {
+		name string
+		to   any
+	}{
+		{"model", &b.Model},
+		{"stream", &b.Stream},
+		{"n", &b.N},
+		{"messages", &b.Messages},
+	}
+	for _, t := range targets {
+		raw, ok := b.fields[t.name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, t.to); err != nil {
+			return nil, errors.Wrapf(err, "body: field %s", t.name)
+		}
+	}
+	if b.Model == "" {
+		return nil, errors.New("body: field model is missing")
+	}
+	if len(b.Messages) == 0 {
+		return nil, errors.New("body: field messages is missing or empty")
+	}
+	return b, nil
+}
+
+// encode returns the request for the engine, with the priority of the rules in
+// place of the caller's.
+func (b *chatBody) encode(priority int) ([]byte, error) {
+	fields := make(map[string]json.RawMessage, len(b.fields)+1)
+	for name, raw := range b.fields {
+		fields[name] = raw
+	}
+	fields["priority"] = json.RawMessage(strconv.Itoa(priority))
+	out, err := json.Marshal(fields)
+	return out, errors.Wrap(err, "router: encode chat request")
+}
+
+// chatKey identifies a chat whose caller gives no identifier: by its customer
+// and first messages, which stay the same when the chat returns.
+func (b *chatBody) chatKey(customer string) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(customer))
+	for _, m := range b.Messages[:min(2, len(b.Messages))] {
+		_, _ = h.Write(m)
+	}
+	return "prefix-" + strconv.FormatUint(h.Sum64(), 16)
+}
+
+// serveChat answers a chat completion request, streamed or not.
+func (r *Router) serveChat(w http.ResponseWriter, req *http.Request, c caller) {
+	token, err := r.chatToken(req, c)
+	if err != nil {
+		r.badRequest(w, err)
+		return
+	}
+	if last := req.Header.Get(HeaderLastEventID); last != "" {
+		r.resumeStream(w, req, c, token, last)
+		return
+	}
+	raw, ok := r.readBody(w, req)
+	if !ok {
+		return
+	}
+	body, err := parseChat(raw)
+	if err != nil {
+		r.badRequest(w, err)
+		return
+	}
+	q, ok := r.chatRequest(w, req, c, body)
+	if !ok {
+		return
+	}
+	ch := r.newChooser(q, token.host)
+	if body.Stream {
+		r.streamChat(w, req, q, body, ch)
+		return
+	}
+	r.collectAnswer(req.Context(), w, q, ch, true)
+}
+
+// chatToken returns what the caller's chat token carries. A token of another
+// customer or fleet is an error; none is not.
+func (r *Router) chatToken(req *http.Request, c caller) (handle, error) {
+	encoded := req.Header.Get(HeaderChatToken)
+	if encoded == "" {
+		return handle{}, nil
+	}
+	h, err := r.openToken(encoded)
+	if err != nil || h.customer != c.customer.ID {
+		return handle{}, errors.Newf("header %s: not a chat token of this customer", HeaderChatToken)
+	}
+	return h, nil
+}
+
+// chatRequest checks the request against the configuration.
+func (r *Router) chatRequest(w http.ResponseWriter, req *http.Request, c caller, body *chatBody) (*request, bool) {
+	service, ok := c.adopted.Index.ServiceForModel(body.Model)
+	if !ok {
+		r.fail(w, problem.Problem{
+			Status: http.StatusNotFound, Code: problem.CodeUnknownModel, Outcome: problem.OutcomeNotRun,
+			Detail: "no service offers model " + strconv.Quote(body.Model),
+		})
+		return nil, false
+	}
+	chat := req.Header.Get(HeaderChat)
+	if !validID(chat) {
+		r.badRequest(w, errors.Newf("header %s: printable ASCII of at most %d bytes", HeaderChat, maxIDBytes))
+		return nil, false
+	}
+	if chat == "" {
+		chat = body.chatKey(c.customer.ID)
+	}
+	priority, ok := servicePriority(c, service.ID)
+	if !ok {
+		r.forbidden(w, service.ID)
+		return nil, false
+	}
+	encoded, err := body.encode(priority)
+	if err != nil {
+		r.badRequest(w, err)
+		return nil, false
+	}
+	return &request{
+		id:        newID(),
+		adopted:   c.adopted,
+		customer:  c.customer,
+		service:   service,
+		chat:      c.customer.ID + "/" + chat,
+		priority:  priority,
+		method:    http.MethodPost,
+		path:      "/v1/chat/completions",
+		header:    map[string][]string{"Content-Type": {"application/json"}},
+		body:      encoded,
+		mayRepeat: true,
+	}, true
+}
+
+// servicePriority returns the greatest priority that the rules give the
+// customer on a service, and whether any rule allows it there.
+func servicePriority(c caller, service string) (priority int, ok bool) {
+	for _, rule := range c.adopted.Config.Rules {
+		if !matches(rule.Customer, c.customer.ID) || !matches(rule.Service, service) {
+			continue
+		}
+		if !ok || rule.Priority > priority {
+			priority = rule.Priority
+		}
+		ok = true
+	}
+	return priority, ok
+}
+
+// collectAnswer gives the caller one whole answer to idempotent work.
+func (r *Router) collectAnswer(ctx context.Context, w http.ResponseWriter, q *request, ch *chooser, chat bool) {
+	var answer []byte
+	var rd *reader
+	err := r.attempts(ctx, q, ch, func(c place.Candidate, mayQueue bool) error {
+		var err error
+		if rd, err = r.handOver(ctx, q, c, mayQueue); err != nil {
+			return err
+		}
+		if answer, err = rd.collect(ctx); err != nil {
+			go r.release(rd.handle, "Cancel")
+		}
+		return err
+	})
+	if err != nil {
+		r.fail(w, r.idempotentProblem(err, false))
+		return
+	}
+	go r.release(rd.handle, "Confirm")
+	copyHeader(w.Header(), rd.header)
+	w.Header().Set(HeaderRequest, rd.handle.request)
+	if chat {
+		r.setToken(w, rd.handle)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	w.WriteHeader(rd.status)
+	_, _ = w.Write(answer)
+	counters.Add("answered", 1)
+}
+
+func (r *Router) setToken(w http.ResponseWriter, h handle) {
+	token, err := r.sealToken(h)
+	if err != nil {
+		counters.Add("token_errors", 1)
+		return
+	}
+	w.Header().Set(HeaderChatToken, token)
+}
+
+// writeModels writes the models that the customer's rules allow.
+func writeModels(w http.ResponseWriter, c caller) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, svc := range c.adopted.Config.Services {
+		if _, ok := servicePriority(c, svc.ID); !ok {
+			continue
+		}
+		for _, name := range svc.Models {
+			list.Data = append(list.Data, model{ID: name, Object: "model"})
+		}
+	}
+	slices.SortFunc(list.Data, func(a, b model) int { return strings.Compare(a.ID, b.ID) })
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/router/counters.go
@@ -0,0 +1,6 @@
+package router
+
+import "expvar"
+
+// counters are the router's metrics. docs/OPERATIONS.md lists their names.
+var counters = expvar.NewMap("router")
--- /dev/null
+++ b/router/keyed.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/decide/retry"
+)
+
+// KeyBinder binds the idempotency keys of customers to tickets, so that a
+// repeat through any router meets the same ticket. Its methods may be called
+// concurrently.
+type KeyBinder interface {
+	// Bind returns the sealed ticket to which the key is bound, after binding it
+	// to one from draw where it was not. It returns an error marked with
+	// ErrKeyMismatch when the key was bound to another request, and one marked
+	// with ErrKeyUnavailable when no binding could be agreed: then nothing ran.
+	Bind(ctx context.Context, id KeyID, draw func() (string, error)) (string, error)
+	// Rebind replaces spent, a ticket that never ran and never will. It returns
+	// the ticket to which the key is now bound, by this call or by another.
+	Rebind(ctx context.Context, id KeyID, spent string, draw func() (string, error)) (string, error)
+}
+
+// KeyID names a customer's key on a service, for one request.
+type KeyID struct {
+	Customer string
+	Service  string
+	Key      string
+	Digest   string // of the request
+}
+
+// Errors that a KeyBinder marks its own with.
+var (
+	ErrKeyMismatch    = errors.New("router: the idempotency key was first used for another request")
+	ErrKeyUnavailable = errors.New("router: the idempotency key could not be bound")
+)
+
+// errNoKeys says that this router has no KeyBinder.
+var errNoKeys = errors.Mark(errors.New("router: idempotency keys are not served"), ErrKeyUnavailable)
+
+// runKeyed runs a call under the ticket that its idempotency key is bound to.
+// A ticket that is known never to run is replaced.
+func (r *Router) runKeyed(ctx context.Context, q *request, ch *chooser, id KeyID, brought *operation) (*operation, *answerWhole, error) {
+	if r.opts.Keys == nil {
+		return &operation{}, nil, errNoKeys
+	}
+	draw := func() (string, error) { return r.drawSealed(ctx, q, ch, id.Digest, brought) }
+	sealed, err := r.opts.Keys.Bind(ctx, id, draw)
+	if err != nil {
+		return &operation{}, nil, err
+	}
+	r.deposit(q.service.ID)
+	for made := 1; ; made++ {
+		op, err := r.open(sealed)
+		if err != nil {
+			return &operation{}, nil, errors.Mark(err, ErrKeyUnavailable)
+		}
+		answer, err := r.runTicket(ctx, q, op)
+		if err == nil || !r.mayRebind(ctx, q, err, made) {
+			return op, answer, err
+		}
+		brought = nil
+		sealed, err = r.opts.Keys.Rebind(ctx, id, op.sealed, draw)
+		if err != nil {
+			return &operation{}, nil, err
+		}
+	}
+}
+
+// mayRebind tells whether err says for certain that the ticket never runs, and
+// another may be tried.
+func (r *Router) mayRebind(ctx context.Context, q *request, err error, made int) bool {
+	var refused *refusedError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	if refusal(refused.reason) == retry.FailureFinal {
+		return false
+	}
+	return r.again(ctx, q, err, made)
+}
+
+// drawSealed returns the ticket that the caller brought, or a fresh one at the
+// next upstream that answers.
+func (r *Router) drawSealed(ctx context.Context, q *request, ch *chooser, digest string, brought *operation) (string, error) {
+	if brought != nil {
+		return brought.sealed, nil
+	}
+	op, err := r.drawAnywhere(ctx, q, ch, digest)
+	if err != nil {
+		return "", err
+	}
+	return op.sealed, nil
+}
+
+// drawAnywhere draws a ticket at the next upstream that answers. The ticket is
+// sent to nobody.
+func (r *Router) drawAnywhere(ctx context.Context, q *request, ch *chooser, digest string) (*operation, error) {
+	var op *operation
+	err := r.attempts(ctx, q, ch, func(c place.Candidate, _ bool) error {
+		t, err := r.draw(ctx, q, c, digest)
+		if err != nil {
+			return errors.Mark(err, errNeverSent)
+		}
+		op, err = r.seal(t, false)
+		return err
+	})
+	return op, err
+}
--- /dev/null
+++ b/router/options.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/decide/ticket"
+	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/timeline"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxBodyBytes   = 2 << 20
+	DefaultMaxAnswerBytes = 16 << 20
+	DefaultTimeout        = 60 * time.Second
+	DefaultMaxTimeout     = 10 * time.Minute
+	DefaultMaxAttempts    = 3
+	DefaultLostAfter      = 5 * time.Second
+	DefaultDrainTimeout   = 2 * time.Minute
+	DefaultHeaderTimeout  = 5 * time.Second
+	DefaultBodyTimeout    = 30 * time.Second
+	DefaultIdleTimeout    = 2 * time.Minute
+	DefaultMaxHeaderBytes = 64 << 10
+)
+
+// Options configure a Router. Zero values take the defaults above.
+type Options struct {
+	Host          string
+	FailureDomain string
+	Incarnation   string // drawn at random if empty
+
+	Signer   *ticket.Signer
+	Board    *board.Board
+	Pool     *link.Pool // connections to agents
+	Keys     KeyBinder  // nil: calls with an Idempotency-Key are refused
+	Timeline *timeline.Timeline
+	Log      log.Interface
+
+	MaxBodyBytes   int64         // largest request body
+	MaxAnswerBytes int64         // largest answer that is collected before it is given
+	Timeout        time.Duration // of a request whose caller sets none
+	MaxTimeout     time.Duration // longest that a caller may set
+	MaxAttempts    int           // upstreams tried for one request
+	LostAfter      time.Duration // silence after which an agent is given up
+	DrainTimeout   time.Duration // longest graceful stop
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	setDefault(&o.Timeout, DefaultTimeout)
+	setDefault(&o.MaxTimeout, DefaultMaxTimeout)
+	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&o.LostAfter, DefaultLostAfter)
+	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
+	return o
+}
+
+func setDefault[T comparable](p *T, value T) {
+	var zero T
+	if *p == zero {
+		*p = value
+	}
+}
--- /dev/null
+++ b/router/pools.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/platform"
+)
+
+// poolRefresh bounds the age of the loads in a snapshot.
+const poolRefresh = 500 * time.Millisecond
+
+// pools is an immutable snapshot of the candidates of every service.
+type pools map[string]*place.Picker
+
+// keepPools rebuilds the snapshot when the board changes, and periodically for
+// the loads.
+func (r *Router) keepPools(ctx context.Context) {
+	tick := time.NewTicker(poolRefresh)
+	defer tick.Stop()
+	for {
+		changed := r.opts.Board.Changed()
+		r.pools.Store(r.buildPools())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
+
+// buildPools reads the board.
+func (r *Router) buildPools() *pools {
+	out := make(pools)
+	adopted := r.opts.Board.Configuration()
+	if adopted == nil {
+		return &out
+	}
+	byService := make(map[string][]place.Candidate)
+	for _, h := range r.opts.Board.Hosts() {
+		if h.Role != platform.RoleAgent || !h.Choosable() {
+			continue
+		}
+		c := place.Candidate{
+			Host:          h.Name,
+			Address:       h.Address,
+			FailureDomain: h.FailureDomain,
+			Load:          -1,
+			Weight:        1,
+		}
+		if h.Load != nil {
+			c.Load = float64(h.Load.InFlight + h.Load.Queued)
+		}
+		byService[h.Service] = append(byService[h.Service], c)
+	}
+	for i := range adopted.Config.Services {
+		svc := &adopted.Config.Services[i]
+		out[svc.ID] = place.NewPicker(r.placeOptions(svc), byService[svc.ID])
+	}
+	return &out
+}
+
+func (r *Router) placeOptions(svc *config.Service) place.Options {
+	return place.Options{
+		LoadMultiple:  svc.LoadMultiple,
+		FailureDomain: r.opts.FailureDomain,
+	}
+}
+
+// chooser yields the upstreams to try for one request, each once.
+type chooser struct {
+	picker  *place.Picker
+	allowed place.Set
+	key     uint64
+	prefer  string
+	tried   []int
+}
+
+// newChooser returns a chooser over the current snapshot for q. prefer is the
+// host of the chat's last answer, or empty.
+func (r *Router) newChooser(q *request, prefer string) *chooser {
+	picker, ok := (*r.pools.Load())[q.service.ID]
+	if !ok {
+		picker = place.NewPicker(r.placeOptions(q.service), nil)
+	}
+	index := q.adopted.Index
+	allowed := picker.Allow(func(c place.Candidate) bool {
+		_, ok := index.Allowed(q.customer.ID, q.service.ID, c.Host, c.FailureDomain)
+		return ok
+	})
+	return &chooser{picker: picker, allowed: allowed, key: place.Key(q.chat), prefer: prefer}
+}
+
+// next returns the next upstream to try, or false when none is left.
+func (c *chooser) next() (place.Candidate, bool) {
+	i, ok := c.picker.Pick(place.Query{
+		Key:     c.key,
+		Prefer:  c.prefer,
+		Tried:   c.tried,
+		Allowed: c.allowed,
+		Rand:    rand.Uint64(),
+	})
+	if !ok {
+		return place.Candidate{}, false
+	}
+	c.tried = append(c.tried, i)
+	return c.picker.Candidate(i), true
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -50,6 +50,7 @@
 	ReasonDeadline      Reason = "deadline"
 	ReasonUpstreamDown  Reason = "upstream-down" // the upstream refused the connection
 	ReasonKeptFull      Reason = "kept-answers-full"
+	ReasonRevoked       Reason = "revoked"
 )
 
 // SubmitArgs asks an agent to run a request on its upstream.
@@ -69,6 +70,7 @@
 	Body       []byte
 	Timeout    time.Duration // what is left of the caller's deadline
 	PromptLoad int           // estimated prompt tokens, for the load bound
+	MayQueue   bool          // wait at the agent when its load bound is reached
 	Resume     bool          // the body's last message is a partial answer to continue
 }
 
