Bound answers in writing and in keeping, cancel what was lost on submission

Cause: a caller that stops reading held its goroutine; recorded answers that fill the agent's memory would have refused all new work; work whose submission was lost ran on unread. Now each write to a caller is limited, the longest unread recorded answers are evicted first (their tickets stay in the ledger), and a lost submission is cancelled by its request alone. Ruled out: that the write limit outlives its request on a kept connection.

--- a/agent/answers.go
+++ b/agent/answers.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"cmp"
 	"hash/maphash"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,6 +81,31 @@
 	return s.used.Load() >= s.limit
 }
 
+// evict forgets ended answers to ticketed requests, the longest unread first,
+// until no more than target bytes are held, and returns how many. Their tickets
+// stay in the ledger: a repeat is told that the call may have run.
+func (s *answers) evict(target int64) int {
+	now := time.Now()
+	type old struct {
+		request string
+		idle    time.Duration
+	}
+	var ended []old
+	s.each(func(a *answer) {
+		if idle, done := a.idle(now); done && a.ticketed {
+			ended = append(ended, old{a.request, idle})
+		}
+	})
+	slices.SortFunc(ended, func(a, b old) int { return cmp.Compare(b.idle, a.idle) })
+	for i, o := range ended {
+		if s.used.Load() <= target {
+			return i
+		}
+		s.drop(o.request)
+	}
+	return len(ended)
+}
+
 // drop forgets the answer to request and stops the work behind it.
 func (s *answers) drop(request string) {
 	sh := s.shard(request)
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -130,7 +130,7 @@
 }
 
 func (a *Agent) release(args *wire.RequestArgs) wire.Verdict {
-	if args.Holder != a.incarnation {
+	if args.Holder != "" && args.Holder != a.incarnation {
 		return wire.VerdictWrongIncarnation
 	}
 	ans := a.answers.get(args.Request)
--- a/agent/submit.go
+++ b/agent/submit.go
@@ -103,7 +103,7 @@
 	if !ok {
 		return a.refuse(args, wire.ReasonForbidden)
 	}
-	if a.answers.full() {
+	if !a.makeRoom() {
 		return a.refuse(args, wire.ReasonKeptFull)
 	}
 	w, reason := a.gate.enter(customer, args)
@@ -123,6 +123,20 @@
 	return verdict{verdict: wire.VerdictAccepted}
 }
 
+// keptTarget is the share of the kept bytes that eviction leaves, in tenths.
+const keptTarget = 9
+
+// makeRoom evicts recorded answers when the kept bytes are used up, and tells
+// whether there is room now.
+func (a *Agent) makeRoom() bool {
+	if !a.answers.full() {
+		return true
+	}
+	n := a.answers.evict(a.opts.KeptAnswerBytes / 10 * keptTarget)
+	counters.Add("answers_evicted", int64(n))
+	return !a.answers.full()
+}
+
 func (a *Agent) refuse(args *wire.SubmitArgs, reason wire.Reason) verdict {
 	counters.Add("refused_"+string(reason), 1)
 	a.record(timeline.KindRequestRefused, args, string(reason))
--- a/router/chat.go
+++ b/router/chat.go
@@ -208,15 +208,10 @@
 		return
 	}
 	go r.release(rd.handle, "Confirm")
-	copyHeader(w.Header(), rd.header)
-	w.Header().Set(HeaderRequest, rd.handle.request)
 	if chat {
 		r.setToken(w, rd.handle)
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-	w.WriteHeader(rd.status)
-	_, _ = w.Write(answer)
-	counters.Add("answered", 1)
+	r.writeWhole(w, rd.handle.request, &answerWhole{status: rd.status, header: rd.header, body: answer})
 }
 
 func (r *Router) setToken(w http.ResponseWriter, h handle) {
--- a/router/handler.go
+++ b/router/handler.go
@@ -44,6 +44,11 @@
 	return mux
 }
 
+// limitWrite bounds the time that the caller may take for the next write.
+func (r *Router) limitWrite(control *http.ResponseController) {
+	_ = control.SetWriteDeadline(time.Now().Add(r.opts.WriteTimeout))
+}
+
 // caller is an authenticated customer under the configuration that its request
 // sees from start to end.
 type caller struct {
@@ -160,6 +165,17 @@
 	problem.Write(w, p)
 }
 
+// writeWhole gives the caller a whole answer.
+func (r *Router) writeWhole(w http.ResponseWriter, request string, a *answerWhole) {
+	copyHeader(w.Header(), a.header)
+	w.Header().Set(HeaderRequest, request)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	r.limitWrite(http.NewResponseController(w))
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+	counters.Add("answered", 1)
+}
+
 // serveModels lists the models that the customer may use, in the shape of the
 // OpenAI API.
 func (r *Router) serveModels(w http.ResponseWriter, _ *http.Request, c caller) {
--- a/router/once.go
+++ b/router/once.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -90,14 +89,9 @@
 
 // giveRecorded gives the caller the recorded answer of op.
 func (r *Router) giveRecorded(w http.ResponseWriter, op *operation, answer *answerWhole) {
-	copyHeader(w.Header(), answer.header)
-	w.Header().Set(HeaderRequest, op.ticket.Nonce)
 	w.Header().Set(HeaderTicket, op.sealed)
 	w.Header().Set(HeaderOutcome, outcomeAnswered)
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
-	w.WriteHeader(answer.status)
-	_, _ = w.Write(answer.body)
-	counters.Add("answered", 1)
+	r.writeWhole(w, op.ticket.Nonce, answer)
 }
 
 // seal returns the operation for a fresh ticket.
--- a/router/options.go
+++ b/router/options.go
@@ -20,6 +20,7 @@
 	DefaultMaxAttempts    = 3
 	DefaultLostAfter      = 5 * time.Second
 	DefaultDrainTimeout   = 2 * time.Minute
+	DefaultWriteTimeout   = 30 * time.Second
 	DefaultHeaderTimeout  = 5 * time.Second
 	DefaultBodyTimeout    = 30 * time.Second
 	DefaultIdleTimeout    = 2 * time.Minute
@@ -46,6 +47,7 @@
 	MaxAttempts    int           // upstreams tried for one request
 	LostAfter      time.Duration // silence after which an agent is given up
 	DrainTimeout   time.Duration // longest graceful stop
+	WriteTimeout   time.Duration // longest that a caller may take for one write
 }
 
 func (o Options) withDefaults() Options {
@@ -56,6 +58,7 @@
 	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
 	setDefault(&o.LostAfter, DefaultLostAfter)
 	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	return o
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -156,6 +157,16 @@
 	return text.String()
 }
 
+func TestWriteLimitEndsWithItsRequest(t *testing.T) {
+	cfg := fleettest.Config(1)
+	up := fleettest.StartUpstream(t, "s1", fleettest.PlainService, service.New(service.Options{}), cfg, nil)
+	limit := 50 * time.Millisecond
+	r := fleettest.StartRouter(t, "r1", cfg, []*fleettest.Upstream{up}, nil, func(o *router.Options) { o.WriteTimeout = limit })
+	must.Eq(t, 200, r.Do(t, "GET", "/v1/services/share-ledger/holdings", "", nil).Status)
+	time.Sleep(2 * limit)
+	must.Eq(t, 404, r.Do(t, "POST", "/none", "x", nil).Status)
+}
+
 func TestRefusalsAreTyped(t *testing.T) {
 	f := newFleet(t)
 	for _, tc := range []struct {
--- a/router/stream.go
+++ b/router/stream.go
@@ -5,9 +5,7 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,8 +14,7 @@
 )
 
 const (
-	callerWriteTimeout = 30 * time.Second
-	eventStreamType    = "text/event-stream"
+	eventStreamType = "text/event-stream"
 )
 
 // doneEvent ends a chat completion stream of the OpenAI API.
@@ -133,7 +130,7 @@
 	if len(out) == 0 {
 		return nil
 	}
-	_ = s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	s.router.limitWrite(s.control)
 	if _, err := s.w.Write(out); err != nil {
 		return errors.Mark(err, errCallerLeft)
 	}
@@ -156,7 +153,7 @@
 // abort ends a stream that has begun with an error event.
 func (s *stream) abort(p problem.Problem) {
 	counters.Add("problem_"+string(p.Code), 1)
-	_ = s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	s.router.limitWrite(s.control)
 	_ = problem.WriteEvent(s.w, p)
 	_ = s.control.Flush()
 }
@@ -237,12 +234,7 @@
 		return
 	}
 	go r.release(rd.handle, "Confirm")
-	answer := append(first, rest...)
-	copyHeader(w.Header(), rd.header)
-	w.Header().Set(HeaderRequest, rd.handle.request)
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-	w.WriteHeader(rd.status)
-	_, _ = w.Write(answer)
+	r.writeWhole(w, rd.handle.request, &answerWhole{status: rd.status, header: rd.header, body: append(first, rest...)})
 }
 
 // resumeStream goes on with a cut stream at the event that the caller has
--- a/router/submit.go
+++ b/router/submit.go
@@ -178,6 +178,7 @@
 	h := handle{address: c.Address, host: c.Host, request: newID(), customer: q.customer.ID}
 	reply, err := r.submit(ctx, q, c, h, mayQueue)
 	if err != nil {
+		r.abandon(h, err)
 		return nil, err
 	}
 	if reply.Verdict != wire.VerdictAccepted && reply.Verdict != wire.VerdictKnown {
@@ -188,6 +189,14 @@
 	return r.newReader(h), nil
 }
 
+// abandon cancels a request whose submission failed with err and may have
+// arrived all the same.
+func (r *Router) abandon(h handle, err error) {
+	if !errors.Is(err, link.ErrNotSent) {
+		go r.release(h, "Cancel")
+	}
+}
+
 // record adds an event to the time line.
 func (r *Router) record(kind timeline.Kind, q *request, h handle, reason string) {
 	r.opts.Timeline.Record(timeline.Event{
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -110,7 +110,8 @@
 	Digest  [32]byte // SHA-256 of the whole answer
 }
 
-// RequestArgs names a request, for Cancel, Confirm and Revoke.
+// RequestArgs names a request, for Cancel, Confirm and Revoke. Holder may be
+// empty where the sender never learnt it.
 type RequestArgs struct {
 	Meta
 	Request  string
