--- a/router/pools.go
+++ b/router/pools.go
@@ -10,8 +10,13 @@
 	"dandelionrill.example/fleet/platform"
 )
 
-// poolRefresh bounds the age of the loads in a snapshot.
-const poolRefresh = 500 * time.Millisecond
+const (
+	// poolRefresh bounds the age of the loads in a snapshot.
+	poolRefresh = 2 * time.Second
+	// poolPause is the shortest time between two snapshots: a rebuild at the
+	// full size takes milliseconds.
+	poolPause = 100 * time.Millisecond
+)
 
 // pools is an immutable snapshot of the candidates of every service.
 type pools map[string]*place.Picker
@@ -24,6 +29,9 @@
 	for {
 		changed := r.opts.Board.Changed()
 		r.pools.Store(r.buildPools())
+		if !sleep(ctx, poolPause) {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -33,6 +41,18 @@
 	}
 }
 
+// sleep waits for d, or returns false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // buildPools reads the board.
 func (r *Router) buildPools() *pools {
 	out := make(pools)
