Bind idempotency keys to tickets through the platform

Cause: a caller that repeats with nothing but its key may come through a router that chooses another upstream; only the platform can bring the calls together. One conditional create binds a new key (one call), a repeat costs the refused create and one read. Ruled out: reading first, which would make every new key two calls. A platform that does not answer is reported as may-have-run, not as not-run: an earlier call with the same key may have run, through any router.

--- /dev/null
+++ b/claims/claims_test.go
@@ -0,0 +1,94 @@
+package claims_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"dandelionrill.example/fleet/claims"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/platform/httpapi"
+	standin "dandelionrill.example/standin/platform"
+)
+
+func newStore(t *testing.T) (*standin.Server, platform.Store) {
+	server := standin.New(standin.Options{})
+	web := httptest.NewServer(server)
+	t.Cleanup(web.Close)
+	store, err := httpapi.New(httpapi.Options{BaseURL: web.URL, Timeout: time.Second})
+	must.NoError(t, err)
+	return server, store
+}
+
+// drawer returns a Draw that counts its tickets.
+func drawer(name string) (claims.Draw, *int) {
+	n := new(int)
+	return func() (string, error) {
+		*n++
+		return name + strconv.Itoa(*n), nil
+	}, n
+}
+
+func TestBindMeetsTheFirstTicket(t *testing.T) {
+	server, store := newStore(t)
+	b := claims.New(claims.Options{Store: store, Pause: time.Millisecond})
+	ctx := context.Background()
+	id := claims.ID{Customer: "rice", Service: "share-ledger", Key: "k", Digest: "d"}
+	a, _ := drawer("a")
+	first, err := b.Bind(ctx, id, a)
+	must.NoError(t, err)
+	must.Eq(t, "a1", first)
+	must.Eq(t, standin.Counts{Put: 1}, server.Counts())
+	again, err := b.Bind(ctx, id, a)
+	must.NoError(t, err)
+	must.Eq(t, "a1", again)
+
+	other := id
+	other.Digest = "other"
+	_, err = b.Bind(ctx, other, a)
+	must.ErrorIs(t, err, claims.ErrMismatch)
+
+	rubber := id
+	rubber.Customer = "rubber"
+	theirs, err := b.Bind(ctx, rubber, a)
+	must.NoError(t, err)
+	must.NotEq(t, first, theirs)
+
+	fresh, err := b.Rebind(ctx, id, first, a)
+	must.NoError(t, err)
+	must.NotEq(t, first, fresh)
+	late, err := b.Rebind(ctx, id, first, a)
+	must.NoError(t, err)
+	must.Eq(t, fresh, late, must.Sprint("a second rebind of the same spent ticket must meet the first"))
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	server, store := newStore(t)
+	server.SetFaults(standin.Faults{LoseAnswers: 1})
+	b := claims.New(claims.Options{Store: store, Pause: time.Millisecond})
+	id := claims.ID{Customer: "rice", Service: "share-ledger", Key: "k", Digest: "d"}
+	a, drawn := drawer("a")
+	sealed, err := b.Bind(context.Background(), id, a)
+	must.NoError(t, err)
+	must.Eq(t, "a1", sealed)
+	must.Eq(t, 1, *drawn)
+}
+
+func TestOutageIsNotABinding(t *testing.T) {
+	server, store := newStore(t)
+	server.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+	b := claims.New(claims.Options{Store: store, Pause: time.Millisecond})
+	id := claims.ID{Customer: "rice", Service: "share-ledger", Key: "k", Digest: "d"}
+	a, _ := drawer("a")
+	_, err := b.Bind(context.Background(), id, a)
+	must.True(t, errors.Is(err, claims.ErrUnavailable))
+	server.SetFaults(standin.Faults{})
+	sealed, err := b.Bind(context.Background(), id, a)
+	must.NoError(t, err)
+	must.Eq(t, "a2", sealed)
+}
--- a/router/failure.go
+++ b/router/failure.go
@@ -78,8 +78,11 @@
 // mayHaveRun describes a call whose outcome is not known here. encoded is its
 // ticket, by which the caller can ask later.
 func (r *Router) mayHaveRun(status int, encoded, detail string) problem.Problem {
+	if encoded != "" {
+		detail += "; ask by GET /v1/tickets/{ticket}"
+	}
 	return problem.Problem{
 		Status: status, Code: problem.CodeResultUnknown, Outcome: problem.OutcomeMayHaveRun,
-		Detail: detail + "; ask by GET /v1/tickets/{ticket}", RetryAfter: r.comeBack(), Ticket: encoded,
+		Detail: detail, RetryAfter: r.comeBack(), Ticket: encoded,
 	}
 }
--- a/router/keyed.go
+++ b/router/keyed.go
@@ -5,44 +5,29 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrill.example/fleet/claims"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/decide/retry"
 )
 
 // KeyBinder binds the idempotency keys of customers to tickets, so that a
-// repeat through any router meets the same ticket. Its methods may be called
-// concurrently.
+// repeat through any router meets the same ticket. *claims.Binder implements
+// it. Its methods may be called concurrently; errors are those of package
+// claims.
 type KeyBinder interface {
-	// Bind returns the sealed ticket to which the key is bound, after binding it
-	// to one from draw where it was not. It returns an error marked with
-	// ErrKeyMismatch when the key was bound to another request, and one marked
-	// with ErrKeyUnavailable when no binding could be agreed: then nothing ran.
-	Bind(ctx context.Context, id KeyID, draw func() (string, error)) (string, error)
-	// Rebind replaces spent, a ticket that never ran and never will. It returns
-	// the ticket to which the key is now bound, by this call or by another.
-	Rebind(ctx context.Context, id KeyID, spent string, draw func() (string, error)) (string, error)
+	// Bind returns the sealed ticket to which id is bound, after binding it to
+	// one from draw where it was not.
+	Bind(ctx context.Context, id claims.ID, draw claims.Draw) (string, error)
+	// Rebind replaces spent, a ticket that never ran and never will.
+	Rebind(ctx context.Context, id claims.ID, spent string, draw claims.Draw) (string, error)
 }
 
-// KeyID names a customer's key on a service, for one request.
-type KeyID struct {
-	Customer string
-	Service  string
-	Key      string
-	Digest   string // of the request
-}
-
-// Errors that a KeyBinder marks its own with.
-var (
-	ErrKeyMismatch    = errors.New("router: the idempotency key was first used for another request")
-	ErrKeyUnavailable = errors.New("router: the idempotency key could not be bound")
-)
-
 // errNoKeys says that this router has no KeyBinder.
-var errNoKeys = errors.Mark(errors.New("router: idempotency keys are not served"), ErrKeyUnavailable)
+var errNoKeys = errors.Mark(errors.New("router: idempotency keys are not served"), claims.ErrUnavailable)
 
 // runKeyed runs a call under the ticket that its idempotency key is bound to.
 // A ticket that is known never to run is replaced.
-func (r *Router) runKeyed(ctx context.Context, q *request, ch *chooser, id KeyID, brought *operation) (*operation, *answerWhole, error) {
+func (r *Router) runKeyed(ctx context.Context, q *request, ch *chooser, id claims.ID, brought *operation) (*operation, *answerWhole, error) {
 	if r.opts.Keys == nil {
 		return &operation{}, nil, errNoKeys
 	}
@@ -55,7 +40,7 @@
 	for made := 1; ; made++ {
 		op, err := r.open(sealed)
 		if err != nil {
-			return &operation{}, nil, errors.Mark(err, ErrKeyUnavailable)
+			return &operation{}, nil, errors.Mark(err, claims.ErrUnavailable)
 		}
 		answer, err := r.runTicket(ctx, q, op)
 		if err == nil || !r.mayRebind(ctx, q, err, made) {
--- a/router/once.go
+++ b/router/once.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrill.example/fleet/claims"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/link"
@@ -72,7 +73,7 @@
 	var answer *answerWhole
 	switch {
 	case key != "":
-		id := KeyID{Customer: q.customer.ID, Service: q.service.ID, Key: key, Digest: digest}
+		id := claims.ID{Customer: q.customer.ID, Service: q.service.ID, Key: key, Digest: digest}
 		op, answer, err = r.runKeyed(req.Context(), q, ch, id, brought)
 	case brought != nil:
 		op = brought
--- a/router/tickets.go
+++ b/router/tickets.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrill.example/fleet/claims"
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/problem"
 	"dandelionrill.example/fleet/wire"
@@ -58,10 +59,11 @@
 		r.fail(w, problem.Problem{Status: http.StatusBadRequest, Code: problem.CodeBadTicket, Outcome: problem.OutcomeNotRun, Detail: "header " + HeaderTicket + ": not a ticket of this customer and service"})
 	case errors.Is(err, errDigestMismatch):
 		r.fail(w, problem.Problem{Status: http.StatusUnprocessableEntity, Code: problem.CodeTicketMismatch, Outcome: problem.OutcomeNotRun, Detail: "the ticket belongs to a request with another method, path, query or body"})
-	case errors.Is(err, ErrKeyMismatch):
+	case errors.Is(err, claims.ErrMismatch):
 		r.fail(w, problem.Problem{Status: http.StatusUnprocessableEntity, Code: problem.CodeTicketMismatch, Outcome: problem.OutcomeNotRun, Detail: "the idempotency key was first used for a request with another method, path, query or body"})
-	case errors.Is(err, ErrKeyUnavailable):
-		p := r.unavailable("the idempotency key could not be bound: the platform does not answer")
+	case errors.Is(err, claims.ErrUnavailable):
+		// An earlier call with the same key may have run, through any router.
+		p := r.mayHaveRun(http.StatusServiceUnavailable, "", "this call was not run: the platform does not answer for its idempotency key; an earlier call with the key may have run. Repeat with the same key")
 		p.Code = problem.CodePlatformDown
 		r.fail(w, p)
 	case errors.Is(err, errMayHaveRun):
