Add the membership and configuration controllers

Every process watching the platform would cost 4,070 waiting calls and a full value each per change. Two routers of each failure domain watch instead; whoever adopts a version offers it to four routers and its share of the agents, as a delta where the receiver runs a recent version, and exchanges repair what is lost. Agents only answer.

Ruled out: flooding without asking first for large updates (each process would take up to four copies), and agents that poll the host list.

--- a/board/board_test.go
+++ b/board/board_test.go
@@ -37,7 +37,7 @@
 		"a flap keeps own words":  {{lists(live, other), true}, {sees(EvidenceLeaving, "1"), false}, {lists(other), false}, {lists(live, other), false}},
 		"not listed yet":          {{sees(EvidenceAlive, "1"), false}, {lists(live), true}},
 		"refused":                 {{lists(live), true}, {sees(EvidenceRefused, ""), false}, {waits(minHold), true}, {sees(EvidenceTimeout, ""), false}, {waits(minHold), false}, {waits(minHold), true}},
-		"refused, then answering": {{lists(live), true}, {sees(EvidenceUpstreamDown, "1"), false}, {sees(EvidenceAlive, "1"), true}},
+		"refused, then answering": {{lists(live), true}, {sees(EvidenceUpstreamDown, "1"), false}, {sees(EvidenceHeard, "1"), false}, {sees(EvidenceAlive, "1"), true}, {sees(EvidenceTimeout, ""), false}, {sees(EvidenceHeard, "1"), true}},
 		"many refusals in a row":  {{lists(live), true}, {sees(EvidenceRefused, ""), false}, {sees(EvidenceRefused, ""), false}, {sees(EvidenceRefused, ""), false}, {waits(minHold), true}},
 	} {
 		b = NewWithClock(func() time.Duration { return now })
--- a/board/host.go
+++ b/board/host.go
@@ -24,7 +24,8 @@
 
 // The kinds of evidence.
 const (
-	EvidenceAlive        EvidenceKind = iota + 1 // it answered and takes work
+	EvidenceAlive        EvidenceKind = iota + 1 // it took work, or answered it
+	EvidenceHeard                                // it answered a message: the process runs, its upstream may not
 	EvidenceLeaving                              // it said itself that it is leaving
 	EvidenceRefused                              // it refused the connection: nothing was sent
 	EvidenceTimeout                              // it did not answer in time
@@ -57,7 +58,8 @@
 	load         Entry[*wire.Load]
 	holdUntil    time.Duration
 	hold         time.Duration // the last hold, to be doubled
-	wasChoosable bool          // when last announced
+	holdCause    EvidenceKind
+	wasChoosable bool // when last announced
 }
 
 func (e *hostEntry) list(h platform.Host, version uint64, at time.Duration) {
@@ -83,10 +85,14 @@
 	switch evidence.Kind {
 	case EvidenceAlive:
 		e.clearHold()
+	case EvidenceHeard:
+		if e.holdCause != EvidenceUpstreamDown {
+			e.clearHold()
+		}
 	case EvidenceLeaving:
 		e.own.Value.leaving = true
 	case EvidenceRefused, EvidenceTimeout, EvidenceUpstreamDown:
-		e.extendHold(at)
+		e.extendHold(at, evidence.Kind)
 	}
 	if evidence.Incarnation == "" {
 		return
@@ -121,12 +127,13 @@
 
 // extendHold starts a hold unless one runs: many requests that meet the same
 // refusal count once.
-func (e *hostEntry) extendHold(at time.Duration) {
+func (e *hostEntry) extendHold(at time.Duration, cause EvidenceKind) {
 	if at < e.holdUntil {
 		return
 	}
 	e.hold = min(max(2*e.hold, minHold), maxHold)
 	e.holdUntil = at + e.hold
+	e.holdCause = cause
 }
 
 func (e *hostEntry) leaving() bool {
--- /dev/null
+++ b/controllers/configuration/serve.go
@@ -0,0 +1,29 @@
+package configuration
+
+import (
+	"time"
+
+	"dandelionrill.example/fleet/wire"
+)
+
+// ServeHello takes a peer's hello: its version and its confirmation.
+func (c *Controller) ServeHello(args wire.HelloArgs) (confirmed time.Duration) {
+	c.noteConfirmed(args.ConfigVersion, args.Confirmed)
+	c.Observe(args.From, args.ConfigVersion)
+	return c.Confirmed()
+}
+
+// ServeFetch answers a peer that asks for a later version. The caller fills in
+// Meta of the reply.
+func (c *Controller) ServeFetch(args wire.ConfigArgs) (wire.ConfigReply, error) {
+	update, err := c.updates.after(args.After)
+	return wire.ConfigReply{ConfigUpdate: update}, err
+}
+
+// ServeOffer takes a version that a peer brings. The caller fills in Meta of the
+// reply afterwards, so that it tells the version now in force; the peer sees
+// from it whether the offer did fit.
+func (c *Controller) ServeOffer(args wire.OfferArgs) wire.OfferReply {
+	_ = c.adoptUpdate(args.ConfigUpdate, args.From)
+	return wire.OfferReply{}
+}
--- /dev/null
+++ b/controllers/membership/membership_test.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/platform/memory"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+)
+
+func rows(count int, state platform.HostState) []platform.Host {
+	var hosts []platform.Host
+	for i := range count {
+		hosts = append(hosts, platform.Host{Name: fmt.Sprintf("host-%04d", i), Role: platform.RoleAgent, Service: "registry-llm",
+			FailureDomain: "bkk-a", Address: "127.0.0.1:10000", State: state})
+	}
+	return hosts
+}
+
+func TestPollsWithinBudgetAndThroughAnOutage(t *testing.T) {
+	for _, tc := range []struct {
+		hosts, least, most int // polls in ten minutes
+	}{{8, 500, 700}, {400, 15, 40}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			p, b := memory.New(), board.New()
+			p.SetHosts(rows(tc.hosts, platform.HostLive))
+			c := New(Options{Board: b, List: p, Log: &log.Logger{Handler: discard.New()}})
+			done := make(chan struct{})
+			go func() { defer close(done); c.Run(ctx) }()
+			time.Sleep(10 * time.Minute)
+			must.Between(t, tc.least, p.Calls(), tc.most, must.Sprint(tc.hosts))
+			p.SetHosts(rows(tc.hosts, platform.HostLeaving))
+			if tc.hosts == 8 {
+				time.Sleep(2 * DefaultInterval)
+				must.False(t, b.Hosts()[0].Choosable())
+			}
+			p.SetOut(true)
+			time.Sleep(time.Minute)
+			calls := p.Calls()
+			time.Sleep(5 * time.Minute)
+			must.Between(t, 10, p.Calls()-calls, 120)
+			must.Len(t, tc.hosts, b.Hosts(), must.Sprint("an outage takes no host away"))
+			b.ObservePeer(board.Evidence{Host: "host-0000", Kind: board.EvidenceRefused})
+			changed := b.Changed()
+			p.SetOut(false)
+			p.SetHosts(rows(tc.hosts, platform.HostLive))
+			time.Sleep(10 * time.Minute)
+			must.True(t, b.Hosts()[0].Choosable())
+			select {
+			case <-changed:
+			default:
+				t.Fatal("not announced")
+			}
+			cancel()
+			<-done
+			synctest.Wait()
+		})
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -129,6 +129,7 @@
 // HelloArgs opens a conversation and serves as heartbeat.
 type HelloArgs struct {
 	Meta
+	Confirmed time.Duration // age of the sender's last proof that its configuration is the newest; negative if none
 }
 
 // HelloReply tells what the peer is. Window is the ticket window that is open
@@ -140,6 +141,7 @@
 	Leaving       bool
 	Window        uint64
 	Load          Load
+	Confirmed     time.Duration // as in HelloArgs
 }
 
 // Load is what an agent reports of its upstream.
@@ -157,10 +159,28 @@
 	After uint64
 }
 
-// ConfigReply carries an encoded configuration, or nothing if the peer has
-// none after the version asked for.
-type ConfigReply struct {
-	Meta
+// ConfigUpdate carries a configuration, or the delta to it from version Base
+// if Base is not 0. Encoded is empty if there is nothing to carry.
+type ConfigUpdate struct {
 	Version uint64
+	Base    uint64
 	Encoded []byte
 }
+
+// ConfigReply carries an update to a version after the one asked for, if the
+// peer has one.
+type ConfigReply struct {
+	Meta
+	ConfigUpdate
+}
+
+// OfferArgs brings a configuration to a peer that is thought to be behind.
+type OfferArgs struct {
+	Meta
+	ConfigUpdate
+}
+
+// OfferReply answers an offer; its Meta tells the version now in force.
+type OfferReply struct {
+	Meta
+}
