Add settings of router and agent

flaggy converts values itself and ends the process at the first bad one, and drops unknown flags without a word, so that neither all findings nor a typing error would be reported. It therefore fills text fields only; arguments are screened before it and values are parsed and checked after it, all findings together. Values of secrets are never shown.

--- a/link/client.go
+++ b/link/client.go
@@ -66,7 +66,7 @@
 // NewClient returns a client for opts.Address. It does not dial. It fails with
 // ErrPlainOffLoopback for a plain client of an address off loopback.
 func NewClient(opts ClientOptions) (*Client, error) {
-	if opts.TLS == nil && !isLoopback(opts.Address) {
+	if opts.TLS == nil && !IsLoopback(opts.Address) {
 		return nil, errors.Wrapf(ErrPlainOffLoopback, "client of %s", opts.Address)
 	}
 	return &Client{opts: opts.withDefaults()}, nil
--- a/link/server.go
+++ b/link/server.go
@@ -74,7 +74,7 @@
 // Serve accepts connections until Shutdown, and then returns nil. It fails
 // with ErrPlainOffLoopback for a plain server on an address off loopback.
 func (s *Server) Serve(ln net.Listener) error {
-	if s.opts.TLS == nil && !isLoopback(ln.Addr().String()) {
+	if s.opts.TLS == nil && !IsLoopback(ln.Addr().String()) {
 		return errors.Wrapf(ErrPlainOffLoopback, "serve on %s", ln.Addr())
 	}
 	if !s.addListener(ln) {
--- a/link/tls.go
+++ b/link/tls.go
@@ -54,8 +54,8 @@
 	}, nil
 }
 
-// isLoopback reports whether a host:port names a loopback address.
-func isLoopback(address string) bool {
+// IsLoopback reports whether a host:port names a loopback address.
+func IsLoopback(address string) bool {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return false
--- /dev/null
+++ b/settings/agent.go
@@ -0,0 +1,65 @@
+package settings
+
+import (
+	"time"
+)
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Common
+	Listen          string        // for the routers
+	Upstream        string        // base URL of the upstream
+	Service         string        // name of the service that the upstream is a replica of
+	MaxQueued       int64         // requests of one customer, unless the configuration says otherwise
+	UpstreamTimeout time.Duration // for a call, unless the configuration says otherwise
+	KeptAnswerBytes int64         // of answers kept for reading
+	KeptAnswerTime  time.Duration // after the end of an answer that nobody confirms
+	MaxAnswerBytes  int64         // of one answer
+	WindowDuration  time.Duration // of a ticket window
+	WindowsKept     int64         // windows in which a ticket may still run or be asked for
+}
+
+// ParseAgent reads the settings of an agent from its arguments and the
+// environment. The error is of type Findings. With ActionHelp or ActionVersion
+// nothing else is read.
+func ParseAgent(args []string, getenv func(string) string) (*Agent, error) {
+	a := &Agent{}
+	s := a.set()
+	a.Action = s.load(args, getenv)
+	if a.Action == ActionHelp || a.Action == ActionVersion {
+		return a, nil
+	}
+	a.check(s, "listen", a.Listen)
+	if a.Advertise == "" {
+		a.Advertise = a.Listen
+	}
+	s.distinct("listen", a.Listen, "admin-listen", a.AdminListen)
+	if a.MaxAnswerBytes > a.KeptAnswerBytes {
+		s.report("max-answer-bytes", "at most --kept-answer-bytes")
+	}
+	return a, s.err()
+}
+
+// AgentHelp returns the help text of the agent.
+func AgentHelp() string { return (&Agent{}).set().help() }
+
+func (a *Agent) set() *set {
+	s := &set{name: "dandelionrill-agent", summary: "Guards one upstream: admits its work, runs tickets at most once and keeps answers until they are read."}
+	a.identity(s)
+	s.name128(&a.Service, "service", "", "service that the upstream is a replica of")
+	s.baseURL(&a.Upstream, "upstream", "the model engine or plain service beside this agent")
+	s.group = "Listeners"
+	s.address(&a.Listen, "listen", "127.0.0.1:8090", "listener for the routers", false)
+	s.address(&a.AdminListen, "admin-listen", "127.0.0.1:8091", "HTTP listener for operators", false)
+	s.group = "Requests and answers"
+	s.number(&a.MaxQueued, "max-queued", 64, 0, 1<<20, "requests", "most waiting requests of one customer, unless the configuration says otherwise")
+	s.duration(&a.UpstreamTimeout, "upstream-timeout", 10*time.Minute, time.Second, 24*time.Hour, "longest call of the upstream, unless the configuration says otherwise")
+	s.number(&a.KeptAnswerBytes, "kept-answer-bytes", 64<<20, 1<<20, 1<<40, "bytes", "memory for answers that are kept until they are confirmed")
+	s.duration(&a.KeptAnswerTime, "kept-answer-time", 2*time.Minute, time.Second, 24*time.Hour, "how long an answer is kept that nobody confirms")
+	s.number(&a.MaxAnswerBytes, "max-answer-bytes", 16<<20, 1<<10, 1<<40, "bytes", "largest answer of the upstream")
+	s.group = "Tickets"
+	s.duration(&a.WindowDuration, "window-duration", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket window stays open")
+	s.number(&a.WindowsKept, "windows-kept", 2, 1, 1000, "windows", "windows whose tickets are remembered")
+	a.process(s)
+	return s
+}
--- /dev/null
+++ b/settings/router.go
@@ -0,0 +1,80 @@
+package settings
+
+import (
+	"net"
+	"time"
+
+	"dandelionrill.example/fleet/wire"
+)
+
+// Router holds the settings of a router.
+type Router struct {
+	Common
+	Listen            string // HTTP for callers
+	RPCListen         string // for the other routers
+	MaxBodyBytes      int64
+	MaxHeaderBytes    int64
+	MaxRequests       int64         // in progress at a time
+	ReadHeaderTimeout time.Duration // for the header of a request
+	ReadTimeout       time.Duration // for header and body
+	IdleTimeout       time.Duration // of a caller's connection between requests
+	WriteTimeout      time.Duration // for one write to a caller that does not read
+	RequestTimeout    time.Duration // for a request whose caller gives no deadline
+}
+
+// ParseRouter reads the settings of a router from its arguments and the
+// environment. The error is of type Findings. With ActionHelp or ActionVersion
+// nothing else is read.
+func ParseRouter(args []string, getenv func(string) string) (*Router, error) {
+	r := &Router{}
+	s := r.set()
+	r.Action = s.load(args, getenv)
+	if r.Action == ActionHelp || r.Action == ActionVersion {
+		return r, nil
+	}
+	r.check(s, "rpc-listen", r.RPCListen)
+	if r.Advertise == "" {
+		r.Advertise = r.RPCListen
+	}
+	s.distinct("listen", r.Listen, "admin-listen", r.AdminListen)
+	s.distinct("listen", r.Listen, "rpc-listen", r.RPCListen)
+	s.distinct("admin-listen", r.AdminListen, "rpc-listen", r.RPCListen)
+	return r, s.err()
+}
+
+// RouterHelp returns the help text of the router.
+func RouterHelp() string { return (&Router{}).set().help() }
+
+func (r *Router) set() *set {
+	s := &set{name: "dandelionrill router", summary: "Routes callers' requests to upstreams through their agents."}
+	r.identity(s)
+	s.group = "Listeners"
+	s.address(&r.Listen, "listen", "127.0.0.1:8080", "HTTP listener for callers", false)
+	s.address(&r.AdminListen, "admin-listen", "127.0.0.1:8081", "HTTP listener for operators", false)
+	s.address(&r.RPCListen, "rpc-listen", "127.0.0.1:8082", "listener for the other routers", false)
+	s.group = "Limits of callers"
+	s.number(&r.MaxBodyBytes, "max-body-bytes", wire.MaxRequestBytes, 1, wire.MaxRequestBytes, "bytes", "largest body of a request")
+	s.number(&r.MaxHeaderBytes, "max-header-bytes", 64<<10, 1<<10, 1<<20, "bytes", "largest header of a request")
+	s.number(&r.MaxRequests, "max-requests", 20000, 1, 1<<20, "requests", "most requests in progress at a time")
+	s.duration(&r.ReadHeaderTimeout, "read-header-timeout", 5*time.Second, 10*time.Millisecond, time.Minute, "longest time for the header of a request")
+	s.duration(&r.ReadTimeout, "read-timeout", 30*time.Second, 10*time.Millisecond, time.Hour, "longest time for header and body of a request")
+	s.duration(&r.IdleTimeout, "idle-timeout", 2*time.Minute, time.Second, time.Hour, "longest time between requests on a caller's connection")
+	s.duration(&r.WriteTimeout, "write-timeout", 30*time.Second, 10*time.Millisecond, time.Hour, "longest time for one write to a caller")
+	s.duration(&r.RequestTimeout, "request-timeout", 10*time.Minute, time.Second, 24*time.Hour, "deadline of a request whose caller gives none")
+	r.process(s)
+	return s
+}
+
+// distinct reports two listeners on one address.
+func (s *set) distinct(flagA, a, flagB, b string) {
+	_, port, err := net.SplitHostPort(a)
+	if err == nil && a == b && port != "0" {
+		s.report(flagB, "another address than --"+flagA)
+	}
+}
+
+func isWildcard(address string) bool {
+	host, _, _ := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsUnspecified()
+}
