--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,107 @@
+// Package admin serves operators: health, status, counters, the time line,
+// drain and the configuration. All but liveness and readiness ask for the
+// admin token.
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"strings"
+
+	"dandelionrill.example/fleet/health"
+	"dandelionrill.example/fleet/problem"
+	"dandelionrill.example/fleet/timeline"
+)
+
+// Paths of the admin listener.
+const (
+	PathLive     = "/livez"
+	PathReady    = "/readyz"
+	PathStatus   = "/status"
+	PathTimeline = "/timeline"
+	PathCounters = "/debug/vars"
+	PathDrain    = "/drain"
+	PathConfig   = "/config"
+)
+
+var refusedTokens = expvar.NewInt("admin_requests_unauthorized")
+
+// Options configures the handler. Configuration may be nil; all else is
+// required.
+type Options struct {
+	Token         string
+	Health        *health.Health
+	Timeline      *timeline.Timeline
+	Status        func() Status
+	Drain         func() // begins a planned stop; called again it does nothing
+	Configuration ConfigurationStore
+}
+
+// New returns the handler of the admin listener.
+func New(opts Options) http.Handler {
+	a := &handler{opts: opts, token: sha256.Sum256([]byte(opts.Token))}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathLive, opts.Health.ServeLive)
+	mux.HandleFunc("GET "+PathReady, opts.Health.ServeReady)
+	a.handle(mux, "GET "+PathStatus, a.status)
+	a.handle(mux, "GET "+PathTimeline, opts.Timeline.ServeHTTP)
+	a.handle(mux, "GET "+PathCounters, expvar.Handler().ServeHTTP)
+	a.handle(mux, "POST "+PathDrain, a.drain)
+	if opts.Configuration != nil {
+		a.handle(mux, "GET "+PathConfig, a.getConfig)
+		a.handle(mux, "PUT "+PathConfig, a.putConfig)
+	}
+	return mux
+}
+
+type handler struct {
+	opts  Options
+	token [sha256.Size]byte
+}
+
+func (a *handler) handle(mux *http.ServeMux, pattern string, h http.HandlerFunc) {
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		if !a.authorized(r) {
+			refusedTokens.Add(1)
+			w.Header().Set("WWW-Authenticate", `Bearer realm="admin"`)
+			problem.Write(w, problem.Problem{Status: http.StatusUnauthorized, Code: problem.CodeUnauthorized, Detail: "the admin token is missing or wrong"})
+			return
+		}
+		h(w, r)
+	})
+}
+
+// authorized compares digests, so that the time taken tells nothing of the
+// token, not even its length.
+func (a *handler) authorized(r *http.Request) bool {
+	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	digest := sha256.Sum256([]byte(given))
+	return subtle.ConstantTimeCompare(digest[:], a.token[:]) == 1 && ok && a.opts.Token != ""
+}
+
+func (a *handler) status(w http.ResponseWriter, _ *http.Request) {
+	s := a.opts.Status()
+	s.Ready, _ = a.opts.Health.Ready()
+	writeJSON(w, http.StatusOK, s)
+}
+
+func (a *handler) drain(w http.ResponseWriter, _ *http.Request) {
+	a.opts.Drain()
+	writeJSON(w, http.StatusAccepted, a.opts.Status().Drain)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		problem.Write(w, problem.Problem{Status: http.StatusInternalServerError, Code: problem.CodeInternal, Detail: err.Error()})
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	// An operator who left cannot be told anything.
+	_, _ = w.Write(append(body, '\n'))
+}
