Add the command line and assemble both binaries

Router and agent start from checked settings, with admin listener, readiness, time line and a planned stop by signal or by an operator. A router is ready once it knows an upstream: an empty host list had made it ready before any request could be served.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,9 +49,9 @@
 	if opts.Upstream == nil || opts.Signer == nil || opts.Board == nil {
 		return nil, errors.New("agent: upstream, signer and board are required")
 	}
-	incarnation, err := newIncarnation()
-	if err != nil {
-		return nil, err
+	incarnation := opts.Incarnation
+	if incarnation == "" {
+		incarnation = newIncarnation()
 	}
 	a := &Agent{
 		opts:        opts,
@@ -70,12 +70,10 @@
 	return a, nil
 }
 
-func newIncarnation() (string, error) {
+func newIncarnation() string {
 	var b [incarnationBytes]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return "", errors.Wrap(err, "agent: draw incarnation")
-	}
-	return hex.EncodeToString(b[:]), nil
+	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+	return hex.EncodeToString(b[:])
 }
 
 // Incarnation identifies this start of the process.
--- a/agent/options.go
+++ b/agent/options.go
@@ -31,6 +31,7 @@
 	Host          string // name of the host, as in the host list
 	Service       string // service of the upstream
 	FailureDomain string
+	Incarnation   string   // drawn at random if empty
 	Address       string   // address of the RPC listener that routers dial
 	Upstream      *url.URL // base URL of the upstream
 
--- /dev/null
+++ b/cli/agent.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"context"
+	"net/url"
+
+	"dandelionrill.example/fleet/admin"
+	"dandelionrill.example/fleet/agent"
+	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/settings"
+	"dandelionrill.example/fleet/timeline"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Agent runs an agent until ctx ends or an operator drains it, and returns the
+// exit code.
+func Agent(ctx context.Context, args []string, env Environment) int {
+	s, err := settings.ParseAgent(args, env.Getenv)
+	if code, done := act(s.Action, settings.AgentHelp(), err, env); done {
+		return code
+	}
+	return finish(runAgent(ctx, s), env)
+}
+
+func runAgent(ctx context.Context, s *settings.Agent) error {
+	upstream, err := url.Parse(s.Upstream)
+	if err != nil {
+		return errors.Wrap(err, "upstream")
+	}
+	incarnation := newIncarnation()
+	p, err := newProcess(&s.Common, platform.RoleAgent, incarnation)
+	if err != nil {
+		return err
+	}
+	defer p.pool.Close()
+	listeners, err := listen(s.Listen, s.AdminListen)
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(agent.Options{
+		Host: s.Host, Service: s.Service, FailureDomain: s.FailureDomain, Address: s.Advertise,
+		Incarnation: incarnation,
+		Upstream:    upstream, Signer: p.signer, Board: p.board, Timeline: p.timeline, Log: p.log,
+		KeptAnswerBytes: s.KeptAnswerBytes, MaxQueued: int(s.MaxQueued),
+		WindowDuration: s.WindowDuration, Windows: int(s.WindowsKept),
+		UpstreamTimeout: s.UpstreamTimeout, UnreadRetention: s.KeptAnswerTime, DrainTimeout: s.DrainTimeout,
+		Listener: listeners[0],
+	})
+	if err != nil {
+		return err
+	}
+	server, err := link.NewServer(p.linkOptions(), agent.RPCName, agent.NewService(a))
+	if err != nil {
+		return err
+	}
+	if err := server.Register(timeline.ReceiverName, &timeline.Receiver{Timeline: p.timeline}); err != nil {
+		return err
+	}
+	status := func() admin.Status {
+		load := a.Load()
+		st := p.status(incarnation, load.InFlight+load.Queued)
+		st.Upstream = &admin.Upstream{Service: s.Service, InFlight: load.InFlight, Queued: load.Queued, Bound: load.Bound}
+		return st
+	}
+	defer p.serveAdmin(listeners[1], status)()
+	defer p.startControllers(ctx)()
+	p.announceStart(s.Listen)
+	serving, cancel := p.untilDrain(ctx)
+	defer cancel()
+	err = a.Run(serving, server)
+	p.announceStop(err)
+	return err
+}
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,131 @@
+// Package cli holds the commands of the two binaries: the processes of the
+// fleet and the tools of operators.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"dandelionrill.example/fleet/settings"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = settings.ExitCode
+)
+
+// Environment is what a command needs of its surroundings.
+type Environment struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	Getenv func(string) string
+}
+
+// System returns the environment of this process.
+func System() Environment {
+	return Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
+}
+
+// SignalContext returns a context that ends with the first SIGINT or SIGTERM.
+// A second one ends the process at once.
+func SignalContext() context.Context {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx
+}
+
+// Version returns the version of the build.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	version := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			version += " " + s.Value
+		}
+	}
+	return strings.TrimSpace(version + " " + info.GoVersion)
+}
+
+const usage = `Usage: dandelionrill <command> [flags]
+
+Commands:
+  router      run a router
+  status      show the state of a process
+  drain       begin the planned stop of a process
+  timeline    merge the recent events of processes
+  config get  write the newest configuration as JSON
+  config put  publish a configuration from JSON
+  version     print the version
+
+Each command has --help. The agent is a binary of its own: dandelionrill-agent.
+`
+
+// Main runs the dandelionrill command line and returns the exit code.
+func Main(ctx context.Context, args []string, env Environment) int {
+	if len(args) == 0 {
+		fmt.Fprint(env.Stderr, usage)
+		return exitSettings
+	}
+	if len(args) > 1 && args[0] == "config" {
+		args = append([]string{"config " + args[1]}, args[2:]...)
+	}
+	switch name := args[0]; name {
+	case "router":
+		return Router(ctx, args[1:], env)
+	case "version", "--version":
+		fmt.Fprintln(env.Stdout, Version())
+		return exitOK
+	case "help", "--help", "-h":
+		fmt.Fprint(env.Stdout, usage)
+		return exitOK
+	default:
+		run, ok := operatorCommands[settings.Command(name)]
+		if !ok {
+			fmt.Fprintf(env.Stderr, "dandelionrill: no command %q\n\n%s", name, usage)
+			return exitSettings
+		}
+		return operate(ctx, settings.Command(name), run, args[1:], env)
+	}
+}
+
+// act does what the action asks for in place of running. It returns false for
+// ActionRun.
+func act(action settings.Action, help string, err error, env Environment) (code int, done bool) {
+	switch {
+	case action == settings.ActionHelp:
+		fmt.Fprint(env.Stdout, help)
+		return exitOK, true
+	case action == settings.ActionVersion:
+		fmt.Fprintln(env.Stdout, Version())
+		return exitOK, true
+	case err != nil:
+		fmt.Fprintln(env.Stderr, err)
+		return exitSettings, true
+	case action == settings.ActionCheck:
+		fmt.Fprintln(env.Stdout, "settings: ok")
+		return exitOK, true
+	default:
+		return exitOK, false
+	}
+}
+
+// finish reports how a command ended.
+func finish(err error, env Environment) int {
+	if err != nil {
+		fmt.Fprintln(env.Stderr, "dandelionrill:", err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cli/client.go
@@ -0,0 +1,81 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"dandelionrill.example/fleet/settings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxAdminBytes bounds an answer of an admin listener.
+const maxAdminBytes = 64 << 20
+
+// errNoAnswer says that no process answered at an address.
+var errNoAnswer = errors.New("no answer")
+
+// adminClient calls admin listeners.
+type adminClient struct {
+	http   *http.Client
+	scheme string
+	token  string
+}
+
+func newAdminClient(o *settings.Operator) *adminClient {
+	scheme := "http"
+	if o.AdminTLS {
+		scheme = "https"
+	}
+	return &adminClient{http: &http.Client{Timeout: o.Timeout}, scheme: scheme, token: o.AdminToken}
+}
+
+// call makes one request and returns the body of a successful answer. Other
+// answers become errors that carry the problem and its findings.
+func (c *adminClient) call(ctx context.Context, method, address, path string, header http.Header, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s %s", method, path)
+	}
+	if header != nil {
+		req.Header = header
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "%s %s at %s", method, path, address), errNoAnswer)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAdminBytes))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read answer of %s", address)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, errors.Newf("%s %s at %s: %s", method, path, address, explain(resp.Status, answer))
+	}
+	return answer, nil
+}
+
+// explain turns a problem into text, one finding a line.
+func explain(status string, body []byte) string {
+	var p struct {
+		Detail   string `json:"detail"`
+		Findings []struct {
+			Place, Value, Message string
+		} `json:"findings"`
+	}
+	if json.Unmarshal(body, &p) != nil || p.Detail == "" {
+		return fmt.Sprintf("%s %.200q", status, body)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s", status, p.Detail)
+	for _, f := range p.Findings {
+		fmt.Fprintf(&b, "\n  %s: %s: %s", f.Place, f.Value, f.Message)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/cli/router.go
@@ -0,0 +1,56 @@
+package cli
+
+import (
+	"context"
+
+	"dandelionrill.example/fleet/admin"
+	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/router"
+	"dandelionrill.example/fleet/settings"
+	"dandelionrill.example/fleet/timeline"
+)
+
+// Router runs a router until ctx ends or an operator drains it, and returns
+// the exit code.
+func Router(ctx context.Context, args []string, env Environment) int {
+	s, err := settings.ParseRouter(args, env.Getenv)
+	if code, done := act(s.Action, settings.RouterHelp(), err, env); done {
+		return code
+	}
+	return finish(runRouter(ctx, s), env)
+}
+
+func runRouter(ctx context.Context, s *settings.Router) error {
+	incarnation := newIncarnation()
+	p, err := newProcess(&s.Common, platform.RoleRouter, incarnation)
+	if err != nil {
+		return err
+	}
+	defer p.pool.Close()
+	r, err := router.New(router.Options{
+		Host: s.Host, FailureDomain: s.FailureDomain, Incarnation: incarnation,
+		Signer: p.signer, Board: p.board, Pool: p.pool, Timeline: p.timeline, Log: p.log,
+		MaxBodyBytes: s.MaxBodyBytes, MaxTimeout: s.RequestTimeout, DrainTimeout: s.DrainTimeout,
+	})
+	if err != nil {
+		return err
+	}
+	listeners, err := listen(s.Listen, s.AdminListen, s.RPCListen)
+	if err != nil {
+		return err
+	}
+	peers, err := link.NewServer(p.linkOptions(), timeline.ReceiverName, &timeline.Receiver{Timeline: p.timeline})
+	if err != nil {
+		return err
+	}
+	defer p.serveAdmin(listeners[1], func() admin.Status { return p.status(incarnation, 0) })()
+	defer p.servePeers(peers, listeners[2])()
+	defer p.startControllers(ctx)()
+	p.announceStart(s.Listen)
+	serving, cancel := p.untilDrain(ctx)
+	defer cancel()
+	err = r.Run(serving, listeners[0])
+	p.announceStop(err)
+	return err
+}
--- a/cmd/dandelionrill-agent/main.go
+++ b/cmd/dandelionrill-agent/main.go
@@ -1,4 +1,10 @@
-// Command dandelionrill-agent is part of the dandelionrill router fleet.
+// Command dandelionrill-agent runs the agent beside an upstream.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"dandelionrill.example/fleet/cli"
+)
+
+func main() { os.Exit(cli.Agent(cli.SignalContext(), os.Args[1:], cli.System())) }
--- a/cmd/dandelionrill/main.go
+++ b/cmd/dandelionrill/main.go
@@ -1,4 +1,10 @@
-// Command dandelionrill is part of the dandelionrill router fleet.
+// Command dandelionrill runs a router and the tools of operators.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"dandelionrill.example/fleet/cli"
+)
+
+func main() { os.Exit(cli.Main(cli.SignalContext(), os.Args[1:], cli.System())) }
--- a/health/health.go
+++ b/health/health.go
@@ -17,7 +17,7 @@
 	Configured Condition = "configured" // a configuration is in force
 	Listening  Condition = "listening"  // the listeners are open
 	Accepting  Condition = "accepting"  // the process is not draining
-	Registered Condition = "registered" // the upstream answered (agent), or hosts are known (router)
+	Registered Condition = "registered" // an upstream is known
 )
 
 // State is a condition as it stands.
--- a/settings/types.go
+++ b/settings/types.go
@@ -79,7 +79,18 @@
 }
 
 func (s *set) baseURL(target *string, flag, usage string) {
+	s.url(target, flag, usage, false)
+}
+
+func (s *set) optionalURL(target *string, flag, usage string) {
+	s.url(target, flag, usage, true)
+}
+
+func (s *set) url(target *string, flag, usage string, optional bool) {
 	s.add(field{flag: flag, usage: usage, unit: "URL", parse: func(v string) error {
+		if v == "" && optional {
+			return nil
+		}
 		*target = strings.TrimRight(v, "/")
 		u, err := url.Parse(v)
 		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" || u.RawQuery != "" || u.Fragment != "" || u.User != nil {
