--- a/standin/engine/text.go
+++ b/standin/engine/text.go
@@ -52,7 +52,7 @@
 	h := fnv.New64a()
 	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, seed))
 	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, uint64(i)))
-	word := fmt.Sprintf("w%d-%04x", i, h.Sum64()&0xffff)
+	word := fmt.Sprintf("w%d-%04x", i, h.Sum64()>>48)
 	if i == 0 {
 		return word
 	}
