--- a/decide/fair/fair_test.go
+++ b/decide/fair/fair_test.go
@@ -1,6 +1,7 @@
 package fair
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -8,6 +9,9 @@
 	"pgregory.net/rapid"
 )
 
+// The checks run on a fixed seed; -rapid.seed on the command line replaces it.
+func init() { _ = flag.Set("rapid.seed", "292") }
+
 func TestQueueBoundsAndOrder(t *testing.T) {
 	q := NewQueue[int](Options{PerCustomer: 2, Total: 4})
 	must.NoError(t, q.Push("a", 1, 0, 1, 0, 1))
--- a/decide/place/hash.go
+++ b/decide/place/hash.go
@@ -24,3 +24,15 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// Owner returns the index of the host that owns key by highest random weight;
+// -1 if there are no hosts. Losing another host does not change the owner.
+func Owner(key uint64, hosts []string) int {
+	best, bestScore := -1, uint64(0)
+	for i, host := range hosts {
+		if score := mix(key ^ Key(host)); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
--- a/decide/place/place_test.go
+++ b/decide/place/place_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -8,6 +9,9 @@
 	"pgregory.net/rapid"
 )
 
+// The checks run on a fixed seed; -rapid.seed on the command line replaces it.
+func init() { _ = flag.Set("rapid.seed", "292") }
+
 func pool(n int, load func(i int) float64) []Candidate {
 	cs := make([]Candidate, n)
 	for i := range cs {
--- a/decide/retry/retry_test.go
+++ b/decide/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -8,6 +9,9 @@
 	"pgregory.net/rapid"
 )
 
+// The checks run on a fixed seed; -rapid.seed on the command line replaces it.
+func init() { _ = flag.Set("rapid.seed", "292") }
+
 func TestDecide(t *testing.T) {
 	const left = time.Second
 	for _, tc := range []struct {
