Run the controllers in both binaries and carry versions between peers

Cause: the processes polled the platform each 500 ms for themselves, which is thousands of calls a second at the design size. They now run the membership and configuration controllers; package peers carries hello, fetch and offer. Keys are bound through the platform in the running router. The time line tells a repeated ticket from an issued one. Ruled out: a configuration method of the agent beside the peers' one; removed.

--- a/agent/options.go
+++ b/agent/options.go
@@ -51,9 +51,9 @@
 	UnreadRetention time.Duration // how long idempotent work goes on without a reader
 	DrainTimeout    time.Duration // longest graceful stop
 
-	// Ahead is told of a peer that runs a greater configuration version. It must
-	// not block.
-	Ahead func(host string, version uint64)
+	// Observed is told the configuration version in each message of a peer. It
+	// must not block. Nil ignores it.
+	Observed func(host string, version uint64)
 
 	// Listener serves the RPC of routers. The agent closes it.
 	Listener net.Listener
@@ -71,8 +71,8 @@
 	setDefault(&o.UpstreamTimeout, DefaultUpstreamTimeout)
 	setDefault(&o.UnreadRetention, DefaultUnreadRetention)
 	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
-	if o.Ahead == nil {
-		o.Ahead = func(string, uint64) {}
+	if o.Observed == nil {
+		o.Observed = func(string, uint64) {}
 	}
 	return o
 }
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/wire"
 )
@@ -18,8 +17,8 @@
 	return &Service{agent: a}
 }
 
-// meta describes this process to its peers.
-func (a *Agent) meta() wire.Meta {
+// Meta describes this process to its peers.
+func (a *Agent) Meta() wire.Meta {
 	return wire.Meta{
 		From:          a.opts.Host,
 		Incarnation:   a.incarnation,
@@ -31,9 +30,7 @@
 // observe takes what a message says of its sender.
 func (a *Agent) observe(m wire.Meta) {
 	a.opts.Timeline.Clock().Observe(m.Clock)
-	if m.ConfigVersion > a.opts.Board.ConfigVersion() {
-		a.opts.Ahead(m.From, m.ConfigVersion)
-	}
+	a.opts.Observed(m.From, m.ConfigVersion)
 }
 
 // Hello tells what this agent is.
@@ -44,7 +41,7 @@
 	window := a.ledger.Window()
 	a.mu.Unlock()
 	*reply = wire.HelloReply{
-		Meta:          a.meta(),
+		Meta:          a.Meta(),
 		Service:       a.opts.Service,
 		FailureDomain: a.opts.FailureDomain,
 		Leaving:       a.leaving.Load(),
@@ -60,7 +57,7 @@
 	a.observe(args.Meta)
 	v := a.submit(args)
 	*reply = wire.SubmitReply{
-		Meta:       a.meta(),
+		Meta:       a.Meta(),
 		Verdict:    v.verdict,
 		Reason:     v.reason,
 		RetryAfter: v.retryAfter,
@@ -74,7 +71,7 @@
 	a := s.agent
 	a.observe(args.Meta)
 	a.read(args, reply)
-	reply.Meta = a.meta()
+	reply.Meta = a.Meta()
 	return nil
 }
 
@@ -114,7 +111,7 @@
 func (s *Service) Cancel(args *wire.RequestArgs, reply *wire.RequestReply) error {
 	a := s.agent
 	a.observe(args.Meta)
-	reply.Meta = a.meta()
+	reply.Meta = a.Meta()
 	reply.Verdict = a.release(args)
 	counters.Add("cancelled", 1)
 	return nil
@@ -124,7 +121,7 @@
 func (s *Service) Confirm(args *wire.RequestArgs, reply *wire.RequestReply) error {
 	a := s.agent
 	a.observe(args.Meta)
-	reply.Meta = a.meta()
+	reply.Meta = a.Meta()
 	reply.Verdict = a.release(args)
 	return nil
 }
@@ -142,21 +139,3 @@
 	}
 	return wire.VerdictKnown
 }
-
-// Config returns this agent's configuration if it is greater than args.After.
-func (s *Service) Config(args *wire.ConfigArgs, reply *wire.ConfigReply) error {
-	a := s.agent
-	a.observe(args.Meta)
-	reply.Meta = a.meta()
-	adopted := a.opts.Board.Configuration()
-	if adopted == nil || adopted.Config.Version <= args.After {
-		return nil
-	}
-	encoded, err := config.Encode(adopted.Config)
-	if err != nil {
-		return err
-	}
-	reply.Version = adopted.Config.Version
-	reply.Encoded = encoded
-	return nil
-}
--- a/agent/submit.go
+++ b/agent/submit.go
@@ -74,6 +74,7 @@
 		return verdict{}, true
 	case ticket.DecisionKnown:
 		counters.Add("tickets_repeated", 1)
+		a.record(timeline.KindTicketRepeated, args, "")
 		return verdict{verdict: wire.VerdictKnown}, false
 	case ticket.DecisionDigestMismatch:
 		return verdict{verdict: wire.VerdictDigestMismatch}, false
@@ -296,7 +297,7 @@
 	a := s.agent
 	a.observe(args.Meta)
 	reply.Verdict = a.revoke(args)
-	reply.Meta = a.meta()
+	reply.Meta = a.Meta()
 	counters.Add("revoked", 1)
 	return nil
 }
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -6,7 +6,9 @@
 
 	"dandelionrill.example/fleet/admin"
 	"dandelionrill.example/fleet/agent"
+	"dandelionrill.example/fleet/controllers/configuration"
 	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/peers"
 	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/settings"
 	"dandelionrill.example/fleet/timeline"
@@ -39,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	var keeper *configuration.Controller
 	a, err := agent.New(agent.Options{
 		Host: s.Host, Service: s.Service, FailureDomain: s.FailureDomain, Address: s.Advertise,
 		Incarnation: incarnation,
@@ -47,14 +50,19 @@
 		WindowDuration: s.WindowDuration, Windows: int(s.WindowsKept),
 		UpstreamTimeout: s.UpstreamTimeout, UnreadRetention: s.KeptAnswerTime, DrainTimeout: s.DrainTimeout,
 		Listener: listeners[0],
+		Observed: func(host string, version uint64) { keeper.Observe(host, version) },
 	})
 	if err != nil {
 		return err
 	}
+	keeper = p.newConfiguration(a.Meta)
 	server, err := link.NewServer(p.linkOptions(), agent.RPCName, agent.NewService(a))
 	if err != nil {
 		return err
 	}
+	if err := server.Register(peers.ReceiverName, peers.NewReceiver(keeper, a.Meta)); err != nil {
+		return err
+	}
 	if err := server.Register(timeline.ReceiverName, &timeline.Receiver{Timeline: p.timeline}); err != nil {
 		return err
 	}
@@ -65,7 +73,7 @@
 		return st
 	}
 	defer p.serveAdmin(listeners[1], status)()
-	defer p.startControllers(ctx)()
+	defer p.startControllers(ctx, keeper)()
 	p.announceStart(s.Listen)
 	serving, cancel := p.untilDrain(ctx)
 	defer cancel()
--- a/cli/controllers.go
+++ b/cli/controllers.go
@@ -8,15 +8,16 @@
 	"sync"
 	"time"
 
-	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/controllers/configuration"
+	"dandelionrill.example/fleet/controllers/membership"
 	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/peers"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/timeline"
 )
 
 const (
 	incarnationBytes = 16
-	pollInterval     = 500 * time.Millisecond
-	configKey        = "config/current"
 )
 
 // newIncarnation draws the identity of this start of the process.
@@ -55,50 +56,49 @@
 	}
 }
 
+// newConfiguration returns the controller that keeps the configuration. Only
+// routers seek peers; agents answer.
+func (p *process) newConfiguration(meta peers.Meta) *configuration.Controller {
+	opts := configuration.Options{
+		Host: p.settings.Host, FailureDomain: p.settings.FailureDomain, Role: p.role,
+		Board: p.board, Store: p.api, Log: p.log,
+	}
+	if p.role == platform.RoleRouter {
+		opts.Peers = peers.NewLinks(p.board, p.pool, meta)
+	}
+	return configuration.New(opts)
+}
+
 // startControllers starts what keeps the board, until the returned function is
 // called. The controllers outlive a drain, so that work in progress is served
 // under the rules in force.
-func (p *process) startControllers(ctx context.Context) func() {
+func (p *process) startControllers(ctx context.Context, keeper *configuration.Controller) func() {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	members := membership.New(membership.Options{Board: p.board, List: p.api, Log: p.log})
 	var wg sync.WaitGroup
 	wg.Go(func() { p.watchReadiness(ctx) })
-	wg.Go(func() { p.poll(ctx) })
+	wg.Go(func() { p.recordAdoptions(ctx) })
+	wg.Go(func() { keeper.Run(ctx) })
+	wg.Go(func() { members.Run(ctx) })
 	return func() {
 		cancel()
 		wg.Wait()
 	}
 }
 
-// poll reads the configuration and the host list.
-func (p *process) poll(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
+// recordAdoptions enters each adopted version into the time line.
+func (p *process) recordAdoptions(ctx context.Context) {
+	last := uint64(0)
 	for {
-		p.pollOnce(ctx)
+		changed := p.board.Changed()
+		if a := p.board.Configuration(); a != nil && a.Config.Version > last {
+			last = a.Config.Version
+			p.timeline.Record(timeline.Event{Kind: timeline.KindConfigurationAdopted, Version: last, Reason: a.From})
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (p *process) pollOnce(ctx context.Context) {
-	if hosts, err := p.api.Hosts(ctx); err == nil {
-		p.board.ObserveHostList(hosts)
-	}
-	object, err := p.api.Get(ctx, configKey)
-	if err != nil {
-		return
-	}
-	cfg, err := config.Decode(object.Value)
-	if err != nil {
-		cfg = &config.Config{}
-		if err := config.DecodeJSON(object.Value, cfg); err != nil {
-			return
+		case <-changed:
 		}
 	}
-	if p.board.Adopt(cfg, "platform") {
-		p.timeline.Record(timeline.Event{Kind: timeline.KindConfigurationAdopted, Version: cfg.Version})
-	}
 }
--- a/cli/router.go
+++ b/cli/router.go
@@ -4,7 +4,10 @@
 	"context"
 
 	"dandelionrill.example/fleet/admin"
+	"dandelionrill.example/fleet/claims"
+	"dandelionrill.example/fleet/controllers/configuration"
 	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/peers"
 	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/router"
 	"dandelionrill.example/fleet/settings"
@@ -28,25 +31,32 @@
 		return err
 	}
 	defer p.pool.Close()
+	var keeper *configuration.Controller
 	r, err := router.New(router.Options{
 		Host: s.Host, FailureDomain: s.FailureDomain, Incarnation: incarnation,
 		Signer: p.signer, Board: p.board, Pool: p.pool, Timeline: p.timeline, Log: p.log,
 		MaxBodyBytes: s.MaxBodyBytes, MaxTimeout: s.RequestTimeout, DrainTimeout: s.DrainTimeout,
+		Keys:     claims.New(claims.Options{Store: p.api}),
+		Observed: func(host string, version uint64) { keeper.Observe(host, version) },
 	})
 	if err != nil {
 		return err
 	}
+	keeper = p.newConfiguration(r.Meta)
 	listeners, err := listen(s.Listen, s.AdminListen, s.RPCListen)
 	if err != nil {
 		return err
 	}
-	peers, err := link.NewServer(p.linkOptions(), timeline.ReceiverName, &timeline.Receiver{Timeline: p.timeline})
+	server, err := link.NewServer(p.linkOptions(), timeline.ReceiverName, &timeline.Receiver{Timeline: p.timeline})
 	if err != nil {
 		return err
 	}
+	if err := server.Register(peers.ReceiverName, peers.NewReceiver(keeper, r.Meta)); err != nil {
+		return err
+	}
 	defer p.serveAdmin(listeners[1], func() admin.Status { return p.status(incarnation, 0) })()
-	defer p.servePeers(peers, listeners[2])()
-	defer p.startControllers(ctx)()
+	defer p.servePeers(server, listeners[2])()
+	defer p.startControllers(ctx, keeper)()
 	p.announceStart(s.Listen)
 	serving, cancel := p.untilDrain(ctx)
 	defer cancel()
--- a/router/call.go
+++ b/router/call.go
@@ -100,7 +100,7 @@
 // read asks the agent once.
 func (rd *reader) read(ctx context.Context) (*wire.ReadReply, error) {
 	args := &wire.ReadArgs{
-		Meta:     rd.router.meta(),
+		Meta:     rd.router.Meta(),
 		Request:  rd.handle.request,
 		Customer: rd.handle.customer,
 		Holder:   rd.handle.holder,
@@ -206,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	args := &wire.RequestArgs{
-		Meta:     r.meta(),
+		Meta:     r.Meta(),
 		Request:  h.request,
 		Customer: h.customer,
 		Holder:   h.holder,
--- a/router/once.go
+++ b/router/once.go
@@ -138,7 +138,6 @@
 // runTicket submits op to the agent that its ticket names and reads the answer.
 func (r *Router) runTicket(ctx context.Context, q *request, op *operation) (*answerWhole, error) {
 	c := place.Candidate{Host: op.ticket.Host, Address: op.ticket.Address}
-	r.record(timeline.KindTicketIssued, q, op.handle(), "")
 	reply, err := r.submit(ctx, q, c, op.handle(), true)
 	if err != nil {
 		return r.settle(ctx, q, op, err)
@@ -208,7 +207,7 @@
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
 	args := &wire.RequestArgs{
-		Meta:     r.meta(),
+		Meta:     r.Meta(),
 		Request:  h.request,
 		Ticket:   h.ticket,
 		Customer: h.customer,
--- a/router/options.go
+++ b/router/options.go
@@ -40,6 +40,10 @@
 	Timeline *timeline.Timeline
 	Log      log.Interface
 
+	// Observed is told the configuration version in each reply of an agent. It
+	// must not block. Nil ignores it.
+	Observed func(host string, version uint64)
+
 	MaxBodyBytes   int64         // largest request body
 	MaxAnswerBytes int64         // largest answer that is collected before it is given
 	Timeout        time.Duration // of a request whose caller sets none
@@ -59,6 +63,9 @@
 	setDefault(&o.LostAfter, DefaultLostAfter)
 	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	if o.Observed == nil {
+		o.Observed = func(string, uint64) {}
+	}
 	return o
 }
 
--- a/router/peers.go
+++ b/router/peers.go
@@ -9,6 +9,7 @@
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/decide/ticket"
+	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
 )
 
@@ -73,7 +74,7 @@
 		return p, nil
 	}
 	reply := new(wire.HelloReply)
-	if err := r.call(ctx, c.Address, "Hello", &wire.HelloArgs{Meta: r.meta()}, reply); err != nil {
+	if err := r.call(ctx, c.Address, "Hello", &wire.HelloArgs{Meta: r.Meta()}, reply); err != nil {
 		r.blame(c, err)
 		return peer{}, err
 	}
@@ -93,7 +94,7 @@
 	if err != nil {
 		return ticket.Ticket{}, err
 	}
-	return ticket.Ticket{
+	t := ticket.Ticket{
 		Service:     q.service.ID,
 		Host:        c.Host,
 		Address:     c.Address,
@@ -102,7 +103,9 @@
 		Nonce:       newID(),
 		Customer:    q.customer.ID,
 		Digest:      digest,
-	}, nil
+	}
+	r.record(timeline.KindTicketIssued, q, handle{host: c.Host, request: t.Nonce}, "")
+	return t, nil
 }
 
 func evidence(c place.Candidate, kind board.EvidenceKind, m wire.Meta) board.Evidence {
--- a/router/router.go
+++ b/router/router.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// meta describes this process to its peers.
-func (r *Router) meta() wire.Meta {
+// Meta describes this process to its peers.
+func (r *Router) Meta() wire.Meta {
 	return wire.Meta{
 		From:          r.opts.Host,
 		Incarnation:   r.opts.Incarnation,
@@ -114,6 +114,7 @@
 // observe takes what a reply says of its sender.
 func (r *Router) observe(m wire.Meta) {
 	r.opts.Timeline.Clock().Observe(m.Clock)
+	r.opts.Observed(m.From, m.ConfigVersion)
 }
 
 // withdraw takes a retry of the service from its budget.
--- a/router/submit.go
+++ b/router/submit.go
@@ -38,7 +38,7 @@
 // submitArgs returns the message that hands q to an agent as h.
 func (r *Router) submitArgs(ctx context.Context, q *request, h handle, mayQueue bool) *wire.SubmitArgs {
 	args := &wire.SubmitArgs{
-		Meta:       r.meta(),
+		Meta:       r.Meta(),
 		Request:    h.request,
 		Ticket:     h.ticket,
 		Idempotent: h.ticket == "",
--- a/router/tickets.go
+++ b/router/tickets.go
@@ -141,7 +141,7 @@
 		return
 	}
 	args := &wire.ReadArgs{
-		Meta:     r.meta(),
+		Meta:     r.Meta(),
 		Request:  op.ticket.Nonce,
 		Customer: op.ticket.Customer,
 		Holder:   op.ticket.Incarnation,
