Prove the outcomes of the running path under connection faults

Causes found by the new tests and mended: - a submission lost on a broken connection and revoked in time ended as 409 without Retry-After, although only the connection was at fault. It is now tried again on the same upstream, whose agent has just answered the revoke; - after one lost connection the only upstream of a service was held back and callers were refused. Where all upstreams of a service are held back, they are candidates again. Ruled out: that the router sends a ticket twice (runs counted by the service).

--- a/router/once.go
+++ b/router/once.go
@@ -173,7 +173,7 @@
 	}
 	switch r.revoke(ctx, op) {
 	case wire.VerdictRevokedNotRun:
-		return nil, &refusedError{reason: wire.ReasonRevoked}
+		return nil, &refusedError{reason: wire.ReasonConnectionLost}
 	case wire.VerdictKnown:
 		return r.readTicket(ctx, q, op)
 	default:
--- a/router/pools.go
+++ b/router/pools.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/platform"
@@ -60,23 +61,7 @@
 	if adopted == nil {
 		return &out
 	}
-	byService := make(map[string][]place.Candidate)
-	for _, h := range r.opts.Board.Hosts() {
-		if h.Role != platform.RoleAgent || !h.Choosable() {
-			continue
-		}
-		c := place.Candidate{
-			Host:          h.Name,
-			Address:       h.Address,
-			FailureDomain: h.FailureDomain,
-			Load:          -1,
-			Weight:        1,
-		}
-		if h.Load != nil {
-			c.Load = float64(h.Load.InFlight + h.Load.Queued)
-		}
-		byService[h.Service] = append(byService[h.Service], c)
-	}
+	byService := r.candidates()
 	for i := range adopted.Config.Services {
 		svc := &adopted.Config.Services[i]
 		out[svc.ID] = place.NewPicker(r.placeOptions(svc), byService[svc.ID])
@@ -84,6 +69,37 @@
 	return &out
 }
 
+// candidates returns the agents that may be chosen, by service. Where all of a
+// service are held back after failures, those that are not leaving are returned:
+// a doubtful upstream is better than none.
+func (r *Router) candidates() map[string][]place.Candidate {
+	choosable := make(map[string][]place.Candidate)
+	held := make(map[string][]place.Candidate)
+	for _, h := range r.opts.Board.Hosts() {
+		switch {
+		case h.Role != platform.RoleAgent || h.Leaving:
+		case h.Choosable():
+			choosable[h.Service] = append(choosable[h.Service], candidate(h))
+		default:
+			held[h.Service] = append(held[h.Service], candidate(h))
+		}
+	}
+	for service, list := range held {
+		if len(choosable[service]) == 0 {
+			choosable[service] = list
+		}
+	}
+	return choosable
+}
+
+func candidate(h board.HostView) place.Candidate {
+	c := place.Candidate{Host: h.Name, Address: h.Address, FailureDomain: h.FailureDomain, Load: -1, Weight: 1}
+	if h.Load != nil {
+		c.Load = float64(h.Load.InFlight + h.Load.Queued)
+	}
+	return c
+}
+
 func (r *Router) placeOptions(svc *config.Service) place.Options {
 	return place.Options{
 		LoadMultiple:  svc.LoadMultiple,
@@ -130,3 +146,8 @@
 	c.tried = append(c.tried, i)
 	return c.picker.Candidate(i), true
 }
+
+// forgive lets the upstream tried last be tried again.
+func (c *chooser) forgive() {
+	c.tried = c.tried[:max(0, len(c.tried)-1)]
+}
--- a/router/submit.go
+++ b/router/submit.go
@@ -132,7 +132,7 @@
 	switch reason {
 	case wire.ReasonForbidden, wire.ReasonCustomerLimit, wire.ReasonDeadline:
 		return retry.FailureFinal
-	case wire.ReasonRevoked:
+	case wire.ReasonRevoked, wire.ReasonConnectionLost:
 		return retry.FailureRevoked
 	default:
 		return retry.FailureRefused
@@ -226,5 +226,15 @@
 		if err == nil || !r.again(ctx, q, err, made) {
 			return err
 		}
+		if isConnectionLost(err) {
+			ch.forgive()
+		}
 	}
 }
+
+// isConnectionLost tells whether only the connection was at fault: the agent
+// has answered a revoke on a fresh one.
+func isConnectionLost(err error) bool {
+	var refused *refusedError
+	return errors.As(err, &refused) && refused.reason == wire.ReasonConnectionLost
+}
--- /dev/null
+++ b/router/wrong_test.go
@@ -0,0 +1,132 @@
+package router_test
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"dandelionrill.example/fleet/fleettest"
+	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/wire"
+)
+
+// wrongAgent accepts everything and answers with what spoil makes of a whole
+// answer.
+type wrongAgent struct {
+	spoil func(*wire.ReadReply)
+}
+
+func (a *wrongAgent) Submit(_ *wire.SubmitArgs, reply *wire.SubmitReply) error {
+	reply.Verdict = wire.VerdictAccepted
+	reply.Incarnation = "i"
+	return nil
+}
+
+func (a *wrongAgent) Read(args *wire.ReadArgs, reply *wire.ReadReply) error {
+	text := []byte("whole answer")
+	*reply = wire.ReadReply{
+		Verdict: wire.VerdictKnown, Request: args.Request, Offset: args.Offset,
+		Started: true, Status: 200, Data: text[args.Offset:],
+		Done: true, Total: int64(len(text)), Digest: sha256.Sum256(text),
+	}
+	a.spoil(reply)
+	return nil
+}
+
+func (a *wrongAgent) Cancel(*wire.RequestArgs, *wire.RequestReply) error  { return nil }
+func (a *wrongAgent) Confirm(*wire.RequestArgs, *wire.RequestReply) error { return nil }
+
+func TestOnlyWholeAnswersToTheOwnRequestAreGiven(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		spoil  func(*wire.ReadReply)
+		status int
+	}{
+		{"untouched", func(*wire.ReadReply) {}, 200},
+		{"other digest", func(r *wire.ReadReply) { r.Digest[0]++ }, 502},
+		{"other bytes", func(r *wire.ReadReply) {
+			if len(r.Data) > 0 {
+				r.Data[0] = 'W'
+			}
+		}, 502},
+		{"too long", func(r *wire.ReadReply) { r.Total++ }, 502},
+		{"another's request", func(r *wire.ReadReply) { r.Request = "other" }, 502},
+		{"another offset", func(r *wire.ReadReply) { r.Offset++ }, 502},
+		{"cut", func(r *wire.ReadReply) { r.Done, r.Cut = false, true }, 502},
+		{"another incarnation", func(r *wire.ReadReply) { r.Verdict = wire.VerdictWrongIncarnation }, 502},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			server, err := link.NewServer(link.ServerOptions{}, "Agent", &wrongAgent{spoil: tc.spoil})
+			must.NoError(t, err)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			go func() { _ = server.Serve(listener) }()
+			up := &fleettest.Upstream{Host: platform.Host{
+				Name: "w", Role: platform.RoleAgent, Service: fleettest.PlainService,
+				Address: listener.Addr().String(), State: platform.HostLive,
+			}}
+			r := fleettest.StartRouter(t, "r", fleettest.Config(1), []*fleettest.Upstream{up}, nil, nil)
+			a := r.Do(t, "GET", "/v1/services/share-ledger/holdings", "", nil)
+			must.Eq(t, tc.status, a.Status, must.Sprint(a.Body))
+			if tc.status == 200 {
+				must.Eq(t, "whole answer", a.Body)
+				return
+			}
+			must.StrContains(t, a.Body, `"outcome":"incomplete"`)
+		})
+	}
+}
+
+// serveThenDrop answers the first request of a connection and takes the second
+// one without an answer, as an upstream does whose idle time-out meets a
+// request.
+func serveThenDrop(listener net.Listener, taken *atomic.Int64) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			for answered := false; ; answered = true {
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				taken.Add(1)
+				if answered {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}()
+	}
+}
+
+func TestNoConnectionCarriesTwoNonIdempotentCalls(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	var taken atomic.Int64
+	go serveThenDrop(listener, &taken)
+	base, err := url.Parse("http://" + listener.Addr().String())
+	must.NoError(t, err)
+	cfg := fleettest.Config(1)
+	up := fleettest.StartAgent(t, "s", fleettest.PlainService, base, cfg, nil)
+	r := fleettest.StartRouter(t, "r", cfg, []*fleettest.Upstream{up}, nil, nil)
+	for range 2 {
+		a := r.Do(t, "POST", "/v1/services/share-ledger/transfers", "{}", map[string]string{"X-Idempotency-Key": "k"})
+		must.Eq(t, 200, a.Status, must.Sprint(a.Body))
+	}
+	must.Eq(t, 2, taken.Load())
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -51,6 +51,9 @@
 	ReasonUpstreamDown  Reason = "upstream-down" // the upstream refused the connection
 	ReasonKeptFull      Reason = "kept-answers-full"
 	ReasonRevoked       Reason = "revoked"
+	// ReasonConnectionLost is a router's own: the connection broke and the
+	// ticket was revoked before it started.
+	ReasonConnectionLost Reason = "connection-lost"
 )
 
 // SubmitArgs asks an agent to run a request on its upstream.
