--- a/decide/mean/mean_test.go
+++ b/decide/mean/mean_test.go
@@ -39,6 +39,7 @@
 }
 
 func TestReporterDue(t *testing.T) {
+	must.Eq(t, 7*time.Second, TrueAt(Mean{Age: 3 * time.Second}, 10*time.Second))
 	r := NewReporter(ReporterOptions{})
 	must.True(t, r.Due(0, 0))
 	r.Send(50, 0)
--- a/decide/place/place.go
+++ b/decide/place/place.go
@@ -14,18 +14,23 @@
 
 // The orders.
 const (
-	OrderHash        Order = iota // first of the chat's hash order below the home limit
-	OrderHashPair                 // less loaded of the first two of the hash order below the home limit
+	OrderHash        Order = iota // first of the chat's hash order below the limit
+	OrderHashPair                 // less loaded of the first two of the hash order below the limit
 	OrderTwoChoices               // less loaded of two random candidates
 	OrderLeastLoaded              // least loaded candidate known
 )
 
 // Settings is the policy of a service: reuse of caches against skew of load.
 type Settings struct {
-	// HomeMultiple is the load, as a multiple of the mean, from which a chat is
-	// led away from its home. A low value favours even load, a high one reuse.
-	// 0 means the load multiple.
+	// HomeMultiple is the load, as a multiple of the mean, from which a router
+	// leads a chat away from its home. 0 leaves it to the home's agent to
+	// refuse: it knows its load, and routers only know how it was.
 	HomeMultiple float64
+	// FreshMultiple is the load, as a multiple of the mean, from which the hash
+	// order skips a candidate for a request without a usable token. Below the
+	// load multiple it keeps room for chats that return with their token, at
+	// the cost of those that return without. 0 means the load multiple.
+	FreshMultiple float64
 	// RemoteCost is added to the load of candidates in other failure domains
 	// where loads are compared, as a multiple of the mean.
 	RemoteCost float64
@@ -33,6 +38,13 @@
 	Displaced  Order // for requests whose home is loaded, tried or ruled out
 }
 
+// DefaultSettings returns the policy that the experiments favour: a chat stays
+// with its home until the home's agent refuses it, then goes to the less loaded
+// of the first two of its hash order.
+func DefaultSettings() Settings {
+	return Settings{Fresh: OrderHash, Displaced: OrderHashPair}
+}
+
 // Options configures a Picker.
 type Options struct {
 	LoadMultiple  float64 // bound that the agents hold, as a multiple of the mean
@@ -53,6 +65,7 @@
 type Query struct {
 	Key     uint64 // of the chat, from Key
 	Prefer  string // host from the chat token, a hint; empty if none
+	Second  string // host that the chat left last, a hint for when Prefer cannot be had; empty if none
 	Tried   []int  // candidates not to choose again
 	Allowed Set    // candidates that the rules allow; nil allows all
 	Rand    uint64 // random bits for this query
@@ -68,10 +81,12 @@
 	loads      []float64 // load for the home limit, unknown taken as the mean
 	costs      []float64 // load for comparisons: with RemoteCost, over weight
 	open       []uint64  // share of the keys, out of 2^64-1, that a candidate takes; 0 ejected
-	limit      float64   // loads at or above it lead a chat away
+	homeLimit  float64   // loads at or above it lead a chat away from its home
+	freshLimit float64   // loads at or above it are skipped for a request without a home
+	boundLimit float64   // loads at or above it are skipped for a request led away from its home
 }
 
-// idleLoad is the home limit's floor: in an almost idle pool a single request
+// idleLoad is the floor of the limits: in an almost idle pool a single request
 // in progress does not lead chats away.
 const idleLoad = 2
 
@@ -87,12 +102,10 @@
 		costs:      make([]float64, len(candidates)),
 		open:       make([]uint64, len(candidates)),
 	}
-	multiple := opts.Settings.HomeMultiple
-	if multiple == 0 {
-		multiple = opts.LoadMultiple
-	}
 	mean := meanLoad(candidates)
-	p.limit = math.Max(idleLoad, multiple*mean)
+	p.homeLimit = loadLimit(opts.Settings.HomeMultiple, math.Inf(1), mean)
+	p.freshLimit = loadLimit(opts.Settings.FreshMultiple, opts.LoadMultiple, mean)
+	p.boundLimit = loadLimit(opts.LoadMultiple, math.Inf(1), mean)
 	for i, c := range candidates {
 		p.index[c.Host] = i
 		p.seeds[i] = Key(c.Host)
@@ -109,6 +122,17 @@
 	return p
 }
 
+// loadLimit returns multiple, or fallback if it is 0, times the mean.
+func loadLimit(multiple, fallback, mean float64) float64 {
+	if multiple == 0 {
+		multiple = fallback
+	}
+	if math.IsInf(multiple, 1) {
+		return multiple
+	}
+	return math.Max(idleLoad, multiple*mean)
+}
+
 // meanLoad averages the known loads of candidates that are not ejected: an
 // ejected candidate drains, and would make the others look loaded.
 func meanLoad(candidates []Candidate) float64 {
@@ -158,25 +182,29 @@
 // Pick returns the index of the candidate to try next, or false if every
 // candidate is tried, ruled out or ejected.
 func (p *Picker) Pick(q Query) (index int, ok bool) {
-	if q.Prefer != "" {
-		if home, known := p.index[q.Prefer]; known {
-			if p.usable(home, &q) && p.loads[home] < p.limit {
-				return home, true
-			}
-			return p.spread(p.settings.Displaced, &q)
-		}
+	home, known := p.index[q.Prefer]
+	if !known && len(q.Tried) == 0 {
+		return p.spread(p.settings.Fresh, p.freshLimit, &q)
 	}
-	if len(q.Tried) > 0 {
-		return p.spread(p.settings.Displaced, &q)
+	if known && p.takesHome(home, &q) {
+		return home, true
 	}
-	return p.spread(p.settings.Fresh, &q)
+	if second, ok := p.index[q.Second]; ok && p.takesHome(second, &q) {
+		return second, true
+	}
+	return p.spread(p.settings.Displaced, p.boundLimit, &q)
+}
+
+// takesHome reports whether a chat that has a cache at candidate i may go there.
+func (p *Picker) takesHome(i int, q *Query) bool {
+	return p.usable(i, q) && p.loads[i] < p.homeLimit
 }
 
-func (p *Picker) spread(order Order, q *Query) (int, bool) {
+func (p *Picker) spread(order Order, limit float64, q *Query) (int, bool) {
 	best := -1
 	switch order {
 	case OrderHash, OrderHashPair:
-		best = p.byHash(order, q)
+		best = p.byHash(order, limit, q)
 	case OrderTwoChoices:
 		best = p.byTwoChoices(q)
 	}
@@ -187,13 +215,13 @@
 }
 
 // byHash scans for the first, or the less loaded of the first two, of the
-// chat's hash order below the home limit; -1 if there is none.
-func (p *Picker) byHash(order Order, q *Query) int {
+// chat's hash order below the limit; -1 if there is none.
+func (p *Picker) byHash(order Order, limit float64, q *Query) int {
 	first, second := -1, -1
 	var firstScore, secondScore uint64
 	for i, seed := range p.seeds {
 		score := mix(q.Key ^ seed)
-		if score < secondScore || p.loads[i] >= p.limit || !p.usable(i, q) || !p.takes(i, q.Key) {
+		if score < secondScore || p.loads[i] >= limit || !p.usable(i, q) || !p.takes(i, q.Key) {
 			continue
 		}
 		if score >= firstScore {
--- a/decide/place/place_test.go
+++ b/decide/place/place_test.go
@@ -26,7 +26,7 @@
 	cs := pool(12, even)
 	cs[3].Load = 40
 	cs[5].Weight = 0
-	p := NewPicker(Options{LoadMultiple: 1.5}, cs)
+	p := NewPicker(Options{LoadMultiple: 1.5, Settings: Settings{HomeMultiple: 1.5}}, cs)
 	others := p.Allow(func(c Candidate) bool { return c.Host != "engine-2" })
 	for _, tc := range []struct {
 		name  string
@@ -88,6 +88,20 @@
 	})
 }
 
+func TestPickLeavesHomeToItsAgentByDefault(t *testing.T) {
+	cs := pool(12, even)
+	cs[3].Load = 40
+	p := NewPicker(Options{LoadMultiple: 1.5, Settings: DefaultSettings()}, cs)
+	for key := range uint64(200) {
+		home, _ := p.Pick(Query{Key: mix(key), Prefer: "engine-3"})
+		must.Eq(t, 3, home)
+		fresh, _ := p.Pick(Query{Key: mix(key)})
+		must.NotEq(t, 3, fresh)
+		second, _ := p.Pick(Query{Key: mix(key), Prefer: "engine-3", Second: "engine-1", Tried: []int{3}})
+		must.Eq(t, 1, second)
+	}
+}
+
 func TestPickTriesEveryCandidateOnce(t *testing.T) {
 	for _, order := range []Order{OrderHash, OrderHashPair, OrderTwoChoices, OrderLeastLoaded} {
 		p := NewPicker(Options{LoadMultiple: 1.25, Settings: Settings{Displaced: order, Fresh: order}}, pool(9, even))
@@ -109,7 +123,7 @@
 	tried := []int{1, 2}
 	must.Zero(t, testing.AllocsPerRun(100, func() {
 		p.Pick(Query{Key: 1, Prefer: "engine-9", Tried: tried, Allowed: allowed})
-		p.Pick(Query{Key: 1, Tried: tried, Allowed: allowed})
+		p.Pick(Query{Key: 1, Second: "engine-8", Tried: tried, Allowed: allowed})
 	}))
 }
 
