Bring the mean load to the agents and hold the bound there

The agents' bound had no multiple and no mean, so each admitted one request at a time. Agents now report to the router that rendezvous hash names for their service and failure domain; its reply carries the mean; collectors of a service exchange partial sums. The load multiple comes from the configuration in force, also when it changes. Load.Mean tells what the agent holds its bound against.

A refusal carries a Retry-After computed from the queue and from decaying rates of completion and refusal in place of a fixed second, and the router passes it on.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,6 +28,9 @@
 	janitorInterval  = time.Second
 	drainPoll        = 20 * time.Millisecond
 	incarnationBytes = 16
+
+	// loadFloor is the load that an upstream may always carry.
+	loadFloor = 4
 )
 
 // Agent serves one upstream. All methods may be called concurrently.
@@ -64,7 +67,7 @@
 		Windows:     opts.Windows,
 		MaxRecords:  opts.MaxRecords,
 	})
-	bound := admit.NewBound(admit.Options{})
+	bound := admit.NewBound(admit.Options{Floor: loadFloor})
 	queue := fair.NewQueue[*waiter](fair.Options{})
 	a.gate = newGate(bound, queue, opts.MaxRunning, opts.MaxQueued)
 	return a, nil
@@ -160,9 +163,15 @@
 	a.ledger.Advance()
 }
 
-// ObserveMean takes a report of the mean load over the service's upstreams.
-func (a *Agent) ObserveMean(mean float64, replicas int) {
-	a.gate.observeMean(mean, replicas)
+// ObserveMean takes a report of the mean load over replicas of the service,
+// every part of which was true within age.
+func (a *Agent) ObserveMean(mean float64, replicas int, age time.Duration) {
+	a.gate.observeMean(mean, replicas, age)
+}
+
+// Running returns the requests in progress on the upstream.
+func (a *Agent) Running() int {
+	return a.gate.load().InFlight
 }
 
 // Load returns the load of the upstream.
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -7,6 +7,7 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/admit"
 	"dandelionrill.example/fleet/decide/fair"
+	"dandelionrill.example/fleet/decide/retry"
 	"dandelionrill.example/fleet/wire"
 )
 
@@ -22,6 +23,8 @@
 	started  time.Time
 	maxRun   int
 	maxQueue int
+	done     retry.Meter // requests that ran and ended
+	refused  retry.Meter
 }
 
 // waiter is one request at the gate. ready is closed once it may run.
@@ -78,6 +81,7 @@
 	if w.admitted {
 		g.running--
 		g.tokens -= w.tokens
+		g.done.Add(g.now())
 	} else {
 		g.queue.Remove(func(o *waiter) bool { return o == w })
 	}
@@ -87,14 +91,38 @@
 	g.dispatch()
 }
 
-// observeMean takes a report of the mean load of the service's upstreams.
-func (g *gate) observeMean(mean float64, replicas int) {
+// now returns the gate's monotonic time.
+func (g *gate) now() time.Duration { return time.Since(g.started) }
+
+// observeMean takes a report of the mean load of the service's upstreams, every
+// part of which was true within age.
+func (g *gate) observeMean(mean float64, replicas int, age time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.bound.ObserveMean(mean, replicas, time.Since(g.started))
+	g.bound.ObserveMean(mean, replicas, g.now()-age)
 	g.dispatch()
 }
 
+// setMultiple takes the load multiple of the configuration in force.
+func (g *gate) setMultiple(multiple float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bound.SetMultiple(multiple)
+}
+
+// refuse counts a refusal and returns when the caller should come back.
+func (g *gate) refuse(random uint64) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.refused.Add(now)
+	return retry.RetryAfter(retry.Pressure{
+		Waiting:       g.queue.Len(),
+		Refused:       g.refused.PerSecond(now),
+		DonePerSecond: g.done.PerSecond(now),
+	}, random)
+}
+
 // load returns what the agent reports of its upstream.
 func (g *gate) load() wire.Load {
 	g.mu.Lock()
@@ -103,13 +131,14 @@
 		InFlight: g.running,
 		Queued:   g.queue.Len(),
 		Tokens:   g.tokens,
+		Mean:     g.bound.Mean(),
 		Bound:    g.limit(),
 	}
 }
 
 // limit returns the most requests that may run now. The caller holds mu.
 func (g *gate) limit() int {
-	return min(g.maxRun, g.bound.Limit(time.Since(g.started)))
+	return min(g.maxRun, g.bound.Limit(g.now()))
 }
 
 // dispatch admits queued requests up to the limit. The caller holds mu.
--- a/agent/submit.go
+++ b/agent/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -12,8 +13,7 @@
 )
 
 const (
-	maxReadWait     = 5 * time.Second
-	overloadBackoff = time.Second
+	maxReadWait = 5 * time.Second
 )
 
 // verdict is the agent's decision on a submitted request.
@@ -24,11 +24,7 @@
 }
 
 func refused(reason wire.Reason) verdict {
-	v := verdict{verdict: wire.VerdictRefused, reason: reason}
-	if reason == wire.ReasonOverload || reason == wire.ReasonQueueFull || reason == wire.ReasonKeptFull {
-		v.retryAfter = overloadBackoff
-	}
-	return v
+	return verdict{verdict: wire.VerdictRefused, reason: reason}
 }
 
 // submit decides on a request and starts it when it is admitted.
@@ -104,6 +100,9 @@
 	if !ok {
 		return a.refuse(args, wire.ReasonForbidden)
 	}
+	if svc, ok := index.Service(args.Service); ok {
+		a.gate.setMultiple(svc.LoadMultiple)
+	}
 	if !a.makeRoom() {
 		return a.refuse(args, wire.ReasonKeptFull)
 	}
@@ -141,7 +140,12 @@
 func (a *Agent) refuse(args *wire.SubmitArgs, reason wire.Reason) verdict {
 	counters.Add("refused_"+string(reason), 1)
 	a.record(timeline.KindRequestRefused, args, string(reason))
-	return refused(reason)
+	v := refused(reason)
+	switch reason {
+	case wire.ReasonOverload, wire.ReasonQueueFull, wire.ReasonKeptFull, wire.ReasonCustomerLimit:
+		v.retryAfter = a.gate.refuse(rand.Uint64())
+	}
+	return v
 }
 
 // checkRules tells why the configuration in force forbids the request, if so.
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -7,6 +7,7 @@
 	"dandelionrill.example/fleet/admin"
 	"dandelionrill.example/fleet/agent"
 	"dandelionrill.example/fleet/controllers/configuration"
+	"dandelionrill.example/fleet/controllers/load"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
 	"dandelionrill.example/fleet/platform"
@@ -74,6 +75,11 @@
 	}
 	defer p.serveAdmin(listeners[1], status)()
 	defer p.startControllers(ctx, keeper)()
+	reporter := load.NewReporter(load.ReporterOptions{
+		Host: s.Host, Service: s.Service, FailureDomain: s.FailureDomain,
+		Board: p.board, Caller: load.PoolCaller{Pool: p.pool}, Upstream: a,
+	})
+	defer runUntil(ctx, reporter.Run)()
 	p.announceStart(s.Listen)
 	serving, cancel := p.untilDrain(ctx)
 	defer cancel()
--- a/cli/controllers.go
+++ b/cli/controllers.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// runUntil runs a controller until the returned function is called; it outlives
+// a drain like the others.
+func runUntil(ctx context.Context, run func(context.Context)) func() {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { run(ctx) })
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 // recordAdoptions enters each adopted version into the time line.
 func (p *process) recordAdoptions(ctx context.Context) {
 	last := uint64(0)
--- a/cli/router.go
+++ b/cli/router.go
@@ -6,6 +6,7 @@
 	"dandelionrill.example/fleet/admin"
 	"dandelionrill.example/fleet/claims"
 	"dandelionrill.example/fleet/controllers/configuration"
+	"dandelionrill.example/fleet/controllers/load"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
 	"dandelionrill.example/fleet/platform"
@@ -54,9 +55,15 @@
 	if err := server.Register(peers.ReceiverName, peers.NewReceiver(keeper, r.Meta)); err != nil {
 		return err
 	}
+	collectors := load.NewCollectors(p.board)
+	if err := server.Register(load.RPCName, load.NewService(collectors)); err != nil {
+		return err
+	}
 	defer p.serveAdmin(listeners[1], func() admin.Status { return p.status(incarnation, 0) })()
 	defer p.servePeers(server, listeners[2])()
 	defer p.startControllers(ctx, keeper)()
+	exchange := load.ExchangeOptions{Host: s.Host, Caller: load.PoolCaller{Pool: p.pool}}
+	defer runUntil(ctx, func(ctx context.Context) { collectors.Run(ctx, exchange) })()
 	p.announceStart(s.Listen)
 	serving, cancel := p.untilDrain(ctx)
 	defer cancel()
--- /dev/null
+++ b/controllers/load/counters.go
@@ -0,0 +1,6 @@
+package load
+
+import "expvar"
+
+// counters are published by expvar under "load".
+var counters = expvar.NewMap("load")
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -45,6 +45,7 @@
 	at    time.Duration // when the newest usable mean was true
 	limit int           // from the newest usable mean
 	mean  float64
+	count int // replicas of the mean
 }
 
 // NewBound returns a bound that has observed no mean.
@@ -68,10 +69,24 @@
 	if b.known && at < b.at {
 		return
 	}
-	b.known, b.at, b.mean = true, at, mean
+	b.known, b.at, b.mean, b.count = true, at, mean, replicas
 	b.limit = b.clamp(math.Ceil(b.opts.Multiple * mean))
 }
 
+// SetMultiple takes a multiple from a newer configuration. A mean that is not
+// usable with it is dropped.
+func (b *Bound) SetMultiple(multiple float64) {
+	if multiple == b.opts.Multiple {
+		return
+	}
+	b.opts.Multiple = multiple
+	known := b.known
+	b.known = false
+	if known {
+		b.ObserveMean(b.mean, b.count, b.at)
+	}
+}
+
 // Limit returns the load up to which work may be admitted at now.
 func (b *Bound) Limit(now time.Duration) int {
 	if b.State(now) == StateUnknown {
--- a/decide/admit/admit_test.go
+++ b/decide/admit/admit_test.go
@@ -43,4 +43,13 @@
 		must.Eq(t, tc.want, b.Limit(tc.now), must.Sprint(tc.name))
 		must.Eq(t, tc.state, b.State(tc.now), must.Sprint(tc.name))
 	}
+	b := NewBound(Options{Multiple: 1.5})
+	b.ObserveMean(10, 3, 0)
+	for _, tc := range []struct {
+		multiple float64
+		want     int
+	}{{1.5, 15}, {1.1, 11}, {2, 20}, {3, 1}, {2, 1}} { // three replicas bound nothing at 3
+		b.SetMultiple(tc.multiple)
+		must.Eq(t, tc.want, b.Limit(s))
+	}
 }
--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -76,7 +76,7 @@
 // refuses work.
 type Pressure struct {
 	Waiting       int     // requests queued
-	Refused       int     // requests refused within the last second
+	Refused       float64 // requests refused per second
 	DonePerSecond float64 // rate of completion
 }
 
@@ -86,7 +86,7 @@
 func RetryAfter(p Pressure, random uint64) time.Duration {
 	rate := math.Max(p.DonePerSecond, 1/MaxRetryAfter.Seconds())
 	drain := seconds(float64(p.Waiting) / rate)
-	spread := max(drain, seconds(float64(p.Refused)/rate), MinRetryAfter)
+	spread := max(drain, seconds(p.Refused/rate), MinRetryAfter)
 	share := float64(random>>11) / (1 << 53)
 	return min(max(drain, MinRetryAfter)+time.Duration(share*float64(spread)), 2*MaxRetryAfter)
 }
--- a/decide/retry/retry_test.go
+++ b/decide/retry/retry_test.go
@@ -58,6 +58,12 @@
 	must.Between(t, 7*time.Second, RetryAfter(p, 1<<64-1), 8*time.Second)
 	must.Eq(t, MinRetryAfter, RetryAfter(Pressure{DonePerSecond: 1}, 0))
 	must.LessEq(t, 2*MaxRetryAfter, RetryAfter(Pressure{Waiting: 1 << 40, Refused: 1 << 40}, 1<<64-1))
+	var m Meter
+	for at := time.Duration(0); at < time.Minute; at += 20 * time.Millisecond {
+		m.Add(at)
+	}
+	must.Between(t, 49, m.PerSecond(time.Minute), 51)
+	must.Between(t, 18, m.PerSecond(time.Minute+10*time.Second), 19)
 	must.LessEq(t, 3*time.Second, Jitter(time.Second, 3*time.Second, 60, 1<<64-1))
 	must.Zero(t, Jitter(time.Second, 3*time.Second, 1, 0))
 }
--- a/router/failure.go
+++ b/router/failure.go
@@ -20,6 +20,15 @@
 	return retry.RetryAfter(retry.Pressure{DonePerSecond: 1}, rand.Uint64())
 }
 
+// comeBackAfter returns what the agent computed from its load and rates, if it
+// did.
+func (r *Router) comeBackAfter(e *refusedError) time.Duration {
+	if e.retryAfter > 0 {
+		return e.retryAfter
+	}
+	return r.comeBack()
+}
+
 // idempotentProblem describes why idempotent work ended without an answer.
 // delivered tells whether the caller has received part of one.
 func (r *Router) idempotentProblem(err error, delivered bool) problem.Problem {
@@ -62,9 +71,9 @@
 	case wire.ReasonForbidden:
 		p.Status, p.Code = http.StatusForbidden, problem.CodeForbidden
 	case wire.ReasonCustomerLimit, wire.ReasonQueueFull:
-		p.Status, p.Code, p.RetryAfter = http.StatusTooManyRequests, problem.CodeCustomerLimit, r.comeBack()
+		p.Status, p.Code, p.RetryAfter = http.StatusTooManyRequests, problem.CodeCustomerLimit, r.comeBackAfter(e)
 	case wire.ReasonOverload, wire.ReasonKeptFull:
-		p.Status, p.Code, p.RetryAfter = http.StatusServiceUnavailable, problem.CodeOverload, r.comeBack()
+		p.Status, p.Code, p.RetryAfter = http.StatusServiceUnavailable, problem.CodeOverload, r.comeBackAfter(e)
 	case wire.ReasonDeadline:
 		p.Status, p.Code = http.StatusGatewayTimeout, problem.CodeDeadline
 	case wire.ReasonRevoked:
--- a/router/pools.go
+++ b/router/pools.go
@@ -88,6 +88,7 @@
 	return place.Options{
 		LoadMultiple:  svc.LoadMultiple,
 		FailureDomain: r.opts.FailureDomain,
+		Settings:      place.DefaultSettings(),
 	}
 }
 
