Leave pools of no more replicas than the multiple without a bound

With three engines and a multiple of 4, as scripts/fleet starts them, no mean was usable and each agent stayed at the floor. No load can exceed the mean as many times as there are replicas, so such a pool needs no bound. The agent takes the size of its pool from the host list. The test was seen failing without the check.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -169,6 +169,11 @@
 	a.gate.observeMean(mean, replicas, age)
 }
 
+// ObservePool takes the number of the service's upstreams on the host list.
+func (a *Agent) ObservePool(replicas int) {
+	a.gate.setPool(replicas)
+}
+
 // Running returns the requests in progress on the upstream.
 func (a *Agent) Running() int {
 	return a.gate.load().InFlight
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -103,6 +103,14 @@
 	g.dispatch()
 }
 
+// setPool takes the number of the service's upstreams.
+func (g *gate) setPool(replicas int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bound.SetPool(replicas)
+	g.dispatch()
+}
+
 // setMultiple takes the load multiple of the configuration in force.
 func (g *gate) setMultiple(multiple float64) {
 	g.mu.Lock()
--- a/controllers/load/exchange.go
+++ b/controllers/load/exchange.go
@@ -138,10 +138,10 @@
 // failure domain; the empty domain holds them all.
 type routersByDomain map[string][]platform.Host
 
-// directory reads the routers, and the failure domains of each service's
-// upstreams, from the board.
-func directory(b *board.Board) (routersByDomain, map[string]map[string]bool) {
-	routers, domains := make(routersByDomain), make(map[string]map[string]bool)
+// directory reads the routers, and each service's number of upstreams by
+// failure domain, from the board.
+func directory(b *board.Board) (routersByDomain, map[string]map[string]int) {
+	routers, domains := make(routersByDomain), make(map[string]map[string]int)
 	for _, h := range b.Hosts() {
 		switch {
 		case h.Leaving:
@@ -150,9 +150,9 @@
 			routers[""] = append(routers[""], h.Host)
 		case h.Role == platform.RoleAgent:
 			if domains[h.Service] == nil {
-				domains[h.Service] = make(map[string]bool)
+				domains[h.Service] = make(map[string]int)
 			}
-			domains[h.Service][h.FailureDomain] = true
+			domains[h.Service][h.FailureDomain]++
 		}
 	}
 	return routers, domains
--- a/controllers/load/reporter.go
+++ b/controllers/load/reporter.go
@@ -20,6 +20,8 @@
 	Running() int
 	// Leaving tells whether new work is refused.
 	Leaving() bool
+	// ObservePool takes the number of upstreams that the host list shows.
+	ObservePool(replicas int)
 	// ObserveMean takes a mean load over replicas; every part of it was true
 	// within age.
 	ObserveMean(mean float64, replicas int, age time.Duration)
@@ -42,6 +44,7 @@
 	opts      ReporterOptions
 	start     time.Time
 	collector platform.Host
+	seen      uint64 // generation of the board that collector and pool were read at
 	dating    *mean.Reporter
 }
 
@@ -68,7 +71,8 @@
 // turn reports if it is due, a second time if the first could not be dated.
 func (r *Reporter) turn(ctx context.Context) {
 	load := float64(r.opts.Upstream.Running())
-	if !r.dating.Due(load, r.now()) || !r.chooseCollector() {
+	r.readBoard()
+	if r.collector.Name == "" || !r.dating.Due(load, r.now()) {
 		return
 	}
 	if !r.report(ctx) {
@@ -76,16 +80,25 @@
 	}
 }
 
-// chooseCollector follows the host list. Another collector cannot date by the
-// echo of the one before.
-func (r *Reporter) chooseCollector() bool {
-	routers, _ := directory(r.opts.Board)
+// readBoard follows the host list when it has changed. Another collector cannot
+// date by the echo of the one before.
+func (r *Reporter) readBoard() {
+	generation := r.opts.Board.Generation() + 1
+	if generation == r.seen {
+		return
+	}
+	r.seen = generation
+	routers, pools := directory(r.opts.Board)
+	replicas := 0
+	for _, n := range pools[r.opts.Service] {
+		replicas += n
+	}
+	r.opts.Upstream.ObservePool(replicas)
 	host, ok := routers.owner(pool{r.opts.Service, r.opts.FailureDomain})
 	if ok && (host.Name != r.collector.Name || host.Address != r.collector.Address) {
 		r.collector = host
 		r.dating = mean.NewReporter(r.opts.Intervals)
 	}
-	return ok
 }
 
 // report sends the load and tells whether there is nothing to repeat.
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -8,6 +8,8 @@
 // where mean is the newest mean observed, at most FreshFor old and taken over
 // more than Multiple replicas. Without such a mean the load is at most the
 // greater of Floor and the last such limit, and at most Ceiling if one is set.
+// A pool of at most Multiple replicas needs no bound: no load can exceed the
+// mean as many times as there are replicas.
 // Work in progress is never cut off when the limit falls.
 package admit
 
@@ -26,6 +28,7 @@
 const (
 	StateUnknown State = iota // no usable mean yet: Floor
 	StateFresh                // the newest mean
+	StateSmall                // the pool has at most Multiple replicas: Ceiling alone
 	StateStale                // the last usable mean is older than FreshFor: its limit, or Floor if greater
 )
 
@@ -46,6 +49,7 @@
 	limit int           // from the newest usable mean
 	mean  float64
 	count int // replicas of the mean
+	pool  int // replicas of the whole pool; 0 if unknown
 }
 
 // NewBound returns a bound that has observed no mean.
@@ -87,17 +91,26 @@
 	}
 }
 
+// SetPool takes the number of replicas of the whole pool, 0 if unknown.
+func (b *Bound) SetPool(replicas int) { b.pool = replicas }
+
 // Limit returns the load up to which work may be admitted at now.
 func (b *Bound) Limit(now time.Duration) int {
-	if b.State(now) == StateUnknown {
+	switch b.State(now) {
+	case StateSmall:
+		return b.clamp(math.MaxInt32)
+	case StateUnknown:
 		return b.clamp(0)
+	default:
+		return b.limit
 	}
-	return b.limit
 }
 
 // State returns what the limit at now rests on.
 func (b *Bound) State(now time.Duration) State {
 	switch {
+	case b.pool > 0 && float64(b.pool) <= b.opts.Multiple:
+		return StateSmall
 	case !b.known:
 		return StateUnknown
 	case now-b.at > b.opts.FreshFor:
@@ -117,7 +130,7 @@
 
 func (b *Bound) clamp(load float64) int {
 	limit := b.opts.Floor
-	if load > math.MaxInt32 {
+	if load >= math.MaxInt32 {
 		limit = math.MaxInt32
 	} else {
 		limit = max(limit, int(load))
--- a/decide/admit/admit_test.go
+++ b/decide/admit/admit_test.go
@@ -52,4 +52,8 @@
 		b.SetMultiple(tc.multiple)
 		must.Eq(t, tc.want, b.Limit(s))
 	}
+	for _, tc := range []struct{ pool, want int }{{2, math.MaxInt32}, {3, 1}, {0, 1}} {
+		b.SetPool(tc.pool)
+		must.Eq(t, tc.want, b.Limit(s))
+	}
 }
