Show confirmation, leaving and counters of the controllers

The status page tells how long ago the version in force was confirmed as the newest; hellos between peers tell that a process is leaving; an agent that leaves says so on its board; the controllers' counters are published. A name that is not in the host list is taken as an address, for the first peers of a process that starts in an outage.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/decide/admit"
 	"dandelionrill.example/fleet/decide/fair"
 	"dandelionrill.example/fleet/decide/ticket"
@@ -106,6 +107,7 @@
 	if a.leaving.Swap(true) {
 		return
 	}
+	a.opts.Board.SetDrain(board.DrainDraining, board.OriginSelf)
 	a.opts.Log.WithField("host", a.opts.Host).Info("leaving: new work is refused")
 	a.opts.Timeline.Record(timeline.Event{Kind: timeline.KindDrainBegun})
 }
--- a/cli/controllers.go
+++ b/cli/controllers.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"expvar"
 	"net"
 	"sync"
 	"time"
@@ -66,7 +67,16 @@
 	if p.role == platform.RoleRouter {
 		opts.Peers = peers.NewLinks(p.board, p.pool, meta)
 	}
-	return configuration.New(opts)
+	p.configuration = configuration.New(opts)
+	publishCounters("configuration", p.configuration.Vars())
+	return p.configuration
+}
+
+// publishCounters publishes counters under a name, once in a process.
+func publishCounters(name string, counters *expvar.Map) {
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, counters)
+	}
 }
 
 // startControllers starts what keeps the board, until the returned function is
@@ -75,6 +85,7 @@
 func (p *process) startControllers(ctx context.Context, keeper *configuration.Controller) func() {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	members := membership.New(membership.Options{Board: p.board, List: p.api, Log: p.log})
+	publishCounters("membership", members.Vars())
 	var wg sync.WaitGroup
 	wg.Go(func() { p.watchReadiness(ctx) })
 	wg.Go(func() { p.recordAdoptions(ctx) })
--- a/cli/process.go
+++ b/cli/process.go
@@ -9,6 +9,7 @@
 
 	"dandelionrill.example/fleet/admin"
 	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/controllers/configuration"
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/health"
 	"dandelionrill.example/fleet/link"
@@ -39,6 +40,8 @@
 	api      *httpapi.Client
 	pool     *link.Pool
 
+	configuration *configuration.Controller // set by newConfiguration
+
 	// drainBegun is closed when an operator asks for a planned stop.
 	drainBegun chan struct{}
 	draining   atomic.Bool
--- a/cli/status.go
+++ b/cli/status.go
@@ -31,6 +31,9 @@
 			AdoptedAt:   time.Now().Add(adopted.At - p.board.Now()),
 			AdoptedFrom: adopted.From,
 		}
+		if confirmed := p.configuration.Confirmed(); confirmed >= 0 {
+			s.Configuration.ConfirmedSeconds = confirmed.Seconds()
+		}
 	}
 	return s
 }
--- a/controllers/configuration/configuration.go
+++ b/controllers/configuration/configuration.go
@@ -85,6 +85,20 @@
 	Behind        expvar.Int // answers of the platform with a version before the one in force
 }
 
+// Vars returns the counters for expvar.
+func (c *Counters) Vars() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("adopted", &c.Adopted)
+	m.Set("adopted_from_peers", &c.FromPeers)
+	m.Set("offers", &c.Offers)
+	m.Set("offered_bytes", &c.OfferedBytes)
+	m.Set("exchanges", &c.Exchanges)
+	m.Set("platform_calls", &c.PlatformCalls)
+	m.Set("refused", &c.Refused)
+	m.Set("platform_behind", &c.Behind)
+	return m
+}
+
 // Controller keeps the configuration of one process. Run it once; the other
 // methods may be called concurrently at any time.
 type Controller struct {
--- a/controllers/configuration/serve.go
+++ b/controllers/configuration/serve.go
@@ -3,9 +3,15 @@
 import (
 	"time"
 
+	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/wire"
 )
 
+// Leaving tells whether this process takes no new work.
+func (c *Controller) Leaving() bool {
+	return c.opts.Board.Drain().Value != board.DrainServing
+}
+
 // ServeHello takes a peer's hello: its version and its confirmation.
 func (c *Controller) ServeHello(args wire.HelloArgs) (confirmed time.Duration) {
 	c.noteConfirmed(args.ConfigVersion, args.Confirmed)
--- a/controllers/membership/membership.go
+++ b/controllers/membership/membership.go
@@ -45,6 +45,14 @@
 	Failures expvar.Int
 }
 
+// Vars returns the counters for expvar.
+func (c *Counters) Vars() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("polls", &c.Polls)
+	m.Set("failures", &c.Failures)
+	return m
+}
+
 // Controller polls the host list. Run it once.
 type Controller struct {
 	opts Options
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -34,6 +34,7 @@
 // Hello exchanges versions.
 func (r *Receiver) Hello(args wire.HelloArgs, reply *wire.HelloReply) error {
 	reply.Confirmed = r.controller.ServeHello(args)
+	reply.Leaving = r.controller.Leaving()
 	reply.Meta = r.meta()
 	return nil
 }
@@ -69,13 +70,14 @@
 	return &Links{board: b, pool: pool, meta: meta}
 }
 
-// Peer returns the link to a host.
+// Peer returns the link to a host. A host that is not in the list is taken as
+// an address, for the first peers of a starting process.
 func (l *Links) Peer(host string) (configuration.Peer, error) {
-	view, ok := l.board.Host(host)
-	if !ok || view.Address == "" {
-		return nil, errors.Newf("peers: host %s has no known address", host)
+	address := host
+	if view, ok := l.board.Host(host); ok {
+		address = view.Address
 	}
-	client, err := l.pool.Client(view.Address)
+	client, err := l.pool.Client(address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "peers: host %s", host)
 	}
