--- a/config/codec.go
+++ b/config/codec.go
@@ -84,10 +84,7 @@
 		return raw, nil
 	}
 	var buf bytes.Buffer
-	w, err := gzip.NewWriterLevel(&buf, gzip.BestCompression)
-	if err != nil {
-		return nil, errors.Wrap(err, "config: compress")
-	}
+	w := gzip.NewWriter(&buf)
 	if _, err := w.Write(raw); err != nil {
 		return nil, errors.Wrap(err, "config: compress")
 	}
--- a/controllers/configuration/serve.go
+++ b/controllers/configuration/serve.go
@@ -13,9 +13,14 @@
 }
 
 // ServeHello takes a peer's hello: its version and its confirmation.
+
+// ServeHello takes a peer's hello: its version and its confirmation. An
+// operator's hello names no sender.
 func (c *Controller) ServeHello(args wire.HelloArgs) (confirmed time.Duration) {
 	c.noteConfirmed(args.ConfigVersion, args.Confirmed)
-	c.Observe(args.From, args.ConfigVersion)
+	if args.From != "" {
+		c.Observe(args.From, args.ConfigVersion)
+	}
 	return c.Confirmed()
 }
 
