Offer sheets and versions on the command line and in the admin API

dandelionrill config check, diff, apply, show, history and undo; the admin API publishes by the same conditional update, with both changes in the answer to a lost race. Each publication draws its own change ID: one taken over from an edited copy could make the loser of a race believe that it had won.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -65,8 +65,8 @@
   status      show the state of a process
   drain       begin the planned stop of a process
   timeline    merge the recent events of processes
-  config get  write the newest configuration as JSON
-  config put  publish a configuration from JSON
+  config      check, diff, apply, show, history, undo: sheets and versions
+              get, put: the configuration as JSON through the admin API
   version     print the version
 
 Each command has --help. The agent is a binary of its own: dandelionrill-agent.
@@ -91,6 +91,9 @@
 		fmt.Fprint(env.Stdout, usage)
 		return exitOK
 	default:
+		if run, ok := configCommands[settings.Command(name)]; ok {
+			return configure(ctx, settings.Command(name), run, args[1:], env)
+		}
 		run, ok := operatorCommands[settings.Command(name)]
 		if !ok {
 			fmt.Fprintf(env.Stderr, "dandelionrill: no command %q\n\n%s", name, usage)
--- a/cli/process.go
+++ b/cli/process.go
@@ -16,6 +16,7 @@
 	"dandelionrill.example/fleet/logging"
 	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/platform/httpapi"
+	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/settings"
 	"dandelionrill.example/fleet/timeline"
 
@@ -146,6 +147,7 @@
 	handler := admin.New(admin.Options{
 		Token: p.settings.AdminToken, Health: p.health, Timeline: p.timeline,
 		Status: status, Drain: p.drain,
+		Configuration: &adminVersions{revision.New(revision.Options{Platform: p.api})},
 	})
 	server := admin.NewServer(handler, p.settings.HTTPCert, p.settings.HTTPKey)
 	go func() {
--- /dev/null
+++ b/cli/versions.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"context"
+	"strconv"
+
+	"dandelionrill.example/fleet/admin"
+	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/problem"
+	"dandelionrill.example/fleet/revision"
+
+	"github.com/cockroachdb/errors"
+)
+
+// adminVersions offers the versions of the configuration to the admin API.
+type adminVersions struct {
+	store *revision.Store
+}
+
+// Current implements admin.ConfigurationStore.
+func (v *adminVersions) Current(ctx context.Context) (*config.Config, error) {
+	return v.store.Current(ctx)
+}
+
+// Publish implements admin.ConfigurationStore.
+func (v *adminVersions) Publish(ctx context.Context, cfg *config.Config, base uint64) (uint64, error) {
+	config.Normalize(cfg)
+	version, err := v.store.Publish(ctx, cfg, base)
+	var conflict *revision.ConflictError
+	var invalid *config.InvalidError
+	var tooLarge *revision.TooLargeError
+	switch {
+	case errors.As(err, &conflict):
+		return 0, &admin.ConflictError{Base: conflict.Base, Newest: conflict.Newest, Report: report(conflict)}
+	case errors.As(err, &invalid):
+		findings := make([]problem.Finding, 0, len(invalid.Findings))
+		for _, f := range invalid.Findings {
+			findings = append(findings, problem.Finding{Place: f.Place, Value: f.Value, Message: "allowed: " + f.Allowed})
+		}
+		return 0, &admin.InvalidError{Findings: findings}
+	case errors.As(err, &tooLarge):
+		size := problem.Finding{Place: "configuration", Value: strconv.Itoa(tooLarge.Bytes), Message: tooLarge.Error()}
+		return 0, &admin.InvalidError{Findings: []problem.Finding{size}}
+	}
+	return version, err
+}
+
+// report lists the changes that came first.
+func report(conflict *revision.ConflictError) []problem.Finding {
+	var findings []problem.Finding
+	for _, step := range conflict.Since {
+		place := "version " + strconv.FormatUint(step.Version, 10) + " by " + step.Author
+		for _, change := range step.Changes {
+			findings = append(findings, problem.Finding{Place: place, Value: change.Row, Message: change.String()})
+		}
+	}
+	return findings
+}
--- a/controllers/configuration/serve.go
+++ b/controllers/configuration/serve.go
@@ -12,8 +12,6 @@
 	return c.opts.Board.Drain().Value != board.DrainServing
 }
 
-// ServeHello takes a peer's hello: its version and its confirmation.
-
 // ServeHello takes a peer's hello: its version and its confirmation. An
 // operator's hello names no sender.
 func (c *Controller) ServeHello(args wire.HelloArgs) (confirmed time.Duration) {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -211,7 +211,6 @@
 
 // publish makes cfg the version after base and waits for the fleet.
 func (o Options) publish(ctx context.Context, cfg *config.Config, base uint64, out io.Writer) error {
-	cfg.ChangeID = revision.NewChangeID()
 	cfg.Author = o.Author
 	size, err := room(cfg)
 	if err != nil {
--- a/revision/publish.go
+++ b/revision/publish.go
@@ -14,7 +14,8 @@
 var pause = schedule.Backoff{Min: retryPause, Max: maxPause}
 
 // Publish makes cfg the next version if the current one is base (0: there is
-// none), and returns the new version. It draws a change ID if cfg has none, and
+// none), and returns the new version. It sets a change ID of its own in cfg,
+// since one that was used before could not tell whose update came first, and
 // does not change cfg otherwise.
 //
 // It fails with *config.InvalidError, *TooLargeError, *ConflictError (not made)
@@ -22,9 +23,7 @@
 // same conditional update again: it succeeds at most once, and the change ID
 // tells whose update the platform holds.
 func (s *Store) Publish(ctx context.Context, cfg *config.Config, base uint64) (uint64, error) {
-	if cfg.ChangeID == "" {
-		cfg.ChangeID = NewChangeID()
-	}
+	cfg.ChangeID = newChangeID()
 	value, err := Encode(cfg)
 	if err != nil {
 		return 0, err
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -219,8 +219,8 @@
 	return fmt.Sprintf("%s%020d", historyPrefix, version)
 }
 
-// NewChangeID draws the identity of a change.
-func NewChangeID() string {
+// newChangeID draws the identity of a change.
+func newChangeID() string {
 	var b [changeIDBytes]byte
 	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
 	return hex.EncodeToString(b[:])
