--- a/cli/process.go
+++ b/cli/process.go
@@ -9,12 +9,14 @@
 
 	"dandelionrill.example/fleet/admin"
 	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/controllers/configuration"
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/health"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/logging"
 	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/platform/httpapi"
+	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/settings"
 	"dandelionrill.example/fleet/timeline"
 
@@ -39,6 +41,8 @@
 	api      *httpapi.Client
 	pool     *link.Pool
 
+	configuration *configuration.Controller // set by newConfiguration
+
 	// drainBegun is closed when an operator asks for a planned stop.
 	drainBegun chan struct{}
 	draining   atomic.Bool
@@ -143,6 +147,7 @@
 	handler := admin.New(admin.Options{
 		Token: p.settings.AdminToken, Health: p.health, Timeline: p.timeline,
 		Status: status, Drain: p.drain,
+		Configuration: &adminVersions{revision.New(revision.Options{Platform: p.api})},
 	})
 	server := admin.NewServer(handler, p.settings.HTTPCert, p.settings.HTTPKey)
 	go func() {
--- a/controllers/configuration/serve.go
+++ b/controllers/configuration/serve.go
@@ -3,13 +3,22 @@
 import (
 	"time"
 
+	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/wire"
 )
 
-// ServeHello takes a peer's hello: its version and its confirmation.
+// Leaving tells whether this process takes no new work.
+func (c *Controller) Leaving() bool {
+	return c.opts.Board.Drain().Value != board.DrainServing
+}
+
+// ServeHello takes a peer's hello: its version and its confirmation. An
+// operator's hello names no sender.
 func (c *Controller) ServeHello(args wire.HelloArgs) (confirmed time.Duration) {
 	c.noteConfirmed(args.ConfigVersion, args.Confirmed)
-	c.Observe(args.From, args.ConfigVersion)
+	if args.From != "" {
+		c.Observe(args.From, args.ConfigVersion)
+	}
 	return c.Confirmed()
 }
 
