--- a/link/codec.go
+++ b/link/codec.go
@@ -174,8 +174,13 @@
 	*gobStream
 	slots chan struct{}
 	calls *atomic.Int64 // in progress at the server
+	last  *uint64       // sequence number that the next request must reach
 }
 
+// errRepeated says that a request arrived twice, which no sound connection
+// lets happen: a client numbers its requests in the order in which it writes.
+var errRepeated = errors.New("link: request repeated on one connection")
+
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.slots <- struct{}{}
@@ -183,6 +188,12 @@
 		<-c.slots
 		return err
 	}
+	if r.Seq < *c.last {
+		<-c.slots
+		counters.Add(countRepeated, 1)
+		return c.closeOnError(errRepeated)
+	}
+	*c.last = r.Seq + 1
 	c.calls.Add(1)
 	return nil
 }
--- a/link/link.go
+++ b/link/link.go
@@ -78,6 +78,7 @@
 	countRejected     = "connections_rejected"
 	countHandshakes   = "tls_handshake_failures"
 	countTooLarge     = "messages_too_large"
+	countRepeated     = "messages_repeated"
 	countBytesRead    = "bytes_read"
 	countBytesWritten = "bytes_written"
 )
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,7 +18,10 @@
 type Message struct{ Data []byte }
 
 // echo is a receiver whose Block method waits until release is closed.
-type echo struct{ entered, release chan struct{} }
+type echo struct {
+	entered, release chan struct{}
+	ran              atomic.Int64 // calls of Size
+}
 
 func newEcho() *echo { return &echo{entered: make(chan struct{}, 64), release: make(chan struct{})} }
 
@@ -26,6 +30,12 @@
 	return nil
 }
 
+func (e *echo) Size(args Message, reply *Message) error {
+	e.ran.Add(1)
+	reply.Data = []byte{byte(len(args.Data))}
+	return nil
+}
+
 func (*echo) Fail(Message, *Message) error { return errors.New("no such share") }
 
 func (e *echo) Block(args Message, reply *Message) error {
@@ -94,7 +104,7 @@
 		{"connection refused", refused, testContext(t), "Echo.Echo", 1, ErrNotSent, nil},
 		{"context ended before", c, ended, "Echo.Echo", 1, ErrNotSent, context.Canceled},
 		{"larger than the client sends", c, testContext(t), "Echo.Echo", 3 << 20, ErrNotSent, ErrTooLarge},
-		{"larger than the server reads", c, testContext(t), "Echo.Echo", 1<<20 + 1, ErrLost, nil},
+		{"larger than the server reads", c, testContext(t), "Echo.Size", 1<<20 + 1, ErrLost, nil},
 		{"answer after the lost connection", c, testContext(t), "Echo.Echo", 1, nil, nil},
 	} {
 		args, reply := Message{Data: bytes.Repeat([]byte{7}, tc.bytes)}, Message{}
@@ -111,6 +121,15 @@
 	}
 }
 
+func TestServerRunsNothingTooLarge(t *testing.T) {
+	e := newEcho()
+	_, address := startServer(t, ServerOptions{MaxMessageBytes: 1 << 10}, e)
+	c := newTestClient(t, ClientOptions{Address: address})
+	must.Error(t, c.Call(testContext(t), "Echo.Size", Message{Data: make([]byte, 1<<10)}, &Message{}))
+	must.NoError(t, c.Call(testContext(t), "Echo.Echo", Message{}, &Message{}))
+	must.Eq(t, 0, e.ran.Load())
+}
+
 func TestDeadlineEndsCallAndLateReplyChangesNothing(t *testing.T) {
 	e := newEcho()
 	_, address := startServer(t, ServerOptions{}, e)
@@ -142,7 +161,7 @@
 	close(e.release)
 	must.NoError(t, <-result)
 	must.NoError(t, <-stopped)
-	<-c.current.done
+	awaitClosed(t, c)
 	must.ErrorIs(t, c.Call(testContext(t), "Echo.Echo", Message{}, &Message{}), ErrNotSent)
 }
 
--- a/link/server.go
+++ b/link/server.go
@@ -135,6 +135,7 @@
 		gobStream: newGobStream(stream, s.opts.MaxMessageBytes),
 		slots:     make(chan struct{}, s.opts.MaxCalls),
 		calls:     &s.calls,
+		last:      new(uint64),
 	})
 }
 
--- a/timeline/merge.go
+++ b/timeline/merge.go
@@ -107,7 +107,7 @@
 	if e.Version != 0 {
 		fmt.Fprintf(&b, " version=%d", e.Version)
 	}
-	return b.String()
+	return strings.TrimRight(b.String(), " ")
 }
 
 // quoted keeps control characters of identifiers off the terminal.
