--- a/bench/path.go
+++ b/bench/path.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,10 @@
 
 const (
 	completionsPath = "/v1/chat/completions"
-	settleTime      = time.Second // after streams are open, before memory is read
+	settleTime      = 2 * time.Second // after streams are open, before they are measured
+	holdTimeout     = 2 * time.Minute
+	refusedPause    = 100 * time.Millisecond // before a refused stream is asked for again
+	endlessTokens   = 1 << 20
 )
 
 // Pair is the same load sent straight to an upstream and through the fleet, in
@@ -78,66 +82,121 @@
 	return total, nil
 }
 
-// Cost is the processor time per token that a load cost each kind of process.
+// Cost is what tokens cost each kind of process while streams were open.
 type Cost struct {
-	Result
-	PerToken []time.Duration // one for each kind
+	Rate     float64         // tokens a second that arrived
+	PerToken []time.Duration // processor time, one for each kind
+	Gap      Quantiles
 }
 
-// Measure sends load to target and takes the processor time of each kind.
-func Measure(ctx context.Context, target Target, load Load, kinds []Processes) (Cost, error) {
-	before := make([]time.Duration, len(kinds))
-	for i, kind := range kinds {
-		used, err := kind.ProcessorTime()
-		if err != nil {
-			return Cost{}, err
-		}
-		before[i] = used
+// Measure holds streams open to target for a window and takes the processor
+// time of each kind.
+func Measure(ctx context.Context, target Target, streams int, window time.Duration, kinds []Processes) (Cost, error) {
+	var cost Cost
+	var err error
+	gaps, failure := HoldStreams(ctx, target, streams, func(tokens func() int64) error {
+		cost, err = measureWindow(window, tokens, kinds)
+		return err
+	})
+	cost.Gap = quantiles(gaps)
+	return cost, failure
+}
+
+func measureWindow(window time.Duration, tokens func() int64, kinds []Processes) (Cost, error) {
+	before, err := processorTimes(kinds)
+	if err != nil {
+		return Cost{}, err
+	}
+	start, first := time.Now(), tokens()
+	time.Sleep(window)
+	relayed, elapsed := tokens()-first, time.Since(start)
+	after, err := processorTimes(kinds)
+	if err != nil {
+		return Cost{}, err
+	}
+	if relayed == 0 {
+		return Cost{}, errors.New("bench: no token arrived")
 	}
-	cost := Cost{Result: load.Run(ctx, target)}
-	if cost.Tokens == 0 {
-		return cost, errors.Wrap(cost.Example, "bench: no token arrived")
+	cost := Cost{Rate: float64(relayed) / elapsed.Seconds()}
+	for i := range kinds {
+		cost.PerToken = append(cost.PerToken, (after[i]-before[i])/time.Duration(relayed))
 	}
+	return cost, nil
+}
+
+func processorTimes(kinds []Processes) ([]time.Duration, error) {
+	times := make([]time.Duration, len(kinds))
 	for i, kind := range kinds {
 		used, err := kind.ProcessorTime()
 		if err != nil {
-			return cost, err
+			return nil, err
 		}
-		cost.PerToken = append(cost.PerToken, (used-before[i])/time.Duration(cost.Tokens))
+		times[i] = used
 	}
-	return cost, nil
+	return times, nil
 }
 
 // HoldStreams opens streams to target, waits until each has had a token, runs
-// visit and leaves them.
-func HoldStreams(ctx context.Context, target Target, streams int, visit func() error) error {
-	ctx, leave := context.WithCancel(ctx)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
-	load := Load{Tokens: 1 << 20}
-	var opened, ended sync.WaitGroup
-	opened.Add(streams)
-	failures := make(chan error, streams)
+// visit with the count of tokens so far, leaves the streams and returns the
+// times between their tokens. A stream that is refused is asked for again, so
+// that the fleet's load bound can follow the load.
+func HoldStreams(ctx context.Context, target Target, streams int, visit func(tokens func() int64) error) ([]time.Duration, error) {
+	h := &holder{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}, target: target}
+	holding, leave := context.WithTimeout(ctx, holdTimeout)
+	defer leave()
+	h.opened.Add(streams)
+	var ended sync.WaitGroup
 	for worker := range streams {
-		ended.Go(func() {
-			var once sync.Once
-			defer once.Do(opened.Done)
-			_, err := load.stream(ctx, client, target, worker, streams, func(int) { once.Do(opened.Done) })
-			if ctx.Err() == nil {
-				failures <- errors.Wrap(err, "bench: held stream ended")
-			}
-		})
+		ended.Go(func() { h.hold(holding, worker) })
 	}
-	opened.Wait()
+	h.opened.Wait()
 	time.Sleep(settleTime)
-	err := visit()
+	err := visit(h.tokens.Load)
 	leave()
 	ended.Wait()
-	client.CloseIdleConnections()
-	select {
-	case failure := <-failures:
-		return errors.CombineErrors(failure, err)
-	default:
-		return err
+	h.client.CloseIdleConnections()
+	return h.gaps, errors.CombineErrors(h.failure, err)
+}
+
+// holder holds streams open. Its fields from mu on belong to mu.
+type holder struct {
+	client *http.Client
+	target Target
+	opened sync.WaitGroup
+	tokens atomic.Int64
+
+	mu      sync.Mutex
+	gaps    []time.Duration
+	failure error // of a stream that ended by itself
+}
+
+func (h *holder) hold(ctx context.Context, worker int) {
+	var once sync.Once
+	defer once.Do(h.opened.Done)
+	onToken := func(int) {
+		h.tokens.Add(1)
+		once.Do(h.opened.Done)
+	}
+	load := Load{Tokens: endlessTokens}
+	for round := 0; ; round++ {
+		stream, err := load.stream(ctx, h.client, h.target, worker, round, onToken)
+		if stream.Tokens == 0 && ctx.Err() == nil {
+			time.Sleep(refusedPause)
+			continue
+		}
+		h.end(ctx, stream, err)
+		return
+	}
+}
+
+func (h *holder) end(ctx context.Context, stream testfleet.Stream, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gaps = append(h.gaps, stream.Gaps...)
+	if ctx.Err() == nil {
+		h.failure = errors.CombineErrors(errors.New("bench: a held stream ended: "+stream.LastRaw), err)
+	} else if stream.Tokens == 0 {
+		h.failure = errors.Wrap(err, "bench: a stream never opened")
 	}
 }
 
