--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -152,7 +152,12 @@
 	return tokens
 }
 
+// tokenTime returns the time of the next token; an endless answer comes at full
+// speed.
 func (g *generation) tokenTime() time.Duration {
+	if g.faults.Mode == ModeEndless {
+		return 0
+	}
 	running, _ := g.server.batch.sizes()
 	return g.server.options.TimePerToken + time.Duration(running-1)*g.server.options.TimePerTokenPeer
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -30,7 +30,7 @@
 	ModeDie     Mode = "die"     // the connection is cut after some tokens
 	ModeHang    Mode = "hang"    // silence after some tokens
 	ModeGarbage Mode = "garbage" // no JSON after some tokens
-	ModeEndless Mode = "endless" // tokens without end
+	ModeEndless Mode = "endless" // tokens without end, at full speed
 )
 
 // Faults are the failures that the stand-in shows. The zero value means none.
