Prove at-most-once with killed, replaced and paused processes

Cause of a fault found by the new tests: a router drew tickets for callers from what it had last heard of the agent, up to 30 s ago. After the agent was replaced at the same address such a ticket named a dead incarnation, and its first use was answered may-have-run. A ticket that is given away is now drawn from a fresh hello; a ticket that the router sends itself may still be drawn from memory, since it is drawn anew when the agent does not take it. Seen failing first: the agent killed during the call and the router killed after sending, both by waiting for a run that never came. Ruled out: that the service had run and lost the count (its own log of runs). An endless answer ends at the agent's bytes in a test inside one process; over processes it now ends at the caller's 5 s deadline instead of a 30 s one.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -23,9 +24,11 @@
 const hungLimit = time.Minute
 
 var (
-	fleet   *testfleet.Fleet
-	engines = []string{"engine-1", "engine-2", "engine-3"}
-	ledgers = []string{"ledger-1", "ledger-2"}
+	fleet *testfleet.Fleet
+
+	loneDirectory string // of the fleet whose processes are killed
+	engines       = []string{"engine-1", "engine-2", "engine-3"}
+	ledgers       = []string{"ledger-1", "ledger-2"}
 )
 
 func TestMain(m *testing.M) {
@@ -36,16 +39,22 @@
 	directory, err := os.MkdirTemp("", "e2e")
 	if err == nil {
 		defer func() { _ = os.RemoveAll(directory) }()
-		fleet, err = testfleet.Start(directory, testfleet.Options{})
+		loneDirectory = filepath.Join(directory, "lone")
+		fleet, err = testfleet.Start(filepath.Join(directory, "shared"), testfleet.Options{})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	status := m.Run()
-	if err := fleet.Stop(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
+	for _, f := range []*testfleet.Fleet{fleet, lone} {
+		if f == nil {
+			continue
+		}
+		if err := f.Stop(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			status = 1
+		}
 	}
 	return status
 }
@@ -161,7 +170,7 @@
 }
 
 func stream(ctx context.Context, t *testing.T, content string, onToken func(int)) (testfleet.Stream, error) {
-	header := http.Header{"Authorization": {"Bearer " + fleet.CustomerKey()}}
+	header := http.Header{"Authorization": {"Bearer " + fleet.CustomerKey()}, "Dandelionrill-Timeout": {"5"}}
 	url := "http://" + fleet.Address("router-1") + "/v1/chat/completions"
 	body := chatBody(t, true, engine.Message{Role: "user", Content: content})
 	return testfleet.ReadStream(ctx, http.DefaultClient, url, header, body, onToken)
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -138,6 +138,20 @@
 	must.Eq(t, 1, l.runs("t"))
 }
 
+func TestEndlessAnswerEndsAtTheKeptBytes(t *testing.T) {
+	cfg := fleettest.Config(1)
+	cfg.Services[0].Resumes = false
+	e := engine.New(engine.Options{Name: "e1", Faults: engine.Faults{Mode: engine.ModeEndless}})
+	up := fleettest.StartUpstream(t, "e1", fleettest.ModelService, e, cfg, func(o *agent.Options) { o.KeptAnswerBytes = 100 << 10 })
+	r := fleettest.StartRouter(t, "r1", cfg, []*fleettest.Upstream{up}, nil, nil)
+	a := r.Do(t, "POST", "/v1/chat/completions", chatBody("true"), nil)
+	must.StrContains(t, a.Body, `"outcome":"incomplete"`)
+	must.StrNotContains(t, a.Body, "[DONE]")
+	must.Between(t, 100<<10, len(a.Body), 300<<10)
+	e.SetFaults(engine.Faults{})
+	must.Eq(t, 200, r.Do(t, "POST", "/v1/chat/completions", chatBody("false"), nil).Status, must.Sprint("the bytes are free again"))
+}
+
 func TestStreamGoesOnOverAFreshConnection(t *testing.T) {
 	cfg := fleettest.Config(1)
 	e := engine.New(engine.Options{Name: "e1", TimePerToken: 10 * time.Millisecond})
--- a/router/keyed.go
+++ b/router/keyed.go
@@ -85,10 +85,11 @@
 func (r *Router) drawAnywhere(ctx context.Context, q *request, ch *chooser, digest string) (*operation, error) {
 	var op *operation
 	err := r.attempts(ctx, q, ch, func(c place.Candidate, _ bool) error {
-		t, err := r.draw(ctx, q, c, digest)
+		p, err := r.hello(ctx, c)
 		if err != nil {
 			return errors.Mark(err, errNeverSent)
 		}
+		t := r.draw(q, c, p, digest)
 		op, err = r.seal(t, false)
 		return err
 	})
--- a/router/once.go
+++ b/router/once.go
@@ -119,10 +119,11 @@
 	var op *operation
 	var answer *answerWhole
 	err := r.attempts(ctx, q, ch, func(c place.Candidate, mayQueue bool) error {
-		t, err := r.draw(ctx, q, c, digest)
+		p, err := r.known(ctx, c)
 		if err != nil {
 			return errors.Mark(err, errNeverSent)
 		}
+		t := r.draw(q, c, p, digest)
 		if op, err = r.seal(t, true); err != nil {
 			return err
 		}
--- a/router/peers.go
+++ b/router/peers.go
@@ -68,11 +68,18 @@
 	delete(s.m, address)
 }
 
-// hello asks the agent of c for its incarnation and open ticket window.
-func (r *Router) hello(ctx context.Context, c place.Candidate) (peer, error) {
+// known returns what the agent of c said lately, or asks it. It may have been
+// replaced since: only for a ticket that this router sends itself, and draws
+// anew when the agent does not take it.
+func (r *Router) known(ctx context.Context, c place.Candidate) (peer, error) {
 	if p, ok := r.peers.get(c.Address); ok {
 		return p, nil
 	}
+	return r.hello(ctx, c)
+}
+
+// hello asks the agent of c for its incarnation and open ticket window.
+func (r *Router) hello(ctx context.Context, c place.Candidate) (peer, error) {
 	reply := new(wire.HelloReply)
 	if err := r.call(ctx, c.Address, "Hello", &wire.HelloArgs{Meta: r.Meta()}, reply); err != nil {
 		r.blame(c, err)
@@ -88,12 +95,9 @@
 	return p, nil
 }
 
-// draw returns a fresh ticket for q at the agent of c. digest may be empty.
-func (r *Router) draw(ctx context.Context, q *request, c place.Candidate, digest string) (ticket.Ticket, error) {
-	p, err := r.hello(ctx, c)
-	if err != nil {
-		return ticket.Ticket{}, err
-	}
+// draw returns a fresh ticket for q at the agent of c, which has described
+// itself as p. digest may be empty.
+func (r *Router) draw(q *request, c place.Candidate, p peer, digest string) ticket.Ticket {
 	t := ticket.Ticket{
 		Service:     q.service.ID,
 		Host:        c.Host,
@@ -105,7 +109,7 @@
 		Digest:      digest,
 	}
 	r.record(timeline.KindTicketIssued, q, handle{host: c.Host, request: t.Nonce}, "")
-	return t, nil
+	return t
 }
 
 func evidence(c place.Candidate, kind board.EvidenceKind, m wire.Meta) board.Evidence {
--- a/testfleet/testfleet.go
+++ b/testfleet/testfleet.go
@@ -40,8 +40,12 @@
 	ids       map[string]int
 }
 
-// Start builds and starts a fleet that keeps its ids and logs in directory.
+// Start builds and starts a fleet that keeps its ids and logs in directory,
+// which it makes where it is missing.
 func Start(directory string, options Options) (*Fleet, error) {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return nil, errors.Wrap(err, "testfleet: start")
+	}
 	port, err := freePorts()
 	if err != nil {
 		return nil, err
