--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := . ./experiment ./standin
 GO      := go
 
-.PHONY: check build fmt vet lint test spec known-red demo bench clean setup
+.PHONY: spec-large check build fmt vet lint test spec known-red demo bench clean setup
 
 check: setup fmt vet lint build test spec known-red
 
@@ -27,6 +27,9 @@
 spec:
 	@if [ -x spec/check ]; then spec/check; fi
 
+spec-large:
+	spec/check large
+
 known-red:
 	@cat KNOWN-RED.txt
 
