--- /dev/null
+++ b/experiment/cmd/spread/main.go
@@ -0,0 +1,87 @@
+// Command spread measures how fast changes of configuration come into force.
+//
+//	go run ./cmd/spread -routers 10 -agents 90
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"dandelionrill.example/experiment/spread"
+)
+
+const settle = 5 * time.Second
+
+func main() {
+	opts := spread.Options{}
+	flag.IntVar(&opts.Routers, "routers", 10, "routers")
+	flag.IntVar(&opts.Agents, "agents", 90, "agents")
+	flag.IntVar(&opts.Domains, "domains", 4, "failure domains")
+	flag.DurationVar(&opts.Delay, "delay", 0, "delay of links, one way")
+	flag.Float64Var(&opts.Loss, "loss", 0, "share of messages that arrive 200 ms later")
+	changes := flag.Int("changes", 20, "changes to measure")
+	out := flag.Bool("outage", false, "the platform is out once the first node has a change")
+	idle := flag.Duration("idle", 20*time.Second, "time over which idle traffic is counted")
+	flag.Parse()
+	if err := run(opts, *changes, *out, *idle); err != nil {
+		fmt.Fprintln(os.Stderr, "spread:", err)
+		os.Exit(1)
+	}
+}
+
+func run(opts spread.Options, changes int, out bool, idle time.Duration) error {
+	fleet, err := spread.New(opts)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	size := spread.Size{Customers: 550, Models: 11, Rules: 1650}
+	first, err := fleet.Change(size, 1, nil)
+	if err != nil {
+		return err
+	}
+	nodes := opts.Routers + opts.Agents
+	fmt.Printf("nodes %d (%d routers), delay %s, loss %g, outage %t; first version everywhere after %s\n",
+		nodes, opts.Routers, opts.Delay, opts.Loss, out, first.All.Round(time.Millisecond))
+	time.Sleep(settle)
+	traffic := fleet.Watch(idle)
+	seconds := traffic.Over.Seconds()
+	fmt.Printf("idle: %.2f platform reads a second, %.0f link bytes a second and node\n",
+		float64(traffic.Reads)/seconds, float64(traffic.LinkBytes)/seconds/float64(nodes))
+	return measure(fleet, size, changes, out)
+}
+
+func measure(fleet *spread.Fleet, size spread.Size, changes int, out bool) error {
+	var half, most, all []time.Duration
+	reads := fleet.Reads()
+	for i := range changes {
+		var after func()
+		if out {
+			after = func() { fleet.Outage(true) }
+		}
+		s, err := fleet.Change(size, 2+i%900, after)
+		if err != nil {
+			return err
+		}
+		half, most, all = append(half, s.Half), append(most, s.Most), append(all, s.All)
+		fleet.Outage(false)
+		time.Sleep(settle / 5)
+		if out {
+			time.Sleep(2 * settle) // watchers come back
+		}
+	}
+	fmt.Printf("changes %d, %.1f platform reads each besides host lists\n", changes, float64(fleet.Reads()-reads)/float64(changes))
+	show("50 %", half)
+	show("99 %", most)
+	show("100 %", all)
+	return nil
+}
+
+func show(share string, times []time.Duration) {
+	slices.Sort(times)
+	fmt.Printf("in force at %s: median %s, longest %s\n", share,
+		times[len(times)/2].Round(100*time.Microsecond), times[len(times)-1].Round(100*time.Microsecond))
+}
--- /dev/null
+++ b/experiment/spread/measure.go
@@ -0,0 +1,148 @@
+package spread
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"slices"
+	"time"
+
+	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/platform/httpapi"
+	"dandelionrill.example/fleet/revision"
+	standin "dandelionrill.example/standin/platform"
+	"github.com/cockroachdb/errors"
+)
+
+// limit ends a measurement that does not come to its end.
+const limit = 60 * time.Second
+
+// Spread is how long one change took to be in force at a share of the nodes.
+type Spread struct {
+	Half, Most, All time.Duration // at 50, 99 and 100 %
+}
+
+// Traffic is what the fleet spent over a time.
+type Traffic struct {
+	Over      time.Duration
+	Reads     int   // platform calls
+	LinkBytes int64 // read and written on the links, both ends counted
+}
+
+// Size is the content of the configurations that are published.
+type Size struct {
+	Customers, Models, Rules int
+}
+
+// publish makes a version whose customer 0 has that weight.
+func (f *Fleet) publish(size Size, weight int) (uint64, error) {
+	api, err := httpapi.New(httpapi.Options{BaseURL: f.http.URL})
+	if err != nil {
+		return 0, err
+	}
+	store := revision.New(revision.Options{Platform: api})
+	current, err := store.Current(context.Background())
+	if err != nil {
+		return 0, err
+	}
+	base := uint64(0)
+	if current != nil {
+		base = current.Version
+	}
+	return store.Publish(context.Background(), Content(size, weight), base)
+}
+
+// Change publishes a change and returns how it spread. after is called once
+// the platform has accepted it and the first node has it in force.
+func (f *Fleet) Change(size Size, weight int, after func()) (Spread, error) {
+	version, err := f.publish(size, weight)
+	accepted := time.Now()
+	if err != nil {
+		return Spread{}, err
+	}
+	for called := after == nil; time.Since(accepted) < limit; time.Sleep(time.Millisecond) {
+		times := f.times(version, accepted)
+		if !called && len(times) > 0 {
+			after()
+			called = true
+		}
+		if len(times) == len(f.nodes) {
+			return spreadOf(times), nil
+		}
+	}
+	return Spread{}, errors.Newf("spread: version %d not in force everywhere after %s", version, limit)
+}
+
+func (f *Fleet) times(version uint64, accepted time.Time) []time.Duration {
+	var times []time.Duration
+	for _, n := range f.nodes {
+		if took, ok := n.since(version, accepted); ok {
+			times = append(times, max(0, took))
+		}
+	}
+	return times
+}
+
+func spreadOf(times []time.Duration) Spread {
+	slices.Sort(times)
+	at := func(percent int) time.Duration { return times[(len(times)*percent+99)/100-1] }
+	return Spread{Half: at(50), Most: at(99), All: at(100)}
+}
+
+// Outage starts or ends an outage of the platform.
+func (f *Fleet) Outage(out bool) {
+	faults := standin.Faults{}
+	if out {
+		faults.Outage = standin.OutageRefuse
+	}
+	f.platform.SetFaults(faults)
+}
+
+// Watch returns the traffic of a time.
+func (f *Fleet) Watch(over time.Duration) Traffic {
+	reads, bytes := f.platform.Counts().Reads(), linkBytes()
+	time.Sleep(over)
+	return Traffic{Over: over, Reads: f.platform.Counts().Reads() - reads, LinkBytes: linkBytes() - bytes}
+}
+
+// Reads returns the platform calls that changed nothing, host lists left out.
+func (f *Fleet) Reads() int {
+	counts := f.platform.Counts()
+	return counts.Reads() - counts.Hosts
+}
+
+// linkBytes returns the bytes on all links; each message counts at its sender
+// and at its receiver.
+func linkBytes() int64 {
+	total := int64(0)
+	counters, ok := expvar.Get("link").(*expvar.Map)
+	if !ok {
+		return 0
+	}
+	for _, name := range []string{"bytes_read", "bytes_written"} {
+		if counter, ok := counters.Get(name).(*expvar.Int); ok {
+			total += counter.Value()
+		}
+	}
+	return total
+}
+
+// Content returns a configuration of that size.
+func Content(size Size, weight int) *config.Config {
+	cfg := &config.Config{Author: "experiment"}
+	for i := range size.Models {
+		cfg.Services = append(cfg.Services, config.Service{ID: fmt.Sprint("service-", i), Kind: config.KindModel,
+			LoadMultiple: 1.25, Models: []string{fmt.Sprint("model-", i)}})
+	}
+	for i := range size.Customers {
+		id := fmt.Sprint("customer-", i)
+		cfg.Customers = append(cfg.Customers, config.Customer{ID: id, KeyHashes: []string{keyHash(id)}, Weight: 1})
+	}
+	for i := range size.Rules {
+		cfg.Rules = append(cfg.Rules, config.Rule{Customer: fmt.Sprint("customer-", i%size.Customers),
+			Service: fmt.Sprint("service-", i/size.Customers%size.Models), Host: config.Any, FailureDomain: config.Any})
+	}
+	cfg.Customers[0].Weight = weight
+	config.Normalize(cfg)
+	return cfg
+}
--- /dev/null
+++ b/experiment/spread/node.go
@@ -0,0 +1,165 @@
+// Package spread measures how a change of configuration reaches the processes
+// of a fleet: nodes of one test process, with the product's controllers, links
+// over loopback and a stand-in for the platform.
+package spread
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/controllers/configuration"
+	"dandelionrill.example/fleet/controllers/membership"
+	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/peers"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/platform/httpapi"
+	"dandelionrill.example/fleet/wire"
+	standin "dandelionrill.example/standin/platform"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+)
+
+// Options sets up a Fleet.
+type Options struct {
+	Routers int
+	Agents  int
+	Domains int
+	Delay   time.Duration // one way, on each link between nodes
+	Loss    float64       // share of messages that arrive a retransmission later
+}
+
+// node is one process of the fleet.
+type node struct {
+	board  *board.Board
+	keeper *configuration.Controller
+
+	mu      sync.Mutex
+	adopted map[uint64]time.Time
+}
+
+// Fleet is a set of nodes. Close ends it.
+type Fleet struct {
+	opts     Options
+	platform *standin.Server
+	http     *httptest.Server
+	nodes    []*node
+	links    []*link.Pool
+	servers  []*link.Server
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// New starts a fleet without a configuration.
+func New(opts Options) (*Fleet, error) {
+	f := &Fleet{opts: opts, platform: standin.New(standin.Options{})}
+	f.http = httptest.NewServer(http.HandlerFunc(f.platform.ServeHTTP))
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	var rows []standin.Host
+	var listeners []net.Listener
+	for i := range opts.Routers + opts.Agents {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "spread: listen")
+		}
+		row := standin.Host{Name: fmt.Sprintf("host-%04d", i), Role: string(platform.RoleAgent), Service: "registry-llm",
+			FailureDomain: fmt.Sprint("domain-", i%opts.Domains), Address: ln.Addr().String(), State: string(platform.HostLive)}
+		if i < opts.Routers {
+			row.Role, row.Service = string(platform.RoleRouter), ""
+		}
+		rows, listeners = append(rows, row), append(listeners, ln)
+	}
+	f.platform.SetHosts(rows)
+	for i, row := range rows {
+		if err := f.start(ctx, row, listeners[i]); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context, row standin.Host, ln net.Listener) error {
+	api, err := httpapi.New(httpapi.Options{BaseURL: f.http.URL})
+	if err != nil {
+		return err
+	}
+	silent := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	n := &node{board: board.New(), adopted: make(map[uint64]time.Time)}
+	meta := func() wire.Meta {
+		return wire.Meta{From: row.Name, Incarnation: "incarnation-of-" + row.Name, ConfigVersion: n.board.ConfigVersion()}
+	}
+	opts := configuration.Options{Host: row.Name, FailureDomain: row.FailureDomain, Role: platform.Role(row.Role), Board: n.board, Store: api, Log: silent}
+	if opts.Role == platform.RoleRouter {
+		pool := link.NewPool(link.ClientOptions{Dial: f.dial})
+		f.links = append(f.links, pool)
+		opts.Peers = peers.NewLinks(n.board, pool, meta)
+	}
+	n.keeper = configuration.New(opts)
+	server, err := link.NewServer(link.ServerOptions{}, peers.ReceiverName, peers.NewReceiver(n.keeper, meta))
+	if err != nil {
+		return err
+	}
+	f.servers = append(f.servers, server)
+	f.nodes = append(f.nodes, n)
+	members := membership.New(membership.Options{Board: n.board, List: api, Log: silent})
+	f.wg.Go(func() { _ = server.Serve(ln) })
+	f.wg.Go(func() { members.Run(ctx) })
+	f.wg.Go(func() { n.keeper.Run(ctx) })
+	f.wg.Go(func() { n.record(ctx) })
+	return nil
+}
+
+// record notes when each version came into force.
+func (n *node) record(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := n.board.Changed()
+		if v := n.board.ConfigVersion(); v > 0 {
+			n.mu.Lock()
+			if _, ok := n.adopted[v]; !ok {
+				n.adopted[v] = time.Now()
+			}
+			n.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+// since returns how long after accepted the node had version or a later one in
+// force.
+func (n *node) since(version uint64, accepted time.Time) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	first, found := time.Duration(0), false
+	for v, at := range n.adopted {
+		if took := at.Sub(accepted); v >= version && (!found || took < first) {
+			first, found = took, true
+		}
+	}
+	return first, found
+}
+
+// Close ends the fleet.
+func (f *Fleet) Close() {
+	f.cancel()
+	for _, pool := range f.links {
+		pool.Close()
+	}
+	ended, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	for _, server := range f.servers {
+		_ = server.Shutdown(ended)
+	}
+	f.http.CloseClientConnections()
+	f.http.Close()
+	f.wg.Wait()
+}
