--- a/admin/config.go
+++ b/admin/config.go
@@ -116,13 +116,9 @@
 	if h.Get("If-None-Match") == "*" && h.Get("If-Match") == "" {
 		return 0, true
 	}
-	value, ok := strings.CutPrefix(h.Get("If-Match"), `"`)
-	if !ok {
-		return 0, false
-	}
-	value, ok = strings.CutSuffix(value, `"`)
-	version, err := strconv.ParseUint(value, 10, 64)
-	return version, ok && err == nil && version > 0
+	value := h.Get("If-Match")
+	version, err := strconv.ParseUint(strings.Trim(value, `"`), 10, 64)
+	return version, err == nil && version > 0 && value == etag(version)
 }
 
 func writeBodyError(w http.ResponseWriter, err error) {
