--- a/link/client.go
+++ b/link/client.go
@@ -109,20 +109,48 @@
 	done := make(chan *rpc.Call, 1)
 	conn.begin()
 	defer conn.end()
-	go conn.rpc.Go(method, out, private.Interface(), done)
+	conn.queue(ctx, pendingCall{method: method, args: out, reply: private.Interface(), done: done})
+	call := await(ctx, conn, out, done)
+	switch {
+	case call == nil && out.abandon():
+		return c.failed(ErrNotSent, method, cause(ctx))
+	case call == nil:
+		return c.failed(ErrLost, method, ctx.Err())
+	case call.Error != nil:
+		return c.classify(conn, out, method, call.Error)
+	default:
+		reflect.ValueOf(reply).Elem().Set(private.Elem())
+		return nil
+	}
+}
+
+// await returns the ended call, or nil if ctx ended first or the connection
+// closed before any byte of the call left.
+func await(ctx context.Context, conn *connection, out *outgoing, done <-chan *rpc.Call) *rpc.Call {
 	select {
 	case call := <-done:
-		if call.Error == nil {
-			reflect.ValueOf(reply).Elem().Set(private.Elem())
-			return nil
-		}
-		return c.classify(conn, out, method, call.Error)
+		return call
 	case <-ctx.Done():
+		return nil
+	case <-conn.done:
 		if out.abandon() {
-			return c.failed(ErrNotSent, method, ctx.Err())
+			return nil
 		}
-		return c.failed(ErrLost, method, ctx.Err())
 	}
+	// net/rpc ends every started call of a closed connection.
+	select {
+	case call := <-done:
+		return call
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func cause(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return errClosedBeforeSend
 }
 
 func (c *Client) classify(conn *connection, out *outgoing, method string, err error) error {
--- a/link/heartbeat.go
+++ b/link/heartbeat.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"net"
 	"net/rpc"
 	"sync"
@@ -34,6 +35,7 @@
 	tracked *trackedConn
 	opts    ClientOptions
 	done    chan struct{}
+	outbox  chan pendingCall
 
 	mu      sync.Mutex
 	waiting int           // calls without a reply
@@ -46,13 +48,47 @@
 }
 
 func newConnection(opts ClientOptions, tracked *trackedConn, stream net.Conn) *connection {
-	c := &connection{tracked: tracked, opts: opts, done: make(chan struct{})}
+	c := &connection{tracked: tracked, opts: opts, done: make(chan struct{}), outbox: make(chan pendingCall, outboxCalls)}
 	codec := clientCodec{newGobStream(&notifyingConn{Conn: stream, connection: c}, opts.MaxMessageBytes)}
 	c.rpc = rpc.NewClientWithCodec(codec)
 	go c.monitor()
+	go c.write()
 	return c
 }
 
+// outboxCalls is the number of calls that may wait for the writer.
+const outboxCalls = 16
+
+// pendingCall is one call on its way to the writer.
+type pendingCall struct {
+	method string
+	args   *outgoing
+	reply  any
+	done   chan *rpc.Call
+}
+
+// queue hands a call to the writer unless ctx ends or the connection closes.
+func (c *connection) queue(ctx context.Context, call pendingCall) {
+	select {
+	case c.outbox <- call:
+	case <-c.done:
+	case <-ctx.Done():
+	}
+}
+
+// write sends calls one after another. net/rpc would let every caller wait for
+// the stream itself, where a deadline cannot reach it.
+func (c *connection) write() {
+	for {
+		select {
+		case call := <-c.outbox:
+			c.rpc.Go(call.method, call.args, call.reply, call.done)
+		case <-c.done:
+			return
+		}
+	}
+}
+
 // notifyingConn tells the connection when net/rpc or the codec closes it.
 type notifyingConn struct {
 	net.Conn
