--- a/testfleet/chat.go
+++ b/testfleet/chat.go
@@ -14,6 +14,7 @@
 
 // Stream is a streamed chat answer as it arrived.
 type Stream struct {
+	Status  int
 	Header  http.Header
 	First   time.Duration   // from the request to the first token
 	Gaps    []time.Duration // between consecutive tokens
@@ -45,7 +46,7 @@
 		return s, errors.Wrap(err, "testfleet: chat")
 	}
 	defer func() { _ = response.Body.Close() }()
-	s.Header = response.Header
+	s.Status, s.Header = response.StatusCode, response.Header
 	if response.StatusCode != http.StatusOK {
 		problem, _ := io.ReadAll(io.LimitReader(response.Body, 4<<10))
 		return s, errors.Newf("testfleet: chat: %s: %s", response.Status, problem)
