Carry all settings through, bound slow bodies and requests in progress

A body that stops arriving got no answer: the read deadline was lifted before net/http read the rest of the body, without end. And a request refused before its body was read (wrong key) waited for that body likewise. Both are answered now within the body's time-out.

--- a/cli/router.go
+++ b/cli/router.go
@@ -36,7 +36,12 @@
 	r, err := router.New(router.Options{
 		Host: s.Host, FailureDomain: s.FailureDomain, Incarnation: incarnation,
 		Signer: p.signer, Board: p.board, Pool: p.pool, Timeline: p.timeline, Log: p.log,
-		MaxBodyBytes: s.MaxBodyBytes, MaxTimeout: s.RequestTimeout, DrainTimeout: s.DrainTimeout,
+		MaxBodyBytes: s.MaxBodyBytes, MaxHeaderBytes: int(s.MaxHeaderBytes), MaxAnswerBytes: s.MaxAnswerBytes,
+		MaxRequests: s.MaxRequests, Timeout: s.RequestTimeout, MaxTimeout: s.MaxRequestTimeout,
+		HeaderTimeout: s.ReadHeaderTimeout, BodyTimeout: s.ReadTimeout,
+		IdleTimeout: s.IdleTimeout, WriteTimeout: s.WriteTimeout,
+		DrainDelay: s.DrainDelay, DrainTimeout: s.DrainTimeout,
+		CertFile: s.HTTPCert, KeyFile: s.HTTPKey,
 		Keys:     claims.New(claims.Options{Store: p.api}),
 		Observed: func(host string, version uint64) { keeper.Observe(host, version) },
 	})
@@ -59,7 +64,7 @@
 	if err := server.Register(load.RPCName, load.NewService(collectors)); err != nil {
 		return err
 	}
-	defer p.serveAdmin(listeners[1], func() admin.Status { return p.status(incarnation, 0) })()
+	defer p.serveAdmin(listeners[1], func() admin.Status { return p.status(incarnation, r.InProgress()) })()
 	defer p.servePeers(server, listeners[2])()
 	defer p.startControllers(ctx, keeper)()
 	exchange := load.ExchangeOptions{Host: s.Host, Caller: load.PoolCaller{Pool: p.pool}}
--- a/router/handler.go
+++ b/router/handler.go
@@ -63,6 +63,14 @@
 func (r *Router) authenticated(next handlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		counters.Add("requests", 1)
+		defer r.inProgress.Add(-1)
+		if r.inProgress.Add(1) > r.opts.MaxRequests {
+			r.fail(w, problem.Problem{
+				Status: http.StatusServiceUnavailable, Code: problem.CodeOverload, Outcome: problem.OutcomeNotRun,
+				Detail: "this router serves as many requests as it may", RetryAfter: r.comeBack(),
+			})
+			return
+		}
 		adopted := r.opts.Board.Configuration()
 		if adopted == nil {
 			r.fail(w, problem.Problem{
@@ -116,12 +124,14 @@
 // readBody reads the request's body, within the limits of size and time.
 func (r *Router) readBody(w http.ResponseWriter, req *http.Request) ([]byte, bool) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(DefaultBodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(r.opts.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.opts.MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return body, true
 	}
+	// The deadline stays, and what is left of the body is not waited for.
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		r.fail(w, problem.Problem{
@@ -130,7 +140,7 @@
 		})
 		return nil, false
 	}
-	r.fail(w, problem.Problem{Status: http.StatusRequestTimeout, Code: problem.CodeBadRequest, Outcome: problem.OutcomeNotRun, Detail: "the body did not arrive whole"})
+	r.fail(w, problem.Problem{Status: http.StatusRequestTimeout, Code: problem.CodeSlowRequest, Outcome: problem.OutcomeNotRun, Detail: "the body did not arrive whole"})
 	return nil, false
 }
 
@@ -159,8 +169,10 @@
 	})
 }
 
-// fail writes p and counts it.
+// fail writes p and counts it. net/http reads what is left of the body before
+// it sends the answer: that is bounded too.
 func (r *Router) fail(w http.ResponseWriter, p problem.Problem) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(r.opts.BodyTimeout))
 	counters.Add("problem_"+string(p.Code), 1)
 	problem.Write(w, p)
 }
--- a/router/options.go
+++ b/router/options.go
@@ -25,6 +25,7 @@
 	DefaultBodyTimeout    = 30 * time.Second
 	DefaultIdleTimeout    = 2 * time.Minute
 	DefaultMaxHeaderBytes = 64 << 10
+	DefaultMaxRequests    = 20_000
 )
 
 // Options configure a Router. Zero values take the defaults above.
@@ -52,6 +53,15 @@
 	LostAfter      time.Duration // silence after which an agent is given up
 	DrainTimeout   time.Duration // longest graceful stop
 	WriteTimeout   time.Duration // longest that a caller may take for one write
+	HeaderTimeout  time.Duration // longest that a caller may take for the header
+	BodyTimeout    time.Duration // longest that a caller may take for the body
+	IdleTimeout    time.Duration // of a caller's connection between requests
+	MaxHeaderBytes int           // largest request header
+	MaxRequests    int64         // in progress at a time
+	DrainDelay     time.Duration // from the begin of a drain to the close of the listener
+
+	CertFile string // PEM certificate of the callers' listener; empty means plain HTTP
+	KeyFile  string
 }
 
 func (o Options) withDefaults() Options {
@@ -63,6 +73,11 @@
 	setDefault(&o.LostAfter, DefaultLostAfter)
 	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.HeaderTimeout, DefaultHeaderTimeout)
+	setDefault(&o.BodyTimeout, DefaultBodyTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&o.MaxRequests, DefaultMaxRequests)
 	if o.Observed == nil {
 		o.Observed = func(string, uint64) {}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -28,6 +29,8 @@
 	pools atomic.Pointer[pools]
 	peers peerCache
 
+	inProgress atomic.Int64 // requests
+
 	mu      sync.Mutex // guards budgets
 	budgets map[string]*retry.Budget
 }
@@ -66,12 +69,12 @@
 	go r.keepPools(background)
 	server := &http.Server{
 		Handler:           r.Handler(),
-		ReadHeaderTimeout: DefaultHeaderTimeout,
-		IdleTimeout:       DefaultIdleTimeout,
-		MaxHeaderBytes:    DefaultMaxHeaderBytes,
+		ReadHeaderTimeout: r.opts.HeaderTimeout,
+		IdleTimeout:       r.opts.IdleTimeout,
+		MaxHeaderBytes:    r.opts.MaxHeaderBytes,
 	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(l) }()
+	go func() { served <- r.serve(server, l) }()
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "router: serve")
@@ -80,9 +83,22 @@
 	return r.stop(server)
 }
 
+func (r *Router) serve(server *http.Server, l net.Listener) error {
+	if r.opts.CertFile == "" {
+		return server.Serve(l)
+	}
+	return server.ServeTLS(l, r.opts.CertFile, r.opts.KeyFile)
+}
+
+// InProgress returns how many requests of callers are in progress.
+func (r *Router) InProgress() int {
+	return int(r.inProgress.Load())
+}
+
 // stop lets requests in progress end.
 func (r *Router) stop(server *http.Server) error {
 	r.Leave()
+	time.Sleep(r.opts.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), r.opts.DrainTimeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -10,13 +10,15 @@
 	Listen          string        // for the routers
 	Upstream        string        // base URL of the upstream
 	Service         string        // name of the service that the upstream is a replica of
+	MaxRunning      int64         // requests on the upstream at a time, whatever the mean load
 	MaxQueued       int64         // requests of one customer, unless the configuration says otherwise
+	MaxQueueWait    time.Duration // for the load bound
 	UpstreamTimeout time.Duration // for a call, unless the configuration says otherwise
 	KeptAnswerBytes int64         // of answers kept for reading
-	KeptAnswerTime  time.Duration // after the end of an answer that nobody confirms
-	MaxAnswerBytes  int64         // of one answer
+	KeptAnswerTime  time.Duration // of idempotent work without a reader
 	WindowDuration  time.Duration // of a ticket window
-	WindowsKept     int64         // windows in which a ticket may still run or be asked for
+	WindowsKept     int64         // windows whose tickets are remembered
+	MaxTickets      int64         // tickets remembered
 }
 
 // ParseAgent reads the settings of an agent from its arguments and the
@@ -34,9 +36,6 @@
 		a.Advertise = a.Listen
 	}
 	s.distinct("listen", a.Listen, "admin-listen", a.AdminListen)
-	if a.MaxAnswerBytes > a.KeptAnswerBytes {
-		s.report("max-answer-bytes", "at most --kept-answer-bytes")
-	}
 	return a, s.err()
 }
 
@@ -52,14 +51,16 @@
 	s.address(&a.Listen, "listen", "127.0.0.1:8090", "listener for the routers", false)
 	s.address(&a.AdminListen, "admin-listen", "127.0.0.1:8091", "HTTP listener for operators", false)
 	s.group = "Requests and answers"
-	s.number(&a.MaxQueued, "max-queued", 64, 0, 1<<20, "requests", "most waiting requests of one customer, unless the configuration says otherwise")
-	s.duration(&a.UpstreamTimeout, "upstream-timeout", 10*time.Minute, time.Second, 24*time.Hour, "longest call of the upstream, unless the configuration says otherwise")
-	s.number(&a.KeptAnswerBytes, "kept-answer-bytes", 64<<20, 1<<20, 1<<40, "bytes", "memory for answers that are kept until they are confirmed")
-	s.duration(&a.KeptAnswerTime, "kept-answer-time", 2*time.Minute, time.Second, 24*time.Hour, "how long an answer is kept that nobody confirms")
-	s.number(&a.MaxAnswerBytes, "max-answer-bytes", 16<<20, 1<<10, 1<<40, "bytes", "largest answer of the upstream")
+	s.number(&a.MaxRunning, "max-running", 256, 1, 1<<20, "requests", "most requests on the upstream at a time, whatever the mean load")
+	s.duration(&a.MaxQueueWait, "max-queue-wait", 2*time.Second, time.Millisecond, time.Hour, "longest wait of a request for the load bound")
+	s.number(&a.MaxQueued, "max-queued", 32, 1, 1<<20, "requests", "most waiting requests of one customer, unless the configuration says otherwise")
+	s.duration(&a.UpstreamTimeout, "upstream-timeout", time.Minute, time.Second, 24*time.Hour, "longest call of the upstream, unless the configuration says otherwise")
+	s.number(&a.KeptAnswerBytes, "kept-answer-bytes", 32<<20, 1<<20, 1<<40, "bytes", "memory for answers that are kept until they are read")
+	s.duration(&a.KeptAnswerTime, "kept-answer-time", 30*time.Second, time.Second, 24*time.Hour, "how long idempotent work goes on and its answer is kept while nobody reads it")
 	s.group = "Tickets"
 	s.duration(&a.WindowDuration, "window-duration", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket window stays open")
-	s.number(&a.WindowsKept, "windows-kept", 2, 1, 1000, "windows", "windows whose tickets are remembered")
+	s.number(&a.WindowsKept, "windows-kept", 6, 1, 1000, "windows", "windows whose tickets are remembered, the open one included")
+	s.number(&a.MaxTickets, "max-tickets", 100_000, 1, 1<<30, "tickets", "most tickets remembered")
 	a.process(s)
 	return s
 }
--- a/settings/router.go
+++ b/settings/router.go
@@ -16,10 +16,13 @@
 	MaxHeaderBytes    int64
 	MaxRequests       int64         // in progress at a time
 	ReadHeaderTimeout time.Duration // for the header of a request
-	ReadTimeout       time.Duration // for header and body
+	ReadTimeout       time.Duration // for the body
 	IdleTimeout       time.Duration // of a caller's connection between requests
 	WriteTimeout      time.Duration // for one write to a caller that does not read
 	RequestTimeout    time.Duration // for a request whose caller gives no deadline
+	MaxRequestTimeout time.Duration // longest deadline that a caller may give
+	MaxAnswerBytes    int64         // of an answer that is given whole
+	DrainDelay        time.Duration // from the begin of a drain to the close of the callers' listener
 }
 
 // ParseRouter reads the settings of a router from its arguments and the
@@ -39,6 +42,9 @@
 	s.distinct("listen", r.Listen, "admin-listen", r.AdminListen)
 	s.distinct("listen", r.Listen, "rpc-listen", r.RPCListen)
 	s.distinct("admin-listen", r.AdminListen, "rpc-listen", r.RPCListen)
+	if r.MaxRequestTimeout < r.RequestTimeout {
+		s.report("max-request-timeout", "at least --request-timeout, which is "+r.RequestTimeout.String())
+	}
 	return r, s.err()
 }
 
@@ -57,10 +63,13 @@
 	s.number(&r.MaxHeaderBytes, "max-header-bytes", 64<<10, 1<<10, 1<<20, "bytes", "largest header of a request")
 	s.number(&r.MaxRequests, "max-requests", 20000, 1, 1<<20, "requests", "most requests in progress at a time")
 	s.duration(&r.ReadHeaderTimeout, "read-header-timeout", 5*time.Second, 10*time.Millisecond, time.Minute, "longest time for the header of a request")
-	s.duration(&r.ReadTimeout, "read-timeout", 30*time.Second, 10*time.Millisecond, time.Hour, "longest time for header and body of a request")
+	s.duration(&r.ReadTimeout, "read-timeout", 30*time.Second, 10*time.Millisecond, time.Hour, "longest time for the body of a request")
 	s.duration(&r.IdleTimeout, "idle-timeout", 2*time.Minute, time.Second, time.Hour, "longest time between requests on a caller's connection")
 	s.duration(&r.WriteTimeout, "write-timeout", 30*time.Second, 10*time.Millisecond, time.Hour, "longest time for one write to a caller")
-	s.duration(&r.RequestTimeout, "request-timeout", 10*time.Minute, time.Second, 24*time.Hour, "deadline of a request whose caller gives none")
+	s.duration(&r.RequestTimeout, "request-timeout", time.Minute, time.Second, 24*time.Hour, "deadline of a request whose caller gives none")
+	s.duration(&r.MaxRequestTimeout, "max-request-timeout", 10*time.Minute, time.Second, 24*time.Hour, "longest deadline that a caller may give")
+	s.number(&r.MaxAnswerBytes, "max-answer-bytes", 16<<20, 1<<10, 1<<40, "bytes", "largest answer that is given whole, not as a stream")
+	s.duration(&r.DrainDelay, "drain-delay", 0, 0, time.Hour, "how long a draining router still accepts connections, for the balancer to see that it is not ready")
 	r.process(s)
 	return s
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -64,6 +64,7 @@
 		{"half of TLS", []string{"--tls-ca=x", "--http-key=y"}, env(), []string{"both --http-cert and --http-key", "all of --tls-cert"}},
 		{"TLS files missing", []string{"--tls-ca=x", "--tls-cert=x", "--tls-key=x", "--http-cert=x", "--http-key=x"}, env(), []string{"--http-cert", "PEM files that fit together"}},
 		{"heartbeats", []string{"--heartbeat-interval=2s"}, env(), []string{"at least twice"}},
+		{"deadlines", []string{"--request-timeout=11m"}, env(), []string{"at least --request-timeout"}},
 		{"one address twice", []string{"--admin-listen=127.0.0.1:8080", "--rpc-listen=127.0.0.1:8080"}, env(), []string{"--admin-listen", "--rpc-listen", "--rpc-listen"}},
 	} {
 		_, err := ParseRouter(tc.args, tc.env)
@@ -75,7 +76,7 @@
 		}
 		must.StrNotContains(t, err.Error(), "hunter2")
 	}
-	_, err := ParseAgent([]string{"--max-answer-bytes=67108865", "--upstream=127.0.0.1:1"}, env())
+	_, err := ParseAgent([]string{"--max-tickets=0", "--upstream=127.0.0.1:1"}, env())
 	must.ErrorContains(t, err, "settings: 2 finding(s)")
 }
 
