Release the held upstream when the bound on requests fails its test

The chats of hostile bytes were refused for their body alone, so that the checks of the header were not seen: they have a sound body now. A bare line feed ends a header line, as RFC 9112 lets a reader do, so that what follows is a field that the caller sent, not one that it injected; bare carriage returns take its place. Seen failing without their guard: the bound on requests (it hung before), the check of chat identifiers by character and by length.

--- a/router/input_test.go
+++ b/router/input_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -64,7 +65,8 @@
 func TestHostileBytesAreRefused(t *testing.T) {
 	r, s := newLimited(t)
 	chat := func(header string) string {
-		return "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\n" + key + header + "Content-Length: 2\r\n\r\n{}"
+		return "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\n" + key + header +
+			fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(chatBody("false")), chatBody("false"))
 	}
 	for _, tc := range []struct {
 		name, raw string
@@ -72,11 +74,13 @@
 	}{
 		{"not HTTP", "\x16\x03\x01\x00\x00\r\n\r\n", 400},
 		{"control character in the chat", chat("Dandelionrill-Chat: a\x01b\r\n"), 400},
-		{"line feed in the chat", chat("Dandelionrill-Chat: a\nInjected: 1\r\n"), 400},
+		{"bare carriage return in the chat", chat("Dandelionrill-Chat: a\rInjected: 1\r\n"), 400},
 		{"bytes above ASCII in the chat", chat("Dandelionrill-Chat: \xff\xfe\r\n"), 400},
 		{"long chat", chat("Dandelionrill-Chat: " + strings.Repeat("c", 257) + "\r\n"), 400},
-		{"line feed in the event", chat("Last-Event-ID: a.1\nInjected: 1\r\n"), 400},
+		{"carriage return in the event", chat("Last-Event-ID: a.1\rInjected: 1\r\n"), 400},
+		{"negative offset", chat("Last-Event-ID: a.-1\r\n"), 400},
 		{"event without offset", chat("Last-Event-ID: a\r\n"), 400},
+		{"sound, but no engine", chat("Dandelionrill-Chat: c\r\n"), 503},
 		{"two lengths", chat("Content-Length: 3\r\n"), 400},
 		{"large header", chat("X: " + strings.Repeat("x", 16<<10) + "\r\n"), 431},
 		{"line feed in the path", "POST /v1/services/share-ledger/a%0d%0aInjected:%201 HTTP/1.1\r\nHost: r\r\n" + key + "Content-Length: 0\r\n\r\n", 200},
@@ -109,6 +113,8 @@
 // serves again when they have ended.
 func TestRequestsInProgressAreBounded(t *testing.T) {
 	cfg, hold := fleettest.Config(1), make(chan struct{})
+	release := sync.OnceFunc(func() { close(hold) })
+	defer release()
 	entered := make(chan struct{}, 4)
 	upstream := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		entered <- struct{}{}
@@ -128,7 +134,7 @@
 	must.Eq(t, http.StatusServiceUnavailable, refused.Status)
 	must.StrContains(t, refused.Body, `"outcome":"not-run"`)
 	must.NotEq(t, "", refused.Header.Get("Retry-After"))
-	close(hold)
+	release()
 	must.Eq(t, http.StatusOK, (<-first).Status)
 	must.Eq(t, http.StatusOK, r.Do(t, "GET", "/v1/models", "", nil).Status)
 }
