--- a/testfleet/testfleet.go
+++ b/testfleet/testfleet.go
@@ -29,8 +29,9 @@
 	Engines      int
 	Replicas     int
 	Routers      int
-	EngineFlags  string  // flags of the engine stand-ins
-	LoadMultiple float64 // of both services
+	EngineFlags  string   // flags of the engine stand-ins
+	LoadMultiple float64  // of both services
+	Environment  []string // variables of all processes, as NAME=value
 }
 
 // Fleet is a running fleet. Its methods may be called concurrently.
@@ -50,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	environment := []string{"FLEET_RUN=" + directory, "FLEET_PORT=" + strconv.Itoa(port)}
+	environment := append([]string{"FLEET_RUN=" + directory, "FLEET_PORT=" + strconv.Itoa(port)}, options.Environment...)
 	set := func(name string, value any, given bool) {
 		if given {
 			environment = append(environment, fmt.Sprintf("%s=%v", name, value))
