--- a/agent/agent.go
+++ b/agent/agent.go
@@ -60,7 +60,7 @@
 	a := &Agent{
 		opts:        opts,
 		incarnation: incarnation,
-		answers:     newAnswers(opts.KeptAnswerBytes),
+		answers:     newAnswers(opts.KeptAnswerBytes, opts.MaxAnswerBytes),
 		upstream:    newUpstream(opts.Upstream),
 	}
 	a.ledger = ticket.NewLedger(ticket.Options{
--- a/agent/answers.go
+++ b/agent/answers.go
@@ -14,7 +14,8 @@
 // answers holds the answers that readers may still ask for, within a limit of
 // bytes. State is sharded by request, each shard under its own lock.
 type answers struct {
-	limit  int64
+	limit  int64 // bytes of all answers
+	most   int64 // bytes of one answer
 	used   atomic.Int64
 	seed   maphash.Seed
 	shards [answerShards]answerShard
@@ -25,8 +26,8 @@
 	m  map[string]*answer
 }
 
-func newAnswers(limit int64) *answers {
-	s := &answers{limit: limit, seed: maphash.MakeSeed()}
+func newAnswers(limit, most int64) *answers {
+	s := &answers{limit: limit, most: most, seed: maphash.MakeSeed()}
 	for i := range s.shards {
 		s.shards[i].m = make(map[string]*answer)
 	}
@@ -58,7 +59,7 @@
 }
 
 // write appends p to a. It returns false, and writes nothing, where a was
-// dropped or the limit of bytes would be passed.
+// dropped or a limit of bytes would be passed.
 func (s *answers) write(a *answer, p []byte) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -66,6 +67,9 @@
 		return false
 	}
 	n := int64(len(p))
+	if int64(len(a.data))+n > s.most {
+		return false
+	}
 	if s.used.Add(n) > s.limit {
 		s.used.Add(-n)
 		return false
--- a/agent/options.go
+++ b/agent/options.go
@@ -15,6 +15,7 @@
 // Defaults of Options.
 const (
 	DefaultKeptAnswerBytes = 32 << 20
+	DefaultMaxAnswerBytes  = 16 << 20
 	DefaultMaxRunning      = 256
 	DefaultMaxQueued       = 32
 	DefaultMaxQueueWait    = 2 * time.Second
@@ -41,6 +42,7 @@
 	Log      log.Interface
 
 	KeptAnswerBytes int64         // bytes of answers kept for their readers
+	MaxAnswerBytes  int64         // largest answer; a longer one is cut
 	MaxRunning      int           // most requests on the upstream, whatever the mean
 	MaxQueued       int           // most queued requests of one customer, unless the configuration says
 	MaxQueueWait    time.Duration // longest wait for the load bound
@@ -62,6 +64,7 @@
 // withDefaults returns o with zero values replaced.
 func (o Options) withDefaults() Options {
 	setDefault(&o.KeptAnswerBytes, DefaultKeptAnswerBytes)
+	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&o.MaxRunning, DefaultMaxRunning)
 	setDefault(&o.MaxQueued, DefaultMaxQueued)
 	setDefault(&o.MaxQueueWait, DefaultMaxQueueWait)
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -47,7 +47,7 @@
 		Host: s.Host, Service: s.Service, FailureDomain: s.FailureDomain, Address: s.Advertise,
 		Incarnation: incarnation,
 		Upstream:    upstream, Signer: p.signer, Board: p.board, Timeline: p.timeline, Log: p.log,
-		KeptAnswerBytes: s.KeptAnswerBytes, MaxQueued: int(s.MaxQueued),
+		KeptAnswerBytes: s.KeptAnswerBytes, MaxAnswerBytes: s.MaxAnswerBytes, MaxQueued: int(s.MaxQueued),
 		WindowDuration: s.WindowDuration, Windows: int(s.WindowsKept),
 		UpstreamTimeout: s.UpstreamTimeout, UnreadRetention: s.KeptAnswerTime, DrainTimeout: s.DrainTimeout,
 		Listener: listeners[0],
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -40,7 +40,10 @@
 	if err == nil {
 		defer func() { _ = os.RemoveAll(directory) }()
 		loneDirectory = filepath.Join(directory, "lone")
-		fleet, err = testfleet.Start(filepath.Join(directory, "shared"), testfleet.Options{})
+		// Answers are short, so that an endless one meets the limit soon.
+		fleet, err = testfleet.Start(filepath.Join(directory, "shared"), testfleet.Options{
+			Environment: []string{"DANDELIONRILL_MAX_ANSWER_BYTES=1048576"},
+		})
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
