--- a/cli/agent.go
+++ b/cli/agent.go
@@ -47,7 +47,7 @@
 		Host: s.Host, Service: s.Service, FailureDomain: s.FailureDomain, Address: s.Advertise,
 		Incarnation: incarnation,
 		Upstream:    upstream, Signer: p.signer, Board: p.board, Timeline: p.timeline, Log: p.log,
-		KeptAnswerBytes: s.KeptAnswerBytes, MaxRunning: int(s.MaxRunning),
+		KeptAnswerBytes: s.KeptAnswerBytes, MaxAnswerBytes: s.MaxAnswerBytes, MaxRunning: int(s.MaxRunning),
 		MaxQueued: int(s.MaxQueued), MaxQueueWait: s.MaxQueueWait,
 		WindowDuration: s.WindowDuration, Windows: int(s.WindowsKept), MaxRecords: int(s.MaxTickets),
 		UpstreamTimeout: s.UpstreamTimeout, UnreadRetention: s.KeptAnswerTime, DrainTimeout: s.DrainTimeout,
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -15,6 +15,7 @@
 	MaxQueueWait    time.Duration // for the load bound
 	UpstreamTimeout time.Duration // for a call, unless the configuration says otherwise
 	KeptAnswerBytes int64         // of answers kept for reading
+	MaxAnswerBytes  int64         // of one answer
 	KeptAnswerTime  time.Duration // of idempotent work without a reader
 	WindowDuration  time.Duration // of a ticket window
 	WindowsKept     int64         // windows whose tickets are remembered
@@ -36,6 +37,9 @@
 		a.Advertise = a.Listen
 	}
 	s.distinct("listen", a.Listen, "admin-listen", a.AdminListen)
+	if a.MaxAnswerBytes > a.KeptAnswerBytes {
+		s.report("max-answer-bytes", "at most --kept-answer-bytes")
+	}
 	return a, s.err()
 }
 
@@ -56,6 +60,7 @@
 	s.number(&a.MaxQueued, "max-queued", 32, 1, 1<<20, "requests", "most waiting requests of one customer, unless the configuration says otherwise")
 	s.duration(&a.UpstreamTimeout, "upstream-timeout", time.Minute, time.Second, 24*time.Hour, "longest call of the upstream, unless the configuration says otherwise")
 	s.number(&a.KeptAnswerBytes, "kept-answer-bytes", 32<<20, 1<<20, 1<<40, "bytes", "memory for answers that are kept until they are read")
+	s.number(&a.MaxAnswerBytes, "max-answer-bytes", 16<<20, 1<<10, 1<<40, "bytes", "largest answer of the upstream; a longer one is cut")
 	s.duration(&a.KeptAnswerTime, "kept-answer-time", 30*time.Second, time.Second, 24*time.Hour, "how long idempotent work goes on and its answer is kept while nobody reads it")
 	s.group = "Tickets"
 	s.duration(&a.WindowDuration, "window-duration", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket window stays open")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -78,6 +78,8 @@
 	}
 	_, err := ParseAgent([]string{"--max-tickets=0", "--upstream=127.0.0.1:1"}, env())
 	must.ErrorContains(t, err, "settings: 2 finding(s)")
+	_, err = ParseAgent([]string{"--max-answer-bytes=33554433", "--upstream=127.0.0.1:1"}, env())
+	must.ErrorContains(t, err, "settings: 2 finding(s)")
 }
 
 func TestActionsNeedNoSettings(t *testing.T) {
