Measure the hops of a version, use one sleep that ends with its context

Cause: times measured on one machine are processor time of all nodes together and say nothing of 4,070 machines; the number of offers in a row does.

--- /dev/null
+++ b/controllers/configuration/depth_test.go
@@ -0,0 +1,68 @@
+package configuration
+
+import (
+	"fmt"
+	"testing"
+
+	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/platform"
+)
+
+// BenchmarkHops reports how many offers in a row a version needs from one
+// router to the last router, at worst and on average over all routers that may
+// be the first. One more offer brings it to the agents.
+func BenchmarkHops(b *testing.B) {
+	const domains = 12
+	for _, routers := range []int{24, 96, 370} {
+		b.Run(fmt.Sprint("routers=", routers), func(b *testing.B) {
+			next := offers(routers, domains)
+			worst, sum := 0, 0
+			for b.Loop() {
+				worst, sum = 0, 0
+				for first := range next {
+					hops := hopsFrom(first, next)
+					worst = max(worst, hops)
+					sum += hops
+				}
+			}
+			b.ReportMetric(float64(worst), "hops-worst")
+			b.ReportMetric(float64(sum)/float64(routers), "hops-mean")
+		})
+	}
+}
+
+// offers returns the routers that each router offers versions to.
+func offers(routers, domains int) [][]int {
+	hosts := make([]board.HostView, routers)
+	index := make(map[string]int)
+	for i := range hosts {
+		hosts[i] = board.HostView{Listed: true, Host: platform.Host{
+			Name: fmt.Sprint("router-", i), Role: platform.RoleRouter, FailureDomain: fmt.Sprint("d", i%domains),
+		}}
+		index[hosts[i].Name] = i
+	}
+	next := make([][]int, routers)
+	for i, h := range hosts {
+		for _, name := range neighbours(h.Name, h.FailureDomain, hosts) {
+			next[i] = append(next[i], index[name])
+		}
+	}
+	return next
+}
+
+// hopsFrom returns the distance of the router furthest from first.
+func hopsFrom(first int, next [][]int) int {
+	distance := map[int]int{first: 0}
+	furthest := 0
+	for queue := []int{first}; len(queue) > 0; queue = queue[1:] {
+		for _, n := range next[queue[0]] {
+			if _, seen := distance[n]; seen {
+				continue
+			}
+			distance[n] = distance[queue[0]] + 1
+			furthest = max(furthest, distance[n])
+			queue = append(queue, n)
+		}
+	}
+	return furthest
+}
--- a/router/pools.go
+++ b/router/pools.go
@@ -7,6 +7,7 @@
 
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/controllers/schedule"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/platform"
 )
@@ -30,7 +31,7 @@
 	for {
 		changed := r.opts.Board.Changed()
 		r.pools.Store(r.buildPools())
-		if !sleep(ctx, poolPause) {
+		if !schedule.Sleep(ctx, poolPause) {
 			return
 		}
 		select {
@@ -42,18 +43,6 @@
 	}
 }
 
-// sleep waits for d, or returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // buildPools reads the board.
 func (r *Router) buildPools() *pools {
 	out := make(pools)
