Queue when no retry is left, and measure overload and surges

A surge drains the service's retry budget.

The agent's test covers the return; the queueing rule of the router has no test of its own yet.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := . ./experiment ./standin
 GO      := go
 
-.PHONY: spec-large check build fmt vet lint test spec known-red demo bench clean setup
+.PHONY: bench-placement bench-overload bench-mean spec-large check build fmt vet lint test spec known-red demo bench clean setup
 
 check: setup fmt vet lint build test spec known-red
 
@@ -30,6 +30,15 @@
 spec-large:
 	spec/check large
 
+bench-placement:
+	cd experiment && $(GO) run ./cmd/bench-placement -out ../docs
+
+bench-overload:
+	cd experiment && $(GO) run ./cmd/bench-overload -out ../docs
+
+bench-mean:
+	cd experiment && $(GO) run ./cmd/bench-mean -out ../docs
+
 known-red:
 	@cat KNOWN-RED.txt
 
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -118,14 +118,15 @@
 	g.bound.SetMultiple(multiple)
 }
 
-// refuse counts a refusal and returns when the caller should come back.
-func (g *gate) refuse(random uint64) time.Duration {
+// refuse counts a refusal and returns when the customer's caller should come
+// back: its own queue counts, not those of others.
+func (g *gate) refuse(customer string, random uint64) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	g.refused.Add(now)
 	return retry.RetryAfter(retry.Pressure{
-		Waiting:       g.queue.Len(),
+		Waiting:       g.queue.LenOf(customer),
 		Refused:       g.refused.PerSecond(now),
 		DonePerSecond: g.done.PerSecond(now),
 	}, random)
--- a/agent/gate_test.go
+++ b/agent/gate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/admit"
@@ -48,5 +47,6 @@
 	g.observeMean(2, 4, 0)
 	must.Eq(t, 6, g.load().InFlight)
 	must.Eq(t, 2, g.load().Mean)
-	must.Between(t, retry.MinRetryAfter, g.refuse(0), time.Minute+retry.MaxRetryAfter)
+	must.Between(t, retry.MinRetryAfter, g.refuse("c", 0), retry.MinRetryAfter)
+	must.Greater(t, retry.MinRetryAfter, g.refuse("a", 0))
 }
--- a/agent/submit.go
+++ b/agent/submit.go
@@ -143,7 +143,7 @@
 	v := refused(reason)
 	switch reason {
 	case wire.ReasonOverload, wire.ReasonQueueFull, wire.ReasonKeptFull, wire.ReasonCustomerLimit:
-		v.retryAfter = a.gate.refuse(rand.Uint64())
+		v.retryAfter = a.gate.refuse(args.Customer, rand.Uint64())
 	}
 	return v
 }
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -38,9 +38,12 @@
 	b.credit = min(b.opts.Burst, b.credit+b.opts.Ratio)
 }
 
+// Left tells whether a retry is left.
+func (b *Budget) Left() bool { return b.credit >= 1 }
+
 // Withdraw takes one retry, or returns false if none is left.
 func (b *Budget) Withdraw() bool {
-	if b.credit < 1 {
+	if !b.Left() {
 		return false
 	}
 	b.credit--
--- a/router/router.go
+++ b/router/router.go
@@ -140,6 +140,13 @@
 	return r.budget(service).Withdraw()
 }
 
+// retryLeft tells whether the service's budget has a retry left.
+func (r *Router) retryLeft(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(service).Left()
+}
+
 // deposit records a first attempt on the service.
 func (r *Router) deposit(service string) {
 	r.mu.Lock()
--- a/router/submit.go
+++ b/router/submit.go
@@ -211,8 +211,8 @@
 }
 
 // attempts runs try on one upstream after another, as far as the retry
-// decision and the budget allow, until it succeeds. The last attempt may queue
-// at the agent.
+// decision and the budget allow, until it succeeds. An attempt after which no
+// other can follow may queue at the agent.
 func (r *Router) attempts(ctx context.Context, q *request, ch *chooser, try func(c place.Candidate, mayQueue bool) error) error {
 	r.deposit(q.service.ID)
 	err := errNoUpstream
@@ -221,7 +221,7 @@
 		if !ok {
 			return err
 		}
-		last := made == r.opts.MaxAttempts || len(ch.tried) == ch.picker.Len()
+		last := made == r.opts.MaxAttempts || len(ch.tried) == ch.picker.Len() || !r.retryLeft(q.service.ID)
 		err = try(c, last)
 		if err == nil || !r.again(ctx, q, err, made) {
 			return err
