Try another engine when one answers idempotent work with 429 or 503

Cause: an engine's own refusal was passed to the caller while other engines had room. The agent reports it as a refusal before any byte is passed on; the router goes on under the same budget and attempts as for a refusal at the load bound. Ruled out: 502 and 504, which do not say that nothing ran; answers of non-idempotent calls, which are the service's own word and are passed on. Seen failing first with the agent unchanged. Conclusion: a refusing engine costs one round trip.

--- a/agent/submit.go
+++ b/agent/submit.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/timeline"
@@ -240,11 +242,14 @@
 // runIdempotent calls the upstream for work that may repeat.
 func (a *Agent) runIdempotent(ctx context.Context, ans *answer, args *wire.SubmitArgs) {
 	whole, err := a.upstream.call(ctx, a.upstream.client, args, answerSink{a.answers, ans})
-	if err != nil && isNotSent(err) {
+	switch {
+	case isNotSent(err):
 		a.giveUp(ans, args, "", wire.ReasonUpstreamDown)
-		return
+	case errors.Is(err, errBusy):
+		a.giveUp(ans, args, "", wire.ReasonUpstreamBusy)
+	default:
+		a.finish(ans, args, whole)
 	}
-	a.finish(ans, args, whole)
 }
 
 // runOnce calls the upstream for work that may not repeat. The connection is
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -30,6 +30,15 @@
 // errTooLong says that an answer passed the limit of kept bytes.
 var errTooLong = errors.New("agent: answer exceeds the limit of kept bytes")
 
+// errBusy says that the upstream refused idempotent work for want of capacity.
+var errBusy = errors.New("agent: the upstream refused the work")
+
+// isBusy tells whether a status says that the upstream did not take the work
+// (RFC 9110, section 15.6.4, and RFC 6585, section 4).
+func isBusy(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // errConnUsed stops net/http from sending a request that may not repeat on a
 // second connection.
 var errConnUsed = errors.New("agent: the connection of a non-idempotent call was used")
@@ -116,6 +125,9 @@
 		return false, errors.Wrap(err, "agent: call upstream")
 	}
 	defer resp.Body.Close()
+	if args.Idempotent && isBusy(resp.StatusCode) {
+		return false, errBusy
+	}
 	out.start(resp.StatusCode, resp.Header)
 	tail, err := copyAnswer(resp.Body, out)
 	if err != nil {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -129,6 +129,30 @@
 	must.Eq(t, plainText(t, want.Body), streamText(t, got.Body))
 }
 
+func TestBusyEngineIsReplaced(t *testing.T) {
+	f := newFleet(t)
+	home := func() (name string) {
+		for n, e := range f.engines {
+			if e.Stats().Requests > 0 {
+				name = n
+			}
+		}
+		return name
+	}
+	must.Eq(t, 200, f.routers[0].Do(t, "POST", "/v1/chat/completions", chatBody("false"), nil).Status)
+	f.engines[home()].SetFaults(engine.Faults{Mode: engine.ModeRefuse})
+	for _, stream := range []string{"false", "true"} {
+		must.Eq(t, 200, f.routers[0].Do(t, "POST", "/v1/chat/completions", chatBody(stream), nil).Status)
+	}
+	for _, e := range f.engines {
+		e.SetFaults(engine.Faults{Mode: engine.ModeRefuse})
+	}
+	a := f.routers[0].Do(t, "POST", "/v1/chat/completions", chatBody("true"), nil)
+	must.Eq(t, 503, a.Status)
+	must.StrContains(t, a.Body, `"outcome":"not-run"`)
+	must.NotEq(t, "", a.Header.Get("Retry-After"))
+}
+
 // plainText returns the text of an answer that is not streamed.
 func plainText(t *testing.T, body string) string {
 	var answer struct {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -49,6 +49,7 @@
 	ReasonBehind        Reason = "behind" // the agent runs an older configuration than the router and could not catch up
 	ReasonDeadline      Reason = "deadline"
 	ReasonUpstreamDown  Reason = "upstream-down" // the upstream refused the connection
+	ReasonUpstreamBusy  Reason = "upstream-busy" // the upstream answered idempotent work with 429 or 503
 	ReasonKeptFull      Reason = "kept-answers-full"
 	ReasonRevoked       Reason = "revoked"
 	// ReasonConnectionLost is a router's own: the connection broke and the
