--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -88,6 +88,9 @@
 		return
 	}
 	ans.read(args.Offset, min(args.Wait, maxReadWait), reply)
+	if args.Begun {
+		reply.Status, reply.Header = 0, nil
+	}
 }
 
 // unknown returns the verdict on a request whose answer is not kept.
--- a/router/call.go
+++ b/router/call.go
@@ -106,6 +106,7 @@
 		Holder:   rd.handle.holder,
 		Offset:   rd.offset,
 		Wait:     readWait,
+		Begun:    rd.begun,
 	}
 	reply := new(wire.ReadReply)
 	if err := rd.router.call(ctx, rd.handle.address, "Read", args, reply); err != nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -94,6 +94,7 @@
 	Holder   string // incarnation that the reader expects to hold the request
 	Offset   int64
 	Wait     time.Duration // longest time to wait for the first new byte
+	Begun    bool          // the reader has Status and Header already
 }
 
 // ReadReply returns bytes of an answer from Offset on.
@@ -103,7 +104,7 @@
 	Reason  Reason
 	Request string // echo, checked by the reader
 	Offset  int64  // echo, checked by the reader
-	Started bool   // Status and Header are valid
+	Started bool   // Status and Header are valid, unless the reader had them
 	Status  int
 	Header  map[string][]string
 	Data    []byte
