Prove leaving and the planned stop; serve on while balancers notice

An agent counts submissions between the look at leaving and their answer's being kept, so that its stop cannot fall between the two.

Taking the look at leaving out of the router's pools changes nothing seen: a leaving host is not choosable either.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,7 @@
 	answers     *answers
 	upstream    *upstream
 	leaving     atomic.Bool
+	admitting   atomic.Int64 // submissions between the look at leaving and their answer's being kept
 
 	mu     sync.Mutex // guards ledger
 	ledger *ticket.Ledger
@@ -125,7 +126,7 @@
 	a.Leave()
 	deadline := time.Now().Add(a.opts.DrainTimeout)
 	for time.Now().Before(deadline) {
-		if a.answers.open() == 0 && a.answers.unread() == 0 {
+		if a.admitting.Load() == 0 && a.answers.open() == 0 && a.answers.unread() == 0 {
 			return
 		}
 		time.Sleep(drainPoll)
--- /dev/null
+++ b/agent/drain_test.go
@@ -0,0 +1,28 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+
+	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/timeline"
+)
+
+// A submission that saw the agent before it was leaving, and whose answer is
+// not kept yet, holds up the stop like an open answer.
+func TestDrainWaitsForSubmissionsUnderWay(t *testing.T) {
+	a := &Agent{answers: newAnswers(1 << 20), opts: Options{
+		Board: board.New(), Timeline: timeline.New(timeline.Options{}), Log: &log.Logger{Handler: discard.New()}, DrainTimeout: 20 * time.Millisecond,
+	}}
+	before := counters.Get("drain_timeouts")
+	a.drain()
+	must.Eq(t, before, counters.Get("drain_timeouts"))
+	a.admitting.Add(1)
+	a.drain()
+	must.NotNil(t, counters.Get("drain_timeouts"))
+	must.Eq(t, board.DrainDraining, a.opts.Board.Drain().Value)
+}
--- a/agent/submit.go
+++ b/agent/submit.go
@@ -92,6 +92,8 @@
 // admit passes the request through configuration, rules and gate, and starts
 // it. nonce is empty for idempotent requests.
 func (a *Agent) admit(args *wire.SubmitArgs, nonce string) verdict {
+	a.admitting.Add(1)
+	defer a.admitting.Add(-1)
 	index, reason := a.checkRules(args)
 	if reason != "" {
 		return a.refuse(args, reason)
--- /dev/null
+++ b/fleettest/drain_test.go
@@ -0,0 +1,90 @@
+package fleettest_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dandelionrill.example/fleet/agent"
+	"dandelionrill.example/fleet/fleettest"
+	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/wire"
+)
+
+// hungLimit ends a test that hangs.
+const hungLimit = time.Minute
+
+func agentCall(t *testing.T, u *fleettest.Upstream) func(method string, args, reply any) {
+	client, err := link.NewClient(link.ClientOptions{Address: u.Host.Address})
+	must.NoError(t, err)
+	t.Cleanup(client.Close)
+	return func(method string, args, reply any) {
+		ctx, cancel := context.WithTimeout(t.Context(), hungLimit)
+		defer cancel()
+		must.NoError(t, client.Call(ctx, agent.RPCName+"."+method, args, reply))
+	}
+}
+
+// An agent that stops runs a long answer to its end, refuses new work as not
+// run meanwhile, and stays until the answer is read whole and confirmed.
+func TestAnswersOutliveTheBeginOfAStop(t *testing.T) {
+	r := newRolling(t)
+	u := r.slots[0].current
+	call := agentCall(t, u)
+	submit := wire.SubmitArgs{
+		Request: "long", Idempotent: true, Customer: fleettest.Customer, Service: fleettest.ModelService, Method: "POST", Path: "/v1/chat/completions",
+		Header: map[string][]string{"Content-Type": {"application/json"}}, Body: []byte(strings.Replace(fmt.Sprintf(chat, 1), "15", "900", 1)),
+	}
+	var accepted wire.SubmitReply
+	call("Submit", &submit, &accepted)
+	must.Eq(t, wire.VerdictAccepted, accepted.Verdict)
+	u.Stop()
+	for !u.Agent.Leaving() {
+		time.Sleep(time.Millisecond)
+	}
+	submit.Request = "late"
+	var refused wire.SubmitReply
+	call("Submit", &submit, &refused)
+	must.Eq(t, wire.VerdictRefused, refused.Verdict)
+	must.Eq(t, wire.ReasonLeaving, refused.Reason)
+	for u.Agent.Load().InFlight > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond) // an agent that did not wait for readers would end now
+	read := wire.ReadArgs{Request: "long", Customer: fleettest.Customer, Holder: accepted.Incarnation, Wait: time.Second}
+	for total := int64(-1); total != read.Offset; {
+		var reply wire.ReadReply
+		call("Read", &read, &reply)
+		must.Eq(t, wire.VerdictKnown, reply.Verdict)
+		must.False(t, reply.Cut)
+		read.Offset += int64(len(reply.Data))
+		if reply.Done {
+			total = reply.Total
+		}
+	}
+	select {
+	case <-u.Done:
+		t.Fatal("ended before the answer was confirmed")
+	default:
+	}
+	call("Confirm", &wire.RequestArgs{Request: "long", Customer: fleettest.Customer, Holder: accepted.Incarnation}, &wire.RequestReply{})
+	<-u.Done
+}
+
+func TestDrainingRouterClosesCallersConnections(t *testing.T) {
+	r := newRolling(t)
+	for _, closes := range []bool{false, true} {
+		req, err := http.NewRequest(http.MethodGet, r.routers[0].URL+"/v1/models", nil)
+		must.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		must.Eq(t, closes, resp.Close)
+		r.routers[0].Leave()
+	}
+}
--- a/router/handler.go
+++ b/router/handler.go
@@ -71,6 +71,9 @@
 			})
 			return
 		}
+		if r.opts.Board.Drain().Value != board.DrainServing {
+			w.Header().Set("Connection", "close") // so that no request meets the closing connection
+		}
 		adopted := r.opts.Board.Configuration()
 		if adopted == nil {
 			r.fail(w, problem.Problem{
--- a/router/options.go
+++ b/router/options.go
@@ -51,7 +51,7 @@
 	MaxTimeout     time.Duration // longest that a caller may set
 	MaxAttempts    int           // upstreams tried for one request
 	LostAfter      time.Duration // silence after which an agent is given up
-	DrainTimeout   time.Duration // longest graceful stop
+	DrainTimeout   time.Duration // longest graceful stop, the delay not counted
 	WriteTimeout   time.Duration // longest that a caller may take for one write
 	HeaderTimeout  time.Duration // longest that a caller may take for the header
 	BodyTimeout    time.Duration // longest that a caller may take for the body
--- a/router/router.go
+++ b/router/router.go
@@ -95,7 +95,8 @@
 	return int(r.inProgress.Load())
 }
 
-// stop lets requests in progress end.
+// stop turns readiness off, still serves those who have not noticed, and lets
+// requests in progress end.
 func (r *Router) stop(server *http.Server) error {
 	r.Leave()
 	time.Sleep(r.opts.DrainDelay)
