Eject failing hosts within a ceiling and let them back gradually

A host was out for a hold that its next success cleared, all of a service could be out at once, and it came back with its full share. Package eject keeps a penalty that decays with time alone, so that a host which flaps stays out longer; at most half of a service's hosts are out, those that failed first let back; weight rises from 0.1 to 1. Requests themselves are the evidence: no probe is sent. Holds of the board count as out.

Seen failing without: the leaving check, the hold and its condition, the time out, the ceiling, the decaying penalty.

--- /dev/null
+++ b/decide/eject/eject_test.go
@@ -0,0 +1,62 @@
+package eject
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// The checks run on a fixed seed; -rapid.seed on the command line replaces it.
+func init() { _ = flag.Set("rapid.seed", "292") }
+
+const s = time.Second
+
+func TestFlappingHostStaysOutLongerAndReturnsGradually(t *testing.T) {
+	var r Record
+	weight := func(at time.Duration) float64 { return Weights(Options{Ceiling: 0.99}, at, []Record{r, {}, {}})[0] }
+	must.Eq(t, 1, weight(0))
+	r.Failure(Options{}, 10*s)
+	r.Failure(Options{}, 11*s) // on its way: counts once
+	must.Eq(t, 0, weight(12*s-1))
+	must.Eq(t, firstWeight, weight(12*s))
+	must.Between(t, 0.5, weight(14500*time.Millisecond), 0.6)
+	must.Eq(t, 1, weight(17*s))
+	last := time.Duration(0)
+	for range 4 { // fails again whenever it is whole
+		at := r.until + 20*s
+		r.Failure(Options{}, at)
+		must.Greater(t, last, r.until-at)
+		last = r.until - at
+	}
+	must.False(t, r.Forgettable(Options{}, r.until))
+	must.True(t, r.Forgettable(Options{}, r.until+10*time.Minute))
+	for range 20 {
+		r.Failure(Options{}, r.until)
+	}
+	must.Between(t, 15*s, r.until-r.at, DefaultMax)
+	must.Eq(t, 0, Weights(Options{Ceiling: 0.99}, 5*s, []Record{Record{}.HeldUntil(6 * s), {}, {}})[0])
+	must.Eq(t, 1, Weights(Options{}, 5*s, []Record{Record{}.HeldUntil(5 * s), {}, {}})[0])
+}
+
+func TestCeilingKeepsHostsIn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "hosts")
+		records := make([]Record, n)
+		for range rapid.IntRange(0, 60).Draw(t, "failures") {
+			at := time.Duration(rapid.IntRange(0, 5).Draw(t, "at")) * s
+			records[rapid.IntRange(0, n-1).Draw(t, "host")].Failure(Options{}, at)
+		}
+		out := 0
+		for i, w := range Weights(Options{}, 5*s, records) {
+			must.Between(t, 0, w, 1)
+			if w == 0 {
+				out++
+				must.Greater(t, 5*s, records[i].until)
+			}
+		}
+		must.LessEq(t, n/2, out)
+	})
+}
--- a/router/pools.go
+++ b/router/pools.go
@@ -69,31 +69,29 @@
 	return &out
 }
 
-// candidates returns the agents that may be chosen, by service. Where all of a
-// service are held back after failures, those that are not leaving are returned:
-// a doubtful upstream is better than none.
+// candidates returns the agents that are not leaving, by service. Those that
+// failed weigh less or nothing, within the ceiling of package eject: a doubtful
+// upstream is better than none.
 func (r *Router) candidates() map[string][]place.Candidate {
-	choosable := make(map[string][]place.Candidate)
-	held := make(map[string][]place.Candidate)
+	hosts := make(map[string][]board.HostView)
 	for _, h := range r.opts.Board.Hosts() {
-		switch {
-		case h.Role != platform.RoleAgent || h.Leaving:
-		case h.Choosable():
-			choosable[h.Service] = append(choosable[h.Service], candidate(h))
-		default:
-			held[h.Service] = append(held[h.Service], candidate(h))
+		if h.Role == platform.RoleAgent && !h.Leaving {
+			hosts[h.Service] = append(hosts[h.Service], h)
 		}
 	}
-	for service, list := range held {
-		if len(choosable[service]) == 0 {
-			choosable[service] = list
+	now := r.opts.Board.Now()
+	out := make(map[string][]place.Candidate, len(hosts))
+	for service, views := range hosts {
+		weights := r.ejections.weights(views, now)
+		for i, h := range views {
+			out[service] = append(out[service], candidate(h, weights[i]))
 		}
 	}
-	return choosable
+	return out
 }
 
-func candidate(h board.HostView) place.Candidate {
-	c := place.Candidate{Host: h.Name, Address: h.Address, FailureDomain: h.FailureDomain, Load: -1, Weight: 1}
+func candidate(h board.HostView, weight float64) place.Candidate {
+	c := place.Candidate{Host: h.Name, Address: h.Address, FailureDomain: h.FailureDomain, Load: -1, Weight: weight}
 	if h.Load != nil {
 		c.Load = float64(h.Load.InFlight + h.Load.Queued)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -25,9 +25,10 @@
 
 // Router serves callers. All methods may be called concurrently.
 type Router struct {
-	opts  Options
-	pools atomic.Pointer[pools]
-	peers peerCache
+	opts      Options
+	pools     atomic.Pointer[pools]
+	peers     peerCache
+	ejections ejections
 
 	inProgress atomic.Int64 // requests
 
--- a/router/submit.go
+++ b/router/submit.go
@@ -86,6 +86,7 @@
 	case wire.ReasonLeaving:
 		r.opts.Board.ObservePeer(evidence(c, board.EvidenceLeaving, reply.Meta))
 	case wire.ReasonUpstreamDown:
+		r.ejections.fail(c.Host, r.opts.Board.Now())
 		r.opts.Board.ObservePeer(evidence(c, board.EvidenceUpstreamDown, reply.Meta))
 	}
 }
@@ -107,6 +108,7 @@
 	if errors.Is(err, context.Canceled) {
 		return
 	}
+	r.ejections.fail(c.Host, r.opts.Board.Now())
 	r.opts.Board.ObservePeer(board.Evidence{Host: c.Host, Kind: kind})
 }
 
