--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"os"
 	"path/filepath"
 	"strings"
@@ -91,11 +92,15 @@
 }
 
 func TestHelpListsEverySetting(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	must.NoError(t, err)
 	for help, rows := range map[string][]Row{RouterHelp(): RouterRows(), AgentHelp(): AgentRows()} {
 		for _, row := range rows {
 			must.StrContains(t, help, row.Flag+" <")
 			must.StrContains(t, help, row.Variable)
 			must.NotEq(t, "", strings.TrimSpace(row.Usage))
+			cells := []string{"`" + row.Flag + "`", "`" + row.Variable + "`", cmp.Or(row.Unit, "text"), cmp.Or(row.Default, "none"), row.Usage}
+			must.StrContains(t, string(page), "| "+strings.Join(cells, " | ")+" |")
 		}
 	}
 }
