--- a/agent/agent.go
+++ b/agent/agent.go
@@ -182,6 +182,13 @@
 	return a.gate.load().InFlight
 }
 
+// Window returns the ticket window that is open.
+func (a *Agent) Window() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ledger.Window()
+}
+
 // Load returns the load of the upstream.
 func (a *Agent) Load() wire.Load {
 	return a.gate.load()
--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -37,15 +37,12 @@
 func (s *Service) Hello(args *wire.HelloArgs, reply *wire.HelloReply) error {
 	a := s.agent
 	a.observe(args.Meta)
-	a.mu.Lock()
-	window := a.ledger.Window()
-	a.mu.Unlock()
 	*reply = wire.HelloReply{
 		Meta:          a.Meta(),
 		Service:       a.opts.Service,
 		FailureDomain: a.opts.FailureDomain,
 		Leaving:       a.leaving.Load(),
-		Window:        window,
+		Window:        a.Window(),
 		Load:          a.gate.load(),
 	}
 	return nil
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -71,7 +71,7 @@
 	status := func() admin.Status {
 		load := a.Load()
 		st := p.status(incarnation, load.InFlight+load.Queued)
-		st.Upstream = &admin.Upstream{Service: s.Service, InFlight: load.InFlight, Queued: load.Queued, Bound: load.Bound}
+		st.Upstream = &admin.Upstream{Service: s.Service, InFlight: load.InFlight, Queued: load.Queued, Bound: load.Bound, Window: a.Window()}
 		return st
 	}
 	defer p.serveAdmin(listeners[1], status)()
