--- a/cli/process.go
+++ b/cli/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +25,7 @@
 
 // readinessInterval is how often the conditions of readiness are looked at
 // when nothing changes on the board.
-const readinessInterval = 500 * time.Millisecond
+const readinessInterval = 200 * time.Millisecond
 
 // process holds what a router and an agent have in common.
 type process struct {
@@ -43,6 +42,10 @@
 
 	configuration *configuration.Controller // set by newConfiguration
 
+	// choosable tells whether the router has an upstream to choose; nil for an
+	// agent. It is set before the controllers start.
+	choosable func() bool
+
 	// drainBegun is closed when an operator asks for a planned stop.
 	drainBegun chan struct{}
 	draining   atomic.Bool
@@ -132,16 +135,12 @@
 
 func (p *process) updateReadiness() {
 	p.health.Set(health.Configured, p.board.Configuration() != nil, "no configuration is in force yet")
-	p.health.Set(health.Registered, p.role == platform.RoleAgent || p.knowsUpstream(), "no upstream is known yet")
+	p.health.Set(health.Registered, p.choosable == nil || p.choosable(), "no upstream is known yet")
 	if !p.draining.Load() {
 		p.health.Set(health.Accepting, true, "")
 	}
 }
 
-func (p *process) knowsUpstream() bool {
-	return slices.ContainsFunc(p.board.Hosts(), func(h board.HostView) bool { return h.Role == platform.RoleAgent })
-}
-
 // serveAdmin serves operators on a listener. The returned function stops it.
 func (p *process) serveAdmin(ln net.Listener, status func() admin.Status) func() {
 	handler := admin.New(admin.Options{
--- a/cli/router.go
+++ b/cli/router.go
@@ -48,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	p.choosable = r.Choosable
 	keeper = p.newConfiguration(r.Meta)
 	listeners, err := listen(s.Listen, s.AdminListen, s.RPCListen)
 	if err != nil {
--- a/router/pools.go
+++ b/router/pools.go
@@ -58,6 +58,16 @@
 	return &out
 }
 
+// Choosable tells whether there is an upstream to choose for any service.
+func (r *Router) Choosable() bool {
+	for _, picker := range *r.pools.Load() {
+		if picker.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the agents that are not leaving, by service. Those that
 // failed weigh less or nothing, within the ceiling of package eject: a doubtful
 // upstream is better than none.
