--- /dev/null
+++ b/router/fuzz_test.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"encoding/json"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/shoenig/test/must"
+
+	"dandelionrill.example/fleet/decide/ticket"
+)
+
+// A body that is taken has a model and messages, and what goes to the engine is
+// JSON with the priority of the rules and every other field as it came.
+func FuzzChat(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"m","messages":[{"role":"user","content":"a"}],"priority":99,"x":1}`, `{"model":"m","messages":[]}`,
+		`{"model":1}`, `null`, `{"model":"m","model":"n","messages":[null]}`, "{\"model\":\"\xff\",\"messages\":[null]}", `{"stream":"yes"}`,
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, raw string) {
+		body, err := parseChat([]byte(raw))
+		if err != nil {
+			return
+		}
+		must.True(t, utf8.ValidString(raw) && body.Model != "" && len(body.Messages) > 0)
+		encoded, err := body.encode(7)
+		must.NoError(t, err)
+		var before, after map[string]json.RawMessage
+		must.NoError(t, json.Unmarshal([]byte(raw), &before))
+		must.NoError(t, json.Unmarshal(encoded, &after))
+		must.Eq(t, "7", string(after["priority"]))
+		for name := range before {
+			must.MapContainsKey(t, after, name)
+		}
+	})
+}
+
+// An event identifier that is taken names a byte at or after the first.
+func FuzzEventID(f *testing.F) {
+	for _, seed := range []string{eventID("a", 0), "a.-1", "a", ".5", "a.b.9", "a.9223372036854775808", "a.+1"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, id string) {
+		if _, offset, err := parseEventID(id); err == nil {
+			must.GreaterEq(t, 0, offset)
+		}
+	})
+}
+
+// No value that this fleet did not seal opens as a chat token.
+func FuzzChatToken(f *testing.F) {
+	signer, err := ticket.NewSigner([]byte("a-ticket-key-of-thirty-two-bytes"))
+	must.NoError(f, err)
+	r := &Router{opts: Options{Signer: signer}}
+	sealed, err := r.sealToken(handle{address: "127.0.0.1:1", host: "h", holder: "i", request: "q", customer: "c"})
+	must.NoError(f, err)
+	f.Add(sealed)
+	f.Add(sealed[:len(sealed)-1])
+	f.Add("")
+	f.Fuzz(func(t *testing.T, value string) {
+		if _, err := r.openToken(value); err == nil {
+			must.Eq(t, sealed, value)
+		}
+	})
+}
