Give large calls a connection of their own

A request body of up to 4 MiB held the one write lock of a connection, and every read of other callers' answers from that agent waited behind it. Bodies of 64 KiB and more travel on a second connection, opened when first needed, with a heartbeat of its own.

--- a/cli/process.go
+++ b/cli/process.go
@@ -18,6 +18,7 @@
 	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/settings"
 	"dandelionrill.example/fleet/timeline"
+	"dandelionrill.example/fleet/wire"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -80,7 +81,7 @@
 		signer: signer,
 		api:    api,
 		pool: link.NewPool(link.ClientOptions{
-			TLS: c.TLS, DialTimeout: c.DialTimeout,
+			TLS: c.TLS, DialTimeout: c.DialTimeout, Bulk: wire.IsBulk,
 			HeartbeatInterval: c.Heartbeat, HeartbeatTimeout: c.Silence,
 		}),
 		drainBegun: make(chan struct{}),
--- a/link/client.go
+++ b/link/client.go
@@ -25,6 +25,9 @@
 	HeartbeatTimeout  time.Duration // silence after which a connection with waiting calls is closed
 	IdleTimeout       time.Duration // after which a connection without calls is closed
 	MaxMessageBytes   int
+	// Bulk tells which arguments are large. They travel on a connection of their
+	// own, so that small calls do not wait behind them. Nil means none.
+	Bulk func(args any) bool
 	// Dial opens the connection below TLS; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -35,6 +38,9 @@
 	o.HeartbeatTimeout = orDefault(o.HeartbeatTimeout, DefaultHeartbeatTimeout)
 	o.IdleTimeout = orDefault(o.IdleTimeout, DefaultClientIdleTimeout)
 	o.MaxMessageBytes = orDefault(o.MaxMessageBytes, DefaultMaxMessageBytes)
+	if o.Bulk == nil {
+		o.Bulk = func(any) bool { return false }
+	}
 	if o.Dial == nil {
 		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			var d net.Dialer
@@ -49,10 +55,23 @@
 type Client struct {
 	opts ClientOptions
 
-	mu      sync.Mutex
+	mu     sync.Mutex
+	small  lane
+	bulk   lane
+	closed bool
+}
+
+// lane is the place of one connection. The client's lock guards it.
+type lane struct {
 	current *connection
 	attempt *dialAttempt
-	closed  bool
+}
+
+func (c *Client) lane(args any) *lane {
+	if c.opts.Bulk(args) {
+		return &c.bulk
+	}
+	return &c.small
 }
 
 // dialAttempt is one dial that all callers wait for. conn and err may be read
@@ -99,7 +118,7 @@
 var errClosedBeforeSend = errors.New("link: connection closed before the call was sent")
 
 func (c *Client) callOnce(ctx context.Context, method string, args, reply any) error {
-	conn, err := c.connection(ctx)
+	conn, err := c.connection(ctx, c.lane(args))
 	if err != nil {
 		return c.failed(ErrNotSent, method, err)
 	}
@@ -174,9 +193,9 @@
 	return &CallError{Outcome: outcome, Method: method, Address: c.opts.Address, Cause: cause}
 }
 
-// connection returns the open connection or waits for a dial, which all
-// callers share.
-func (c *Client) connection(ctx context.Context) (*connection, error) {
+// connection returns the open connection of a lane or waits for a dial, which
+// all callers share.
+func (c *Client) connection(ctx context.Context, l *lane) (*connection, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -185,15 +204,15 @@
 		c.mu.Unlock()
 		return nil, ErrClosed
 	}
-	if c.current != nil && !c.current.isClosed() {
+	if l.current != nil && !l.current.isClosed() {
 		defer c.mu.Unlock()
-		return c.current, nil
+		return l.current, nil
 	}
-	if c.attempt == nil {
-		c.attempt = &dialAttempt{done: make(chan struct{})}
-		go c.dial(c.attempt)
+	if l.attempt == nil {
+		l.attempt = &dialAttempt{done: make(chan struct{})}
+		go c.dial(l, l.attempt)
 	}
-	attempt := c.attempt
+	attempt := l.attempt
 	c.mu.Unlock()
 	select {
 	case <-attempt.done:
@@ -203,7 +222,7 @@
 	}
 }
 
-func (c *Client) dial(attempt *dialAttempt) {
+func (c *Client) dial(l *lane, attempt *dialAttempt) {
 	conn, err := c.open()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -212,9 +231,9 @@
 		err = ErrClosed
 	}
 	attempt.conn, attempt.err = conn, err
-	c.attempt = nil
+	l.attempt = nil
 	if err == nil {
-		c.current = conn
+		l.current = conn
 	}
 	close(attempt.done)
 }
@@ -242,13 +261,15 @@
 	return newConnection(c.opts, tracked, stream), nil
 }
 
-// Close ends the connection and all waiting calls, and makes later calls fail
+// Close ends the connections and all waiting calls, and makes later calls fail
 // with ErrNotSent.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	if c.current != nil {
-		c.current.close(ErrClosed)
+	for _, l := range []*lane{&c.small, &c.bulk} {
+		if l.current != nil {
+			l.current.close(ErrClosed)
+		}
 	}
 }
--- a/link/fault_test.go
+++ b/link/fault_test.go
@@ -140,6 +140,39 @@
 	must.ErrorIs(t, err, ErrLost)
 }
 
+// A large call that does not get on holds up no small one.
+func TestLargeCallDoesNotHoldUpSmallOnes(t *testing.T) {
+	_, address := startServer(t, ServerOptions{}, newEcho())
+	stuck, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	c := newTestClient(t, ClientOptions{Address: address, HeartbeatTimeout: hangLimit,
+		Bulk: func(args any) bool { return len(args.(Message).Data) > 1<<10 },
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			conn, err := d.DialContext(ctx, "tcp", address)
+			return &stuckConn{Conn: conn, enter: func() { once.Do(func() { close(stuck) }); <-release }}, err
+		}})
+	large := make(chan error, 1)
+	go func() { large <- c.Call(testContext(t), "Echo.Echo", Message{Data: make([]byte, 1<<20)}, &Message{}) }()
+	<-stuck
+	must.NoError(t, c.Call(testContext(t), "Echo.Echo", Message{}, &Message{}))
+	close(release)
+	must.NoError(t, <-large)
+}
+
+// stuckConn calls enter before each write of a large message.
+type stuckConn struct {
+	net.Conn
+	enter func()
+}
+
+func (s *stuckConn) Write(p []byte) (int, error) {
+	if len(p) > 1<<10 {
+		s.enter()
+	}
+	return s.Conn.Write(p)
+}
+
 func TestCutConnection(t *testing.T) {
 	e := newEcho()
 	defer close(e.release)
@@ -217,7 +250,7 @@
 func awaitClosed(t *testing.T, c *Client) {
 	t.Helper()
 	select {
-	case <-c.current.done:
+	case <-c.small.current.done:
 	case <-testContext(t).Done():
 		t.Fatal("the connection stays open")
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -12,6 +12,16 @@
 	MaxMessageBytes = 6 << 20  // one encoded message
 )
 
+// BulkBytes is the size of a body from which its request travels on a
+// connection of its own, so that reads do not wait behind it.
+const BulkBytes = 64 << 10
+
+// IsBulk tells whether the arguments of a call are large.
+func IsBulk(args any) bool {
+	submit, ok := args.(*SubmitArgs)
+	return ok && len(submit.Body) >= BulkBytes
+}
+
 // Meta travels with every message.
 type Meta struct {
 	From          string // host name of the sender
