--- a/cli/process.go
+++ b/cli/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +18,7 @@
 	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/settings"
 	"dandelionrill.example/fleet/timeline"
+	"dandelionrill.example/fleet/wire"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -26,7 +26,7 @@
 
 // readinessInterval is how often the conditions of readiness are looked at
 // when nothing changes on the board.
-const readinessInterval = 500 * time.Millisecond
+const readinessInterval = 200 * time.Millisecond
 
 // process holds what a router and an agent have in common.
 type process struct {
@@ -43,6 +43,10 @@
 
 	configuration *configuration.Controller // set by newConfiguration
 
+	// choosable tells whether the router has an upstream to choose; nil for an
+	// agent. It is set before the controllers start.
+	choosable func() bool
+
 	// drainBegun is closed when an operator asks for a planned stop.
 	drainBegun chan struct{}
 	draining   atomic.Bool
@@ -77,7 +81,7 @@
 		signer: signer,
 		api:    api,
 		pool: link.NewPool(link.ClientOptions{
-			TLS: c.TLS, DialTimeout: c.DialTimeout,
+			TLS: c.TLS, DialTimeout: c.DialTimeout, Bulk: wire.IsBulk,
 			HeartbeatInterval: c.Heartbeat, HeartbeatTimeout: c.Silence,
 		}),
 		drainBegun: make(chan struct{}),
@@ -132,16 +136,12 @@
 
 func (p *process) updateReadiness() {
 	p.health.Set(health.Configured, p.board.Configuration() != nil, "no configuration is in force yet")
-	p.health.Set(health.Registered, p.role == platform.RoleAgent || p.knowsUpstream(), "no upstream is known yet")
+	p.health.Set(health.Registered, p.choosable == nil || p.choosable(), "no upstream is known yet")
 	if !p.draining.Load() {
 		p.health.Set(health.Accepting, true, "")
 	}
 }
 
-func (p *process) knowsUpstream() bool {
-	return slices.ContainsFunc(p.board.Hosts(), func(h board.HostView) bool { return h.Role == platform.RoleAgent })
-}
-
 // serveAdmin serves operators on a listener. The returned function stops it.
 func (p *process) serveAdmin(ln net.Listener, status func() admin.Status) func() {
 	handler := admin.New(admin.Options{
