Share the collectors evenly and measure what they cost

Services now choose in order and pass over routers that have their share; exchanges run every 3 s, reports at least every 5 s; reports count for 12 s and means are fresh for 20 s.

The test of the even share was seen failing without it.

--- a/controllers/load/exchange.go
+++ b/controllers/load/exchange.go
@@ -5,10 +5,8 @@
 	"sync"
 	"time"
 
-	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/controllers/schedule"
 	"dandelionrill.example/fleet/decide/mean"
-	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/wire"
 )
@@ -21,7 +19,7 @@
 
 // Defaults of the intervals.
 const (
-	DefaultExchangeInterval = 2 * time.Second
+	DefaultExchangeInterval = 3 * time.Second
 	DefaultCallTimeout      = time.Second
 )
 
@@ -64,15 +62,15 @@
 // turn exchanges once with every other collector of each active pool's service.
 // Of two collectors the one of the lesser failure domain calls.
 func (x *exchange) turn(ctx context.Context) {
-	routers, domains := directory(x.collectors.board)
+	d := newDirectory(x.collectors.board)
 	var calls sync.WaitGroup
 	for _, p := range x.collectors.active() {
-		for domain := range domains[p.service] {
+		for domain := range d.upstreams[p.service] {
 			if domain <= p.domain {
 				continue
 			}
 			peer := pool{p.service, domain}
-			host, ok := routers.owner(peer)
+			host, ok := d.owner(peer)
 			switch {
 			case !ok:
 			case host.Name == x.opts.Host:
@@ -133,45 +131,3 @@
 	h.stamp.Held = now - h.at
 	return h.stamp
 }
-
-// routersByDomain are the routers of the host list that are not leaving, by
-// failure domain; the empty domain holds them all.
-type routersByDomain map[string][]platform.Host
-
-// directory reads the routers, and each service's number of upstreams by
-// failure domain, from the board.
-func directory(b *board.Board) (routersByDomain, map[string]map[string]int) {
-	routers, domains := make(routersByDomain), make(map[string]map[string]int)
-	for _, h := range b.Hosts() {
-		switch {
-		case h.Leaving:
-		case h.Role == platform.RoleRouter:
-			routers[h.FailureDomain] = append(routers[h.FailureDomain], h.Host)
-			routers[""] = append(routers[""], h.Host)
-		case h.Role == platform.RoleAgent:
-			if domains[h.Service] == nil {
-				domains[h.Service] = make(map[string]int)
-			}
-			domains[h.Service][h.FailureDomain]++
-		}
-	}
-	return routers, domains
-}
-
-// owner returns the router that collects for p: one of its failure domain, or
-// of all where that has none.
-func (r routersByDomain) owner(p pool) (platform.Host, bool) {
-	candidates := r[p.domain]
-	if len(candidates) == 0 {
-		candidates = r[""]
-	}
-	names := make([]string, len(candidates))
-	for i, h := range candidates {
-		names[i] = h.Name
-	}
-	i := place.Owner(place.Key(p.service+"/"+p.domain), names)
-	if i < 0 {
-		return platform.Host{}, false
-	}
-	return candidates[i], true
-}
--- a/controllers/load/reporter.go
+++ b/controllers/load/reporter.go
@@ -88,13 +88,9 @@
 		return
 	}
 	r.seen = generation
-	routers, pools := directory(r.opts.Board)
-	replicas := 0
-	for _, n := range pools[r.opts.Service] {
-		replicas += n
-	}
-	r.opts.Upstream.ObservePool(replicas)
-	host, ok := routers.owner(pool{r.opts.Service, r.opts.FailureDomain})
+	d := newDirectory(r.opts.Board)
+	r.opts.Upstream.ObservePool(d.replicas(r.opts.Service))
+	host, ok := d.owner(pool{r.opts.Service, r.opts.FailureDomain})
 	if ok && (host.Name != r.collector.Name || host.Address != r.collector.Address) {
 		r.collector = host
 		r.dating = mean.NewReporter(r.opts.Intervals)
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -19,7 +19,7 @@
 )
 
 // DefaultFreshFor is the age beyond which a mean is stale.
-const DefaultFreshFor = 10 * time.Second
+const DefaultFreshFor = 20 * time.Second
 
 // State says what a limit rests on.
 type State uint8
--- a/decide/mean/collector.go
+++ b/decide/mean/collector.go
@@ -9,7 +9,7 @@
 import "time"
 
 // DefaultReportLimit is the age at which a report or partial sum is dropped.
-const DefaultReportLimit = 8 * time.Second
+const DefaultReportLimit = 12 * time.Second
 
 // Options configures a Collector.
 type Options struct {
--- a/decide/mean/reporter.go
+++ b/decide/mean/reporter.go
@@ -8,14 +8,14 @@
 // Intervals of reports.
 const (
 	DefaultMinInterval = time.Second
-	DefaultMaxInterval = 4 * time.Second
+	DefaultMaxInterval = 5 * time.Second
 )
 
 // minStep is the least change of load that is reported before the longest
 // interval ends; stepShare is the same as a share of the load reported last.
 const (
 	minStep   = 2.0
-	stepShare = 0.2
+	stepShare = 0.25
 )
 
 // ReporterOptions configures a Reporter. Zero intervals mean the defaults.
--- /dev/null
+++ b/experiment/meanload/run.go
@@ -0,0 +1,264 @@
+package meanload
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/controllers/load"
+	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/platform"
+	"github.com/cockroachdb/errors"
+)
+
+// Options sizes a run. There is one router for each pool.
+type Options struct {
+	Services int
+	Domains  int
+	Replicas int // of one service in one failure domain
+	Delay    time.Duration
+	Loss     float64
+	Duration time.Duration // measured, after the start-up
+}
+
+// Result is measured per node.
+type Result struct {
+	Agents, Routers                   int
+	AgentBytes, RouterBytes, MaxBytes float64       // a second; the last of the busiest router
+	CPU                               float64       // share of one core, of all nodes together
+	AgeP50, AgeP99, AgeMax            time.Duration // of the mean at agents, sampled
+	Error                             float64       // mean over samples of |mean known - true mean| / true mean
+	Unknown                           float64       // share of samples without a mean, or of fewer than 0.9 of the replicas
+}
+
+// Engines hold about 20 requests: arrivals a second and mean seconds of one.
+const (
+	arrivals  = 3.0
+	works     = 6.6
+	firstLoad = 20
+	stall     = 250 * time.Millisecond
+	startUp   = 6 * time.Second
+	sampling  = 100 * time.Millisecond
+	step      = 50 * time.Millisecond
+)
+
+type agent struct {
+	mu       sync.Mutex
+	service  int
+	load     int
+	mean     float64
+	replicas int
+	trueAt   time.Time
+	meter    meter
+}
+
+func (a *agent) Running() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.load
+}
+
+func (a *agent) Leaving() bool { return false }
+
+func (a *agent) ObservePool(int) {}
+
+func (a *agent) ObserveMean(mean float64, replicas int, age time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if at := time.Now().Add(-age); at.After(a.trueAt) {
+		a.mean, a.replicas, a.trueAt = mean, replicas, at
+	}
+}
+
+// turn lets requests come and go for one step.
+func (a *agent) turn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	share := step.Seconds()
+	if rand.Float64() < arrivals*share {
+		a.load++
+	}
+	for range a.load {
+		if rand.Float64() < share/works {
+			a.load--
+		}
+	}
+}
+
+type run struct {
+	opts    Options
+	network network
+	board   *board.Board
+	agents  []*agent
+	routers []*meter
+	hosts   []platform.Host
+	group   sync.WaitGroup
+}
+
+// Run starts the nodes, measures and stops them.
+func Run(ctx context.Context, opts Options) (Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &run{opts: opts, network: network{opts.Delay, opts.Loss, stall}, board: board.New()}
+	defer r.group.Wait()
+	defer cancel()
+	cfg := &config.Config{Version: 1}
+	for s := range opts.Services {
+		cfg.Services = append(cfg.Services, config.Service{ID: serviceName(s), LoadMultiple: 1.25})
+	}
+	r.board.Adopt(cfg, "experiment")
+	if err := r.startRouters(ctx); err != nil {
+		return Result{}, err
+	}
+	r.startAgents(ctx)
+	r.board.ObserveHostList(r.hosts)
+	r.group.Go(func() { r.work(ctx) })
+	time.Sleep(startUp)
+	return r.measure(), nil
+}
+
+func serviceName(s int) string { return fmt.Sprintf("model-%02d", s) }
+
+func domainName(d int) string { return fmt.Sprintf("domain-%02d", d) }
+
+func (r *run) startRouters(ctx context.Context) error {
+	for i := range r.opts.Services * r.opts.Domains {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		m := new(meter)
+		r.routers = append(r.routers, m)
+		host := platform.Host{
+			Name: fmt.Sprintf("router-%03d", i), Role: platform.RoleRouter, FailureDomain: domainName(i % r.opts.Domains),
+			Address: l.Addr().String(), State: platform.HostLive,
+		}
+		r.hosts = append(r.hosts, host)
+		collectors := load.NewCollectors(r.board)
+		server, err := link.NewServer(link.ServerOptions{}, load.RPCName, load.NewService(collectors))
+		if err != nil {
+			return errors.Wrap(err, "server")
+		}
+		r.group.Go(func() { _ = server.Serve(listener{l, m, r.network}) })
+		r.group.Go(func() {
+			collectors.Run(ctx, load.ExchangeOptions{Host: host.Name, Caller: r.caller(ctx, m)})
+			stopped, done := context.WithTimeout(context.Background(), time.Second)
+			defer done()
+			_ = server.Shutdown(stopped)
+		})
+	}
+	return nil
+}
+
+func (r *run) caller(ctx context.Context, m *meter) load.Caller {
+	pool := link.NewPool(link.ClientOptions{Dial: dialer(m, r.network)})
+	context.AfterFunc(ctx, pool.Close)
+	return load.PoolCaller{Pool: pool}
+}
+
+func (r *run) startAgents(ctx context.Context) {
+	for s := range r.opts.Services {
+		for d := range r.opts.Domains {
+			for i := range r.opts.Replicas {
+				a := &agent{service: s, load: firstLoad}
+				r.agents = append(r.agents, a)
+				name := fmt.Sprintf("engine-%02d-%02d-%02d", s, d, i)
+				r.hosts = append(r.hosts, platform.Host{
+					Name: name, Role: platform.RoleAgent, Service: serviceName(s), FailureDomain: domainName(d),
+					Address: "127.0.0.1:1", State: platform.HostLive,
+				})
+				reporter := load.NewReporter(load.ReporterOptions{
+					Host: name, Service: serviceName(s), FailureDomain: domainName(d), Board: r.board,
+					Caller: r.caller(ctx, &a.meter), Upstream: a,
+				})
+				r.group.Go(func() { reporter.Run(ctx) })
+			}
+		}
+	}
+}
+
+func (r *run) work(ctx context.Context) {
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, a := range r.agents {
+				a.turn()
+			}
+		}
+	}
+}
+
+func (r *run) totals() (agents int64, routers []int64) {
+	for _, a := range r.agents {
+		agents += a.meter.total()
+	}
+	for _, m := range r.routers {
+		routers = append(routers, m.total())
+	}
+	return agents, routers
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func (r *run) measure() Result {
+	res := Result{Agents: len(r.agents), Routers: len(r.routers)}
+	agents, routers := r.totals()
+	cpu, start := processorTime(), time.Now()
+	ages, unknown := r.sample(&res)
+	span := time.Since(start).Seconds()
+	res.CPU = (processorTime() - cpu).Seconds() / span
+	agentsAfter, routersAfter := r.totals()
+	res.AgentBytes = float64(agentsAfter-agents) / span / float64(res.Agents)
+	for i := range routers {
+		rate := float64(routersAfter[i]-routers[i]) / span
+		res.RouterBytes += rate / float64(res.Routers)
+		res.MaxBytes = max(res.MaxBytes, rate)
+	}
+	slices.Sort(ages)
+	res.AgeP50, res.AgeP99, res.AgeMax = ages[len(ages)/2], ages[len(ages)*99/100], ages[len(ages)-1]
+	res.Unknown = float64(unknown) / float64(unknown+len(ages))
+	return res
+}
+
+// sample compares what agents know with the truth for the measured time.
+func (r *run) sample(res *Result) (ages []time.Duration, unknown int) {
+	whole := r.opts.Domains * r.opts.Replicas
+	errorSum, n := 0.0, 0
+	for end := time.Now().Add(r.opts.Duration); time.Now().Before(end); time.Sleep(sampling) {
+		sums := make([]float64, r.opts.Services)
+		for _, a := range r.agents {
+			sums[a.service] += float64(a.Running())
+		}
+		for _, a := range r.agents {
+			a.mu.Lock()
+			truth := sums[a.service] / float64(whole)
+			if a.replicas*10 < whole*9 {
+				unknown++
+			} else {
+				ages = append(ages, time.Since(a.trueAt))
+				errorSum += math.Abs(a.mean-truth) / truth
+				n++
+			}
+			a.mu.Unlock()
+		}
+	}
+	res.Error = errorSum / float64(max(1, n))
+	return ages, unknown
+}
