Let the bound follow the demand, and order means by when they were made

The mean counted running requests only, which the bound itself held down.

The agent takes means in the order of its calls and ignores one only if it is stale against the one before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -177,9 +177,10 @@
 	a.gate.setPool(replicas)
 }
 
-// Running returns the requests in progress on the upstream.
-func (a *Agent) Running() int {
-	return a.gate.load().InFlight
+// Demand returns the requests in progress on the upstream and those that wait.
+func (a *Agent) Demand() int {
+	load := a.gate.load()
+	return load.InFlight + load.Queued
 }
 
 // Load returns the load of the upstream.
--- a/controllers/load/reporter.go
+++ b/controllers/load/reporter.go
@@ -16,8 +16,8 @@
 
 // Upstream is the agent's side of what is reported.
 type Upstream interface {
-	// Running returns the requests in progress.
-	Running() int
+	// Demand returns the requests in progress and those that wait.
+	Demand() int
 	// Leaving tells whether new work is refused.
 	Leaving() bool
 	// ObservePool takes the number of upstreams that the host list shows.
@@ -70,7 +70,7 @@
 
 // turn reports if it is due, a second time if the first could not be dated.
 func (r *Reporter) turn(ctx context.Context) {
-	load := float64(r.opts.Upstream.Running())
+	load := float64(r.opts.Upstream.Demand())
 	r.readBoard()
 	if r.collector.Name == "" || !r.dating.Due(load, r.now()) {
 		return
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.opts.Timeout)
 	defer cancel()
 	sent := r.now()
-	load := float64(r.opts.Upstream.Running())
+	load := float64(r.opts.Upstream.Demand())
 	args := wire.LoadArgs{
 		Host: r.opts.Host, Service: r.opts.Service, FailureDomain: r.opts.FailureDomain,
 		Load: load, Leaving: r.opts.Upstream.Leaving(), Echo: r.dating.Send(load, sent),
--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -6,7 +6,8 @@
 //	load <= max(Floor, ceil(Multiple * mean))
 //
 // where mean is the newest mean observed, at most FreshFor old and taken over
-// more than Multiple replicas. Without such a mean the load is at most the
+// more than Multiple replicas. The load of a replica in it is what runs and
+// what waits for it, so that the limit follows the demand. Without such a mean the load is at most the
 // greater of Floor and the last such limit, and at most Ceiling if one is set.
 // A pool of at most Multiple replicas needs no bound: no load can exceed the
 // mean as many times as there are replicas.
@@ -62,15 +63,16 @@
 }
 
 // ObserveMean takes the mean load of replicas that was true at a time of the
-// agent's monotonic clock: the time of its arrival less its age. Older
-// observations than the newest are ignored. So is a mean over no more than
+// agent's monotonic clock: the time of its arrival less its age. Callers pass
+// means in the order in which they were made; one that is stale against the
+// mean before is ignored. So is a mean over no more than
 // Multiple replicas: there the load itself raises the mean as fast as the limit
 // allows it to rise, and nothing is bounded.
 func (b *Bound) ObserveMean(mean float64, replicas int, at time.Duration) {
 	if math.IsNaN(mean) || mean < 0 || float64(replicas) <= b.opts.Multiple {
 		return
 	}
-	if b.known && at < b.at {
+	if b.known && at < b.at-b.opts.FreshFor {
 		return
 	}
 	b.known, b.at, b.mean, b.count = true, at, mean, replicas
--- a/decide/mean/collector.go
+++ b/decide/mean/collector.go
@@ -44,7 +44,8 @@
 type dated struct {
 	sum      float64
 	replicas int
-	at       time.Duration // the load was true then or later
+	sent     time.Duration // not before then; orders messages of one sender
+	at       time.Duration // the loads in it were true then or later
 }
 
 // Collector gathers the reports of one service in one failure domain and the
@@ -77,24 +78,23 @@
 	if !ok {
 		return false
 	}
-	if old, known := c.reports[host]; known && old.at > at {
+	if old, known := c.reports[host]; known && old.sent > at {
 		return true
 	}
-	c.reports[host] = dated{sum: load, replicas: 1, at: at}
+	c.reports[host] = dated{sum: load, replicas: 1, sent: at, at: at}
 	return true
 }
 
 // Merge takes a peer's partial sum. It returns false if the echo does not date it.
 func (c *Collector) Merge(p Partial, echo Echo, now time.Duration) bool {
-	at, ok := c.date(echo, now)
+	sent, ok := c.date(echo, now)
 	if !ok {
 		return false
 	}
-	at -= p.Age
-	if old, known := c.peers[p.FailureDomain]; known && old.at > at || p.FailureDomain == c.opts.FailureDomain {
+	if old, known := c.peers[p.FailureDomain]; known && old.sent > sent || p.FailureDomain == c.opts.FailureDomain {
 		return true
 	}
-	c.peers[p.FailureDomain] = dated{sum: p.Sum, replicas: p.Replicas, at: at}
+	c.peers[p.FailureDomain] = dated{sum: p.Sum, replicas: p.Replicas, sent: sent, at: sent - p.Age}
 	return true
 }
 
--- a/experiment/meanload/run.go
+++ b/experiment/meanload/run.go
@@ -60,7 +60,7 @@
 	meter    meter
 }
 
-func (a *agent) Running() int {
+func (a *agent) Demand() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.load
@@ -244,7 +244,7 @@
 	for end := time.Now().Add(r.opts.Duration); time.Now().Before(end); time.Sleep(sampling) {
 		sums := make([]float64, r.opts.Services)
 		for _, a := range r.agents {
-			sums[a.service] += float64(a.Running())
+			sums[a.service] += float64(a.Demand())
 		}
 		for _, a := range r.agents {
 			a.mu.Lock()
--- a/experiment/overload/run.go
+++ b/experiment/overload/run.go
@@ -216,7 +216,7 @@
 	var candidates []place.Candidate
 	sum := 0
 	for _, e := range r.engines {
-		sum += len(e.running)
+		sum += len(e.running) + e.queue.Len()
 		r.top = max(r.top, len(e.running))
 		candidates = append(candidates, place.Candidate{Host: fmt.Sprint(e.index), Load: float64(len(e.running) + e.queue.Len()), Weight: 1})
 	}
--- a/wire/load.go
+++ b/wire/load.go
@@ -9,7 +9,7 @@
 	Host          string
 	Service       string
 	FailureDomain string
-	Load          float64 // requests in progress
+	Load          float64 // requests in progress and waiting
 	Leaving       bool    // the host is to be forgotten
 	Echo          mean.Echo
 }
