--- a/router/pools_test.go
+++ b/router/pools_test.go
@@ -1,11 +1,16 @@
 package router
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/decide/retry"
 	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/wire"
 	"github.com/shoenig/test/must"
 )
 
@@ -38,3 +43,27 @@
 	b.ObservePeer(board.Evidence{Host: "e3", Kind: board.EvidenceRefused})
 	must.Eq(t, []float64{1, 1, 0}, weights())
 }
+
+// An attempt may queue when no other can follow: the last of all, or the last
+// that the retry budget allows.
+func TestLastPossibleAttemptMayQueue(t *testing.T) {
+	candidates := []place.Candidate{{Host: "e1", Weight: 1}, {Host: "e2", Weight: 1}, {Host: "e3", Weight: 1}, {Host: "e4", Weight: 1}}
+	for _, tc := range []struct {
+		burst float64
+		want  []bool
+	}{{9, []bool{false, false, true}}, {1, []bool{false, true}}, {0.5, []bool{true}}} {
+		r := &Router{
+			opts:    Options{}.withDefaults(),
+			budgets: map[string]*retry.Budget{"model": retry.NewBudget(retry.Options{Ratio: 0.001, Burst: tc.burst})},
+		}
+		var got []bool
+		ch := &chooser{picker: place.NewPicker(place.Options{LoadMultiple: 2}, candidates)}
+		q := &request{service: &config.Service{ID: "model"}, mayRepeat: true}
+		err := r.attempts(context.Background(), q, ch, func(_ place.Candidate, mayQueue bool) error {
+			got = append(got, mayQueue)
+			return &refusedError{reason: wire.ReasonOverload}
+		})
+		must.Error(t, err)
+		must.Eq(t, tc.want, got)
+	}
+}
