--- a/experiment/meanload/run.go
+++ b/experiment/meanload/run.go
@@ -73,9 +73,7 @@
 func (a *agent) ObserveMean(mean float64, replicas int, age time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if at := time.Now().Add(-age); at.After(a.trueAt) {
-		a.mean, a.replicas, a.trueAt = mean, replicas, at
-	}
+	a.mean, a.replicas, a.trueAt = mean, replicas, time.Now().Add(-age)
 }
 
 // turn lets requests come and go for one step.
