--- a/controllers/load/reporter.go
+++ b/controllers/load/reporter.go
@@ -16,8 +16,8 @@
 
 // Upstream is the agent's side of what is reported.
 type Upstream interface {
-	// Running returns the requests in progress.
-	Running() int
+	// Demand returns the requests in progress and those that wait.
+	Demand() int
 	// Leaving tells whether new work is refused.
 	Leaving() bool
 	// ObservePool takes the number of upstreams that the host list shows.
@@ -70,7 +70,7 @@
 
 // turn reports if it is due, a second time if the first could not be dated.
 func (r *Reporter) turn(ctx context.Context) {
-	load := float64(r.opts.Upstream.Running())
+	load := float64(r.opts.Upstream.Demand())
 	r.readBoard()
 	if r.collector.Name == "" || !r.dating.Due(load, r.now()) {
 		return
@@ -88,13 +88,9 @@
 		return
 	}
 	r.seen = generation
-	routers, pools := directory(r.opts.Board)
-	replicas := 0
-	for _, n := range pools[r.opts.Service] {
-		replicas += n
-	}
-	r.opts.Upstream.ObservePool(replicas)
-	host, ok := routers.owner(pool{r.opts.Service, r.opts.FailureDomain})
+	d := newDirectory(r.opts.Board)
+	r.opts.Upstream.ObservePool(d.replicas(r.opts.Service))
+	host, ok := d.owner(pool{r.opts.Service, r.opts.FailureDomain})
 	if ok && (host.Name != r.collector.Name || host.Address != r.collector.Address) {
 		r.collector = host
 		r.dating = mean.NewReporter(r.opts.Intervals)
@@ -106,7 +102,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.opts.Timeout)
 	defer cancel()
 	sent := r.now()
-	load := float64(r.opts.Upstream.Running())
+	load := float64(r.opts.Upstream.Demand())
 	args := wire.LoadArgs{
 		Host: r.opts.Host, Service: r.opts.Service, FailureDomain: r.opts.FailureDomain,
 		Load: load, Leaving: r.opts.Upstream.Leaving(), Echo: r.dating.Send(load, sent),
--- a/experiment/overload/run.go
+++ b/experiment/overload/run.go
@@ -14,79 +14,6 @@
 	"dandelionrill.example/fleet/decide/retry"
 )
 
-// The pool and its callers; times in seconds.
-const (
-	engines       = 12
-	routers       = 4
-	slots         = 16
-	meanWork      = 6.6
-	workSigma     = 0.6
-	deadline      = 20.0 // of one attempt of a caller
-	queueWait     = 2.0
-	callerTries   = 3 // of one request, the first included
-	fixedComeBack = 1.0
-	loadRefresh   = 1.0
-	meanRefresh   = 1.0
-	duration      = 900.0
-	measuredFrom  = 300.0
-	customers     = 10
-	queueLimit    = 32
-	multiple      = 1.25
-	floor         = 4
-	roundTrip     = 0.01
-)
-
-// capacity is the requests a second that all engines can answer.
-const capacity = engines * slots / meanWork
-
-// Options selects the mechanisms of one run.
-type Options struct {
-	Name        string
-	Load        float64 // offered, as a multiple of the capacity
-	Unbounded   bool    // agents admit everything
-	NoBudget    bool    // retries are limited by attempts alone
-	FixedReturn bool    // refused callers come back after fixedComeBack
-	WholeQueue  bool    // the computed return counts all customers' queues, not the caller's own
-	FIFO        bool    // one queue for all customers
-	LateQueue   bool    // only the last attempt may queue, even if the budget is used up
-	OwnBudget   bool    // a retry budget for each customer
-	InFlight    int     // limit of one customer at one agent; 0 means none
-	Hedge       float64 // seconds without a first token after which a second attempt is sent; 0 never
-	Breaker     bool    // routers stop sending to an engine for a while after refusals in a row
-	QueueWait   float64 // seconds; 0 means the default
-	Surge       float64 // customer 0 sends this many times its share
-	Seed        uint64
-}
-
-// Result is measured after the start-up time.
-type Result struct {
-	Goodput   float64 // answers a second over capacity
-	Attempts  float64 // submissions to agents per answer
-	Refused   float64 // requests that ended refused, share
-	Late      float64 // requests whose deadline passed, share
-	Others    Tail    // of customers other than 0
-	Surging   Tail    // of customer 0
-	MaxReturn int     // refused callers that came back within the busiest 100 ms
-}
-
-// Tail is what one group of customers met.
-type Tail struct {
-	FirstTokenP99 float64 // seconds, of the answered
-	Refused       float64 // share, those past their deadline included
-}
-
-type request struct {
-	customer   string
-	born       float64 // first sent by the caller
-	sent       float64 // this try of the caller
-	work       float64
-	tries      int // of the caller
-	firstToken float64
-	ended      bool
-	job        *job
-	hedge      *job
-}
-
 type event struct {
 	at  float64
 	seq int
@@ -122,6 +49,7 @@
 	late     int
 	born     int
 	returns  map[int]int
+	top      int
 	tails    [2]tail
 }
 
@@ -143,11 +71,14 @@
 	if opts.QueueWait == 0 {
 		opts.QueueWait = queueWait
 	}
+	if opts.Floor == 0 {
+		opts.Floor = floor
+	}
 	r := &run{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 9)), returns: make(map[int]int)}
 	for i := range engines {
 		r.engines = append(r.engines, &engine{
 			index: i, held: make(map[string]int), queue: fair.NewQueue[*job](fair.Options{PerCustomer: queueLimit}),
-			bound: admit.NewBound(admit.Options{Multiple: multiple, Floor: floor, Ceiling: slots}),
+			bound: admit.NewBound(admit.Options{Multiple: multiple, Floor: opts.Floor, Ceiling: slots}),
 		})
 	}
 	for range routers {
@@ -210,7 +141,8 @@
 	var candidates []place.Candidate
 	sum := 0
 	for _, e := range r.engines {
-		sum += len(e.running)
+		sum += len(e.running) + e.queue.Len()
+		r.top = max(r.top, len(e.running))
 		candidates = append(candidates, place.Candidate{Host: fmt.Sprint(e.index), Load: float64(len(e.running) + e.queue.Len()), Weight: 1})
 	}
 	for _, rt := range r.routers {
@@ -349,116 +281,3 @@
 		e.start(j, now)
 	}
 }
-
-// drop takes an attempt off its engine.
-func (r *run) drop(j *job, now float64) {
-	if j == nil || j.index < 0 && !j.queued {
-		return
-	}
-	j.engine.remove(j, now)
-	r.dispatch(j.engine, now)
-}
-
-// giveUp refuses a request that waited too long at its agent.
-func (r *run) giveUp(j *job, now float64) {
-	if !j.queued || j.request.ended || j.request.job != j {
-		return
-	}
-	e := j.engine
-	r.drop(j, now)
-	if h := j.request.hedge; h != nil && h.index >= 0 {
-		j.request.job, j.request.hedge = h, nil
-		return
-	}
-	r.refuse(j.request, r.comeBack(e, j.request, now), now)
-}
-
-func (r *run) answer(q *request, j *job, now float64) {
-	j.engine.done.Add(clock(now))
-	r.drop(j, now)
-	r.drop(q.job, now)
-	r.drop(q.hedge, now)
-	q.ended = true
-	if !r.measured(q) {
-		return
-	}
-	r.answered++
-	t := &r.tails[group(q)]
-	t.all++
-	t.tokens = append(t.tokens, q.firstToken)
-}
-
-// expire ends a try whose deadline passed; the caller tries again.
-func (r *run) expire(q *request, tries int, now float64) {
-	if q.ended || q.tries != tries || q.job == nil {
-		return
-	}
-	r.drop(q.job, now)
-	r.drop(q.hedge, now)
-	r.again(q, fixedComeBack, &r.late, now)
-}
-
-// refuse tells the caller when to come back.
-func (r *run) refuse(q *request, after time.Duration, now float64) {
-	wait := after.Seconds()
-	if r.opts.FixedReturn {
-		wait = fixedComeBack
-	}
-	r.again(q, wait, &r.refused, now)
-}
-
-func (r *run) again(q *request, wait float64, count *int, now float64) {
-	q.job, q.hedge = nil, nil
-	if q.tries < callerTries {
-		r.returns[int((now+wait)*10)]++
-		r.at(now+wait+roundTrip, func(now float64) { r.try(q, now) })
-		return
-	}
-	q.ended = true
-	if r.measured(q) {
-		*count++
-		t := &r.tails[group(q)]
-		t.all++
-		t.failed++
-	}
-}
-
-// hedge sends a second attempt of a request without a first token.
-func (r *run) hedge(q *request, tries int, rt *router, now float64) {
-	if q.ended || q.tries != tries || q.job == nil || !q.job.queued || !rt.budget(r.opts, q).Withdraw() {
-		return
-	}
-	if i, ok := rt.picker.Pick(place.Query{Key: r.rng.Uint64(), Tried: []int{q.job.engine.index}, Rand: r.rng.Uint64()}); ok {
-		q.hedge, _ = r.submit(r.engines[i], q, now, false)
-	}
-}
-
-func group(q *request) int {
-	if q.customer == "0" {
-		return 1
-	}
-	return 0
-}
-
-func (r *run) result() Result {
-	ended := float64(r.answered + r.refused + r.late)
-	res := Result{
-		Goodput:  float64(r.answered) / (duration - measuredFrom) / capacity,
-		Attempts: float64(r.attempts) / float64(max(1, r.answered)),
-		Refused:  float64(r.refused) / ended,
-		Late:     float64(r.late) / ended,
-		Others:   r.tails[0].tail(), Surging: r.tails[1].tail(),
-	}
-	for _, n := range r.returns {
-		res.MaxReturn = max(res.MaxReturn, n)
-	}
-	return res
-}
-
-func (t tail) tail() Tail {
-	if len(t.tokens) == 0 {
-		return Tail{Refused: 1}
-	}
-	slices.Sort(t.tokens)
-	return Tail{FirstTokenP99: t.tokens[len(t.tokens)*99/100], Refused: float64(t.failed) / float64(t.all)}
-}
