Find the successor of an agent that left, and let routers notice before the end

A router kept an agent's own word that it leaves for its successor in the same slot, when the list showed another address or no change at all, and so ran out of upstreams; a new address now forgets the word, and hosts whose word stands against the list are asked again. And an agent with nothing to do ended at once, so that a transfer on its way met a closing connection and its outcome was unknown; it now refuses new work for the drain delay (3 s unless set) before it ends.

Seen failing with the guard taken out: forgetting at a new address, asking again, the drain delay of the agent.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -121,9 +121,11 @@
 	return a.leaving.Load()
 }
 
-// drain waits for work under way and for its readers.
+// drain refuses new work for a while, so that no router meets a connection that
+// closes, and waits for work under way and for its readers.
 func (a *Agent) drain() {
 	a.Leave()
+	time.Sleep(a.opts.DrainDelay)
 	deadline := time.Now().Add(a.opts.DrainTimeout)
 	for time.Now().Before(deadline) {
 		if a.admitting.Load() == 0 && a.answers.open() == 0 && a.answers.unread() == 0 {
--- a/agent/drain_test.go
+++ b/agent/drain_test.go
@@ -21,6 +21,10 @@
 	before := counters.Get("drain_timeouts")
 	a.drain()
 	must.Eq(t, before, counters.Get("drain_timeouts"))
+	a.opts.DrainDelay = 30 * time.Millisecond
+	began := time.Now()
+	a.drain()
+	must.GreaterEq(t, a.opts.DrainDelay, time.Since(began))
 	a.admitting.Add(1)
 	a.drain()
 	must.NotNil(t, counters.Get("drain_timeouts"))
--- a/agent/options.go
+++ b/agent/options.go
@@ -51,7 +51,8 @@
 	MaxRecords      int           // most tickets remembered
 	UpstreamTimeout time.Duration // longest upstream call, unless the configuration says
 	UnreadRetention time.Duration // how long idempotent work goes on without a reader
-	DrainTimeout    time.Duration // longest graceful stop
+	DrainDelay      time.Duration // how long a leaving agent refuses new work at least, before it ends
+	DrainTimeout    time.Duration // longest graceful stop, the delay not counted
 
 	// Observed is told the configuration version in each message of a peer. It
 	// must not block. Nil ignores it.
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -25,6 +25,8 @@
 	}
 	waits := func(d time.Duration) func() { return func() { now += d; b.Expire() } }
 	live, other := rowOf("e", platform.HostLive), rowOf("o", platform.HostLive)
+	moved := live
+	moved.Address = "127.0.0.1:2"
 	type step struct {
 		do   func()
 		want bool
@@ -32,6 +34,7 @@
 	for name, steps := range map[string][]step{
 		"the list says leaving":   {{lists(live), true}, {lists(rowOf("e", platform.HostLeaving)), false}, {sees(EvidenceAlive, "1"), false}},
 		"its own word":            {{lists(live), true}, {sees(EvidenceLeaving, "1"), false}, {lists(live), false}, {sees(EvidenceAlive, "1"), false}, {sees(EvidenceAlive, "2"), true}, {sees(EvidenceLeaving, "1"), true}},
+		"replaced elsewhere":      {{lists(live), true}, {sees(EvidenceLeaving, "1"), false}, {lists(moved), true}, {sees(EvidenceLeaving, "1"), true}, {sees(EvidenceHeard, "2"), true}},
 		"missing in the list":     {{lists(live, other), true}, {lists(other), false}, {lists(live, other), true}},
 		"a list without agents":   {{lists(live), true}, {lists(platform.Host{Name: "r", Role: platform.RoleRouter}), true}, {lists(), true}},
 		"a flap keeps own words":  {{lists(live, other), true}, {sees(EvidenceLeaving, "1"), false}, {lists(other), false}, {lists(live, other), false}},
--- a/board/host.go
+++ b/board/host.go
@@ -65,6 +65,7 @@
 func (e *hostEntry) list(h platform.Host, version uint64, at time.Duration) {
 	if e.listed.Value.Address != h.Address {
 		e.clearHold()
+		e.retire()
 	}
 	e.present = true
 	e.listed = Entry[platform.Host]{Value: h, Origin: OriginHostList, Version: version, At: at}
@@ -115,14 +116,21 @@
 	if slices.Contains(e.retired, incarnation) {
 		return false
 	}
+	e.retire()
+	e.own.Value.incarnation = incarnation
+	e.clearHold()
+	return true
+}
+
+// retire forgets what the current incarnation said: another process has taken
+// its place.
+func (e *hostEntry) retire() {
 	if e.own.Value.incarnation != "" {
 		e.retired = append(e.retired, e.own.Value.incarnation)
 		e.retired = e.retired[max(0, len(e.retired)-retiredCount):]
 	}
-	e.own.Value = own{incarnation: incarnation}
+	e.own.Value = own{}
 	e.load = Entry[*wire.Load]{}
-	e.clearHold()
-	return true
 }
 
 // extendHold starts a hold unless one runs: many requests that meet the same
@@ -153,6 +161,7 @@
 	platform.Host
 	Listed        bool          // the last host list has it
 	Leaving       bool          // by the list, by its own word, or by its absence from the list
+	ListedLive    bool          // the last host list has it as live
 	Held          time.Duration // how long it is not to be chosen after it refused; 0 if it may be
 	Incarnation   string        // that last answered; empty if none did
 	ConfigVersion uint64        // that it last reported; 0 if none
@@ -169,6 +178,7 @@
 		Host:          e.listed.Value,
 		Listed:        e.present,
 		Leaving:       e.leaving(),
+		ListedLive:    e.present && e.listed.Value.State == platform.HostLive,
 		Held:          max(0, e.holdUntil-now),
 		Incarnation:   e.own.Value.incarnation,
 		ConfigVersion: e.own.Value.configVersion,
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -50,7 +50,7 @@
 		KeptAnswerBytes: s.KeptAnswerBytes, MaxAnswerBytes: s.MaxAnswerBytes, MaxRunning: int(s.MaxRunning),
 		MaxQueued: int(s.MaxQueued), MaxQueueWait: s.MaxQueueWait,
 		WindowDuration: s.WindowDuration, Windows: int(s.WindowsKept), MaxRecords: int(s.MaxTickets),
-		UpstreamTimeout: s.UpstreamTimeout, UnreadRetention: s.KeptAnswerTime, DrainTimeout: s.DrainTimeout,
+		UpstreamTimeout: s.UpstreamTimeout, UnreadRetention: s.KeptAnswerTime, DrainDelay: s.DrainDelay, DrainTimeout: s.DrainTimeout,
 		Listener: listeners[0],
 		Observed: func(host string, version uint64) { keeper.Observe(host, version) },
 	})
--- a/cli/controllers.go
+++ b/cli/controllers.go
@@ -84,7 +84,7 @@
 // under the rules in force.
 func (p *process) startControllers(ctx context.Context, keeper *configuration.Controller) func() {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	members := membership.New(membership.Options{Board: p.board, List: p.api, Log: p.log})
+	members := membership.New(membership.Options{Board: p.board, List: p.api, Log: p.log, Probe: keeper.Probe})
 	publishCounters("membership", members.Vars())
 	var wg sync.WaitGroup
 	wg.Go(func() { p.watchReadiness(ctx) })
--- a/controllers/configuration/spread.go
+++ b/controllers/configuration/spread.go
@@ -141,6 +141,17 @@
 	return reply.ConfigVersion, true
 }
 
+// Probe asks a host for its incarnation and whether it is leaving, and writes
+// both to the board.
+func (c *Controller) Probe(ctx context.Context, host string) {
+	if c.opts.Peers == nil {
+		return
+	}
+	if peer, err := c.opts.Peers.Peer(host); err == nil {
+		_, _ = c.hello(ctx, host, peer)
+	}
+}
+
 func (c *Controller) noteHello(host string, reply wire.HelloReply) {
 	c.notePeer(host, reply.Meta)
 	if reply.Leaving {
--- a/controllers/membership/membership.go
+++ b/controllers/membership/membership.go
@@ -21,6 +21,9 @@
 	// DefaultBytesPerSecond is what polls of a long list may cost: they are
 	// stretched to keep it.
 	DefaultBytesPerSecond = 2 << 10
+	// probeInterval is the mean time between questions to a host that said it is
+	// leaving while the list has it as live: its slot may have a new process.
+	probeInterval = 5 * time.Second
 	// expireInterval is the time between checks for holds that ended.
 	expireInterval = 250 * time.Millisecond
 	// callTimeout limits one poll.
@@ -34,9 +37,10 @@
 	Board          *board.Board
 	List           platform.HostList
 	Log            log.Interface
-	Random         func() float64 // within 0 and 1; nil means schedule.Random
-	Interval       time.Duration  // 0 means DefaultInterval
-	BytesPerSecond int            // 0 means DefaultBytesPerSecond
+	Random         func() float64                         // within 0 and 1; nil means schedule.Random
+	Probe          func(ctx context.Context, host string) // asks a host for its incarnation and writes it to the board; nil: none is asked
+	Interval       time.Duration                          // 0 means DefaultInterval
+	BytesPerSecond int                                    // 0 means DefaultBytesPerSecond
 }
 
 // Counters count what the controller did.
@@ -79,6 +83,9 @@
 // Run polls until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	go c.expire(ctx)
+	if c.opts.Probe != nil {
+		go c.probe(ctx)
+	}
 	failures := 0
 	for {
 		size, err := c.poll(ctx)
@@ -135,3 +142,14 @@
 		c.opts.Board.Expire()
 	}
 }
+
+// probe asks the hosts whose own word stands against the list.
+func (c *Controller) probe(ctx context.Context) {
+	for schedule.Sleep(ctx, schedule.Jitter(probeInterval, c.opts.Random())) {
+		for _, h := range c.opts.Board.Hosts() {
+			if h.ListedLive && h.Leaving {
+				c.opts.Probe(ctx, h.Name)
+			}
+		}
+	}
+}
--- a/controllers/membership/membership_test.go
+++ b/controllers/membership/membership_test.go
@@ -65,3 +65,33 @@
 		})
 	}
 }
+
+// A process says it is leaving; its successor in the same slot has the same
+// address, so that the list shows no change. Asking finds it.
+func TestSuccessorInTheSameSlotIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p, b, incarnation := memory.New(), board.New(), "1"
+		p.SetHosts(rows(1, platform.HostLive))
+		probe := func(_ context.Context, host string) {
+			kind := board.EvidenceHeard
+			if incarnation == "1" {
+				kind = board.EvidenceLeaving
+			}
+			b.ObservePeer(board.Evidence{Host: host, Kind: kind, Incarnation: incarnation})
+		}
+		c := New(Options{Board: b, List: p, Log: &log.Logger{Handler: discard.New()}, Probe: probe})
+		done := make(chan struct{})
+		go func() { defer close(done); c.Run(ctx) }()
+		time.Sleep(time.Second)
+		probe(ctx, "host-0000")
+		time.Sleep(time.Minute)
+		must.False(t, b.Hosts()[0].Choosable())
+		incarnation = "2"
+		time.Sleep(2 * probeInterval)
+		must.True(t, b.Hosts()[0].Choosable())
+		cancel()
+		<-done
+		synctest.Wait()
+	})
+}
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -20,6 +20,7 @@
 	WindowDuration  time.Duration // of a ticket window
 	WindowsKept     int64         // windows whose tickets are remembered
 	MaxTickets      int64         // tickets remembered
+	DrainDelay      time.Duration // how long a draining agent refuses new work at least
 }
 
 // ParseAgent reads the settings of an agent from its arguments and the
@@ -66,6 +67,7 @@
 	s.duration(&a.WindowDuration, "window-duration", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket window stays open")
 	s.number(&a.WindowsKept, "windows-kept", 6, 1, 1000, "windows", "windows whose tickets are remembered, the open one included")
 	s.number(&a.MaxTickets, "max-tickets", 100_000, 1, 1<<30, "tickets", "most tickets remembered")
+	s.duration(&a.DrainDelay, "drain-delay", 3*time.Second, 0, time.Hour, "how long a draining agent answers and refuses new work at least, for the routers to notice")
 	a.process(s)
 	return s
 }
