--- a/controllers/membership/membership_test.go
+++ b/controllers/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,12 +72,13 @@
 func TestSuccessorInTheSameSlotIsFound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		p, b, incarnation := memory.New(), board.New(), "1"
+		p, b := memory.New(), board.New()
+		var replaced atomic.Bool
 		p.SetHosts(rows(1, platform.HostLive))
 		probe := func(_ context.Context, host string) {
-			kind := board.EvidenceHeard
-			if incarnation == "1" {
-				kind = board.EvidenceLeaving
+			kind, incarnation := board.EvidenceLeaving, "1"
+			if replaced.Load() {
+				kind, incarnation = board.EvidenceHeard, "2"
 			}
 			b.ObservePeer(board.Evidence{Host: host, Kind: kind, Incarnation: incarnation})
 		}
@@ -87,7 +89,7 @@
 		probe(ctx, "host-0000")
 		time.Sleep(time.Minute)
 		must.False(t, b.Hosts()[0].Choosable())
-		incarnation = "2"
+		replaced.Store(true)
 		time.Sleep(2 * probeInterval)
 		must.True(t, b.Hosts()[0].Choosable())
 		cancel()
