--- a/controllers/configuration/configuration_test.go
+++ b/controllers/configuration/configuration_test.go
@@ -180,6 +180,18 @@
 	})
 }
 
+// A peer that was paused between making an update and sending it brings an old
+// version to a process that has none.
+func TestOfferThatItsSenderHasLeftIsNotTaken(t *testing.T) {
+	encoded, err := config.Encode(&config.Config{Version: 4})
+	must.NoError(t, err)
+	for sender, want := range map[uint64]uint64{4: 4, 5: 0} {
+		c := New(Options{Board: board.New(), Role: platform.RoleAgent})
+		c.ServeOffer(wire.OfferArgs{Meta: wire.Meta{ConfigVersion: sender}, ConfigUpdate: wire.ConfigUpdate{Version: 4, Encoded: encoded}})
+		must.Eq(t, want, c.opts.Board.ConfigVersion())
+	}
+}
+
 func TestTopologyConnectsAllRoutersAndAgents(t *testing.T) {
 	for _, tc := range [][2]int{{1, 5}, {2, 5}, {3, 5}, {12, 5}, {50, 5}, {50, 50}} {
 		routers, domains := tc[0], tc[1]
--- a/controllers/configuration/serve.go
+++ b/controllers/configuration/serve.go
@@ -29,10 +29,14 @@
 	return wire.ConfigReply{ConfigUpdate: update}, err
 }
 
-// ServeOffer takes a version that a peer brings. The caller fills in Meta of the
+// ServeOffer takes a version that a peer brings, unless the peer itself has
+// since adopted a later one: it may have been paused, and a process that starts
+// anew must not begin with a version that others have left. The caller fills in Meta of the
 // reply afterwards, so that it tells the version now in force; the peer sees
 // from it whether the offer did fit.
 func (c *Controller) ServeOffer(args wire.OfferArgs) wire.OfferReply {
-	_ = c.adoptUpdate(args.ConfigUpdate, args.From)
+	if args.ConfigVersion <= args.Version {
+		_ = c.adoptUpdate(args.ConfigUpdate, args.From)
+	}
 	return wire.OfferReply{}
 }
