--- a/agent/drain_test.go
+++ b/agent/drain_test.go
@@ -21,6 +21,11 @@
 	before := counters.Get("drain_timeouts")
 	a.drain()
 	must.Eq(t, before, counters.Get("drain_timeouts"))
+	a.opts.DrainQuiet, a.opts.DrainTimeout = 30*time.Millisecond, time.Minute
+	began := time.Now()
+	a.drain()
+	must.GreaterEq(t, a.opts.DrainQuiet, time.Since(began))
+	a.opts.DrainQuiet, a.opts.DrainTimeout = 0, 20*time.Millisecond
 	a.admitting.Add(1)
 	a.drain()
 	must.NotNil(t, counters.Get("drain_timeouts"))
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -39,6 +39,7 @@
 	for name, steps := range map[string][]step{
 		"the list says leaving":   {{lists(live), true}, {lists(rowOf("e", platform.HostLeaving)), false}, {sees(EvidenceAlive, "1"), false}},
 		"its own word":            {{lists(live), true}, {sees(EvidenceLeaving, "1"), false}, {lists(live), false}, {sees(EvidenceAlive, "1"), false}, {sees(EvidenceAlive, "2"), true}, {sees(EvidenceLeaving, "1"), true}},
+		"replaced elsewhere":      {{lists(live), true}, {sees(EvidenceLeaving, "1"), false}, {lists(moved), true}, {sees(EvidenceLeaving, "1"), true}, {sees(EvidenceHeard, "2"), true}},
 		"missing in the list":     {{lists(live, other), true}, {lists(other), false}, {lists(live, other), true}},
 		"a list without agents":   {{lists(live), true}, {lists(platform.Host{Name: "r", Role: platform.RoleRouter}), true}, {lists(), true}},
 		"a flap keeps own words":  {{lists(live, other), true}, {sees(EvidenceLeaving, "1"), false}, {lists(other), false}, {lists(live, other), false}},
--- a/board/host.go
+++ b/board/host.go
@@ -171,6 +171,7 @@
 	platform.Host
 	Listed        bool          // the last host list has it
 	Leaving       bool          // by the list, by its own word, or by its absence from the list
+	ListedLive    bool          // the last host list has it as live
 	Held          time.Duration // how long it is not to be chosen after it refused; 0 if it may be
 	Incarnation   string        // that last answered; empty if none did
 	ConfigVersion uint64        // that it last reported; 0 if none
@@ -187,6 +188,7 @@
 		Host:          e.listed.Value,
 		Listed:        e.present,
 		Leaving:       e.leaving(now),
+		ListedLive:    e.present && e.listed.Value.State == platform.HostLive,
 		Held:          max(0, e.holdUntil-now),
 		Incarnation:   e.own.Value.incarnation,
 		ConfigVersion: e.own.Value.configVersion,
--- a/controllers/membership/membership_test.go
+++ b/controllers/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,3 +66,34 @@
 		})
 	}
 }
+
+// A process says it is leaving; its successor in the same slot has the same
+// address, so that the list shows no change. Asking finds it.
+func TestSuccessorInTheSameSlotIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p, b := memory.New(), board.New()
+		var replaced atomic.Bool
+		p.SetHosts(rows(1, platform.HostLive))
+		probe := func(_ context.Context, host string) {
+			kind, incarnation := board.EvidenceLeaving, "1"
+			if replaced.Load() {
+				kind, incarnation = board.EvidenceHeard, "2"
+			}
+			b.ObservePeer(board.Evidence{Host: host, Kind: kind, Incarnation: incarnation})
+		}
+		c := New(Options{Board: b, List: p, Log: &log.Logger{Handler: discard.New()}, Probe: probe})
+		done := make(chan struct{})
+		go func() { defer close(done); c.Run(ctx) }()
+		time.Sleep(time.Second)
+		probe(ctx, "host-0000")
+		time.Sleep(time.Minute)
+		must.False(t, b.Hosts()[0].Choosable())
+		replaced.Store(true)
+		time.Sleep(2 * probeInterval)
+		must.True(t, b.Hosts()[0].Choosable())
+		cancel()
+		<-done
+		synctest.Wait()
+	})
+}
--- a/router/pools.go
+++ b/router/pools.go
@@ -62,8 +62,8 @@
 
 // Choosable tells whether there is an upstream to choose for any service.
 func (r *Router) Choosable() bool {
-	for _, picker := range *r.pools.Load() {
-		if picker.Len() > 0 {
+	for _, p := range *r.pools.Load() {
+		if p.picker.Len() > 0 {
 			return true
 		}
 	}
--- a/router/pools_test.go
+++ b/router/pools_test.go
@@ -57,8 +57,10 @@
 			budgets: map[string]*retry.Budget{"model": retry.NewBudget(retry.Options{Ratio: 0.001, Burst: tc.burst})},
 		}
 		var got []bool
-		ch := &chooser{picker: place.NewPicker(place.Options{LoadMultiple: 2}, candidates)}
-		q := &request{service: &config.Service{ID: "model"}, mayRepeat: true}
+		q := &request{service: &config.Service{ID: "model"}, customer: &config.Customer{}, mayRepeat: true}
+		p := &pool{picker: place.NewPicker(place.Options{LoadMultiple: 2}, candidates)}
+		r.pools.Store(&pools{"model": p})
+		ch := &chooser{router: r, request: q, pool: p, allowed: p.picker.Allow(func(place.Candidate) bool { return true })}
 		err := r.attempts(context.Background(), q, ch, func(_ place.Candidate, mayQueue bool) error {
 			got = append(got, mayQueue)
 			return &refusedError{reason: wire.ReasonOverload}
