Never say not run or not started of a call that is forgotten

Two answers were untrue. A key whose first call had run was answered with not run when no upstream could be drawn for its repeat, because the draw came before the claim was read; now the claim is read first when the draw fails. The outcome of a ticket that ran and whose window had passed was told as not started; the agent now gets the ticket with the question and says may have run. Both tests were first seen failing with the fix taken out (an error of the draw in place of the bound ticket; 202 not-started in place of 502).

--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -84,7 +84,7 @@
 	}
 	ans := a.answers.get(args.Request)
 	if ans == nil || ans.customer != args.Customer {
-		reply.Verdict = a.unknown(args.Request)
+		reply.Verdict = a.unknown(args)
 		return
 	}
 	ans.read(args.Offset, min(args.Wait, maxReadWait), reply)
@@ -94,11 +94,15 @@
 }
 
 // unknown returns the verdict on a request whose answer is not kept.
-func (a *Agent) unknown(request string) wire.Verdict {
+func (a *Agent) unknown(args *wire.ReadArgs) wire.Verdict {
+	t, err := a.opts.Signer.Open(args.Ticket)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch a.ledger.Phase(request) {
+	switch a.ledger.Phase(args.Request) {
 	case ticket.PhaseUnknown:
+		if err == nil && a.ledger.Forgotten(t) {
+			return wire.VerdictMayHaveRun
+		}
 		return wire.VerdictUnknown
 	case ticket.PhaseHeld:
 		return wire.VerdictKnown
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -85,15 +85,30 @@
 
 // Bind returns the ticket to which id is bound. An unbound id is bound to one
 // from draw by a conditional create: one platform call where the key is new.
-// It fails with ErrMismatch, ErrUnavailable or draw's error.
+// It fails with ErrMismatch, ErrUnavailable or, where the key is not bound,
+// draw's error.
 func (b *Binder) Bind(ctx context.Context, id ID, draw Draw) (string, error) {
 	sealed, err := draw()
 	if err != nil {
-		return "", err
+		return b.bound(ctx, id, err)
 	}
 	return b.settle(ctx, id, Claim{Digest: id.Digest, Ticket: sealed}, 0)
 }
 
+// bound returns the ticket to which id is bound, or undrawn if there is none:
+// only then is it certain that no earlier call with the key has run.
+func (b *Binder) bound(ctx context.Context, id ID, undrawn error) (string, error) {
+	claim, _, err := b.read(ctx, id)
+	switch {
+	case err == nil:
+		return b.accept(id, claim)
+	case errors.Is(err, platform.ErrNotFound):
+		return "", undrawn
+	default:
+		return "", unavailable(err)
+	}
+}
+
 // Rebind binds id to a ticket from draw in place of spent, a ticket that has
 // never run and never will. Where another call was faster, its ticket is
 // returned. It fails like Bind.
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -92,3 +92,22 @@
 	must.NoError(t, err)
 	must.Eq(t, "a2", sealed)
 }
+
+func TestBoundKeyNeedsNoDraw(t *testing.T) {
+	server, store := newStore(t)
+	b := claims.New(claims.Options{Store: store, Pause: time.Millisecond})
+	id := claims.ID{Customer: "rice", Service: "share-ledger", Key: "k", Digest: "d"}
+	errDraw := errors.New("no upstream")
+	failing := func() (string, error) { return "", errDraw }
+	_, err := b.Bind(context.Background(), id, failing)
+	must.ErrorIs(t, err, errDraw)
+	a, _ := drawer("a")
+	first, err := b.Bind(context.Background(), id, a)
+	must.NoError(t, err)
+	again, err := b.Bind(context.Background(), id, failing)
+	must.NoError(t, err, must.Sprint("the earlier call may have run: its ticket must be found"))
+	must.Eq(t, first, again)
+	server.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+	_, err = b.Bind(context.Background(), id, failing)
+	must.True(t, errors.Is(err, claims.ErrUnavailable))
+}
--- a/decide/ticket/ledger.go
+++ b/decide/ticket/ledger.go
@@ -95,6 +95,13 @@
 	return PhaseUnknown
 }
 
+// Forgotten tells whether the ledger keeps no record of t whether or not t
+// started: t is of another incarnation or of a passed window.
+func (l *Ledger) Forgotten(t Ticket) bool {
+	d, _ := l.foreign(t)
+	return d == DecisionMayHaveRun
+}
+
 // Advance opens the next window and forgets the records of the window that
 // passes. A ticket held in it can no longer start.
 func (l *Ledger) Advance() {
--- a/router/tickets.go
+++ b/router/tickets.go
@@ -143,6 +143,7 @@
 	args := &wire.ReadArgs{
 		Meta:     r.Meta(),
 		Request:  op.ticket.Nonce,
+		Ticket:   op.sealed,
 		Customer: op.ticket.Customer,
 		Holder:   op.ticket.Incarnation,
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -91,6 +91,7 @@
 type ReadArgs struct {
 	Meta
 	Request  string
+	Ticket   string // encoded; tells a ticket that never came from one that is forgotten
 	Customer string
 	Holder   string // incarnation that the reader expects to hold the request
 	Offset   int64
