--- a/decide/ticket/ticket.go
+++ b/decide/ticket/ticket.go
@@ -11,6 +11,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"strings"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
@@ -87,8 +88,9 @@
 	if len(encoded) > MaxEncodedBytes {
 		return Ticket{}, ErrInvalid
 	}
+	// The decoder skips line ends: they are refused, so that a ticket has one encoding.
 	raw, err := encoding.DecodeString(encoded)
-	if err != nil || len(raw) < sha256.Size {
+	if err != nil || len(raw) < sha256.Size || strings.ContainsAny(encoded, "\r\n") {
 		return Ticket{}, ErrInvalid
 	}
 	payload := raw[sha256.Size:]
--- a/router/keyed_test.go
+++ b/router/keyed_test.go
@@ -19,7 +19,7 @@
 
 // newKeyedPair starts two routers that know different replicas, so that only
 // the claim can bring a key's calls together.
-func newKeyedPair(t *testing.T) (*platform.Server, [2]*service.Server, [2]*fleettest.Router) {
+func newKeyedPair(t testing.TB) (*platform.Server, [2]*service.Server, [2]*fleettest.Router) {
 	store := platform.New(platform.Options{})
 	web := httptest.NewServer(store)
 	t.Cleanup(web.Close)
