--- a/decide/ticket/ticket_test.go
+++ b/decide/ticket/ticket_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -67,3 +70,38 @@
 	must.Eq(t, DecisionMayHaveRun, l.Submit(other, "d"))
 	must.Eq(t, DecisionInvalid, l.Submit(future, "d"))
 }
+
+// BenchmarkLedger submits, starts and finishes tickets, and reports the memory
+// of one record.
+func BenchmarkLedger(b *testing.B) {
+	l := NewLedger(Options{Incarnation: "a", MaxRecords: b.N})
+	nonces := make([]string, b.N)
+	for i := range nonces {
+		nonces[i] = fmt.Sprintf("%032x", i)
+	}
+	digest := BodyDigest("POST", "/", "", nil)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	b.ResetTimer()
+	for _, nonce := range nonces {
+		l.Submit(testTicket(nonce), strings.Clone(digest))
+		l.Start(nonce)
+		l.Finish(nonce, OutcomeAnswered)
+	}
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "B/record")
+	runtime.KeepAlive(l)
+}
+
+func BenchmarkOpen(b *testing.B) {
+	s, err := NewSigner(testKey)
+	must.NoError(b, err)
+	sealed, err := s.Seal(testTicket("n"))
+	must.NoError(b, err)
+	for b.Loop() {
+		_, _ = s.Open(sealed)
+	}
+}
--- a/router/tickets.go
+++ b/router/tickets.go
@@ -58,9 +58,9 @@
 	case errors.Is(err, errBadTicket):
 		r.fail(w, problem.Problem{Status: http.StatusBadRequest, Code: problem.CodeBadTicket, Outcome: problem.OutcomeNotRun, Detail: "header " + HeaderTicket + ": not a ticket of this customer and service"})
 	case errors.Is(err, errDigestMismatch):
-		r.fail(w, problem.Problem{Status: http.StatusUnprocessableEntity, Code: problem.CodeTicketMismatch, Outcome: problem.OutcomeNotRun, Detail: "the ticket belongs to a request with another method, path, query or body"})
+		r.fail(w, problem.Problem{Status: http.StatusUnprocessableEntity, Code: problem.CodeTicketMismatch, Outcome: problem.OutcomeNotRun, Detail: "this call was not run: its ticket belongs to a call with another method, path, query or body, which keeps its own outcome"})
 	case errors.Is(err, claims.ErrMismatch):
-		r.fail(w, problem.Problem{Status: http.StatusUnprocessableEntity, Code: problem.CodeTicketMismatch, Outcome: problem.OutcomeNotRun, Detail: "the idempotency key was first used for a request with another method, path, query or body"})
+		r.fail(w, problem.Problem{Status: http.StatusUnprocessableEntity, Code: problem.CodeTicketMismatch, Outcome: problem.OutcomeNotRun, Detail: "this call was not run: its idempotency key was first used for a call with another method, path, query or body, which keeps its own outcome"})
 	case errors.Is(err, claims.ErrUnavailable):
 		// An earlier call with the same key may have run, through any router.
 		p := r.mayHaveRun(http.StatusServiceUnavailable, "", "this call was not run: the platform does not answer for its idempotency key; an earlier call with the key may have run. Repeat with the same key")
