Delete old claims by marks of the platform's versions

Claims stayed for ever. A mark is an update of one object by a process that has seen the last mark stand for six hours by its monotonic clock; claims with a version below the oldest of 122 marks go. A time of creation in the claim was ruled out: it trusts clocks, and costs a read a claim. The test was first seen failing with the newest mark in the oldest one's place.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -144,7 +144,7 @@
 		if readErr == nil && now != version {
 			return b.accept(id, standing)
 		}
-		if try >= b.opts.Tries || !b.pause(ctx) {
+		if try >= b.opts.Tries || !sleep(ctx, b.opts.Pause) {
 			return "", unavailable(err)
 		}
 	}
@@ -171,17 +171,6 @@
 	return claim, object.Version, nil
 }
 
-func (b *Binder) pause(ctx context.Context) bool {
-	timer := time.NewTimer(b.opts.Pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func unavailable(err error) error {
 	return errors.Mark(errors.Wrap(err, "claims: bind key"), ErrUnavailable)
 }
--- a/cli/router.go
+++ b/cli/router.go
@@ -69,6 +69,7 @@
 	defer p.startControllers(ctx, keeper)()
 	exchange := load.ExchangeOptions{Host: s.Host, Caller: load.PoolCaller{Pool: p.pool}}
 	defer runUntil(ctx, func(ctx context.Context) { collectors.Run(ctx, exchange) })()
+	defer runUntil(ctx, claims.NewSweeper(claims.SweeperOptions{Store: p.api}).Run)()
 	p.announceStart(s.Listen)
 	serving, cancel := p.untilDrain(ctx)
 	defer cancel()
