--- a/router/fuzz_test.go
+++ b/router/fuzz_test.go
@@ -37,28 +37,37 @@
 	})
 }
 
-// An event identifier that is taken names a byte at or after the first.
+// An event identifier that is taken names a byte at or after the first, and is
+// the same once written again.
 func FuzzEventID(f *testing.F) {
-	for _, seed := range []string{eventID("a", 0), "a.-1", "a", ".5", "a.b.9", "a.9223372036854775808", "a.+1"} {
+	for _, seed := range []string{eventID("a", 0), "a.-1", "a", ".5", "a.b.9", "a.9223372036854775808", "a.+1", "", "r.1.2", ".", "r.9223372036854775808"} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, id string) {
-		if _, offset, err := parseEventID(id); err == nil {
-			must.GreaterEq(t, 0, offset)
+		request, offset, err := parseEventID(id)
+		if err != nil {
+			return
 		}
+		must.GreaterEq(t, 0, offset)
+		again, same, err := parseEventID(eventID(request, offset))
+		must.NoError(t, err)
+		must.Eq(t, request, again)
+		must.Eq(t, offset, same)
 	})
 }
 
-// No value that this fleet did not seal opens as a chat token.
+// No value that this fleet did not seal opens as a chat token, and no ticket.
 func FuzzChatToken(f *testing.F) {
 	signer, err := ticket.NewSigner([]byte("a-ticket-key-of-thirty-two-bytes"))
 	must.NoError(f, err)
 	r := &Router{opts: Options{Signer: signer}}
 	sealed, err := r.sealToken(handle{address: "127.0.0.1:1", host: "h", holder: "i", request: "q", customer: "c"})
 	must.NoError(f, err)
-	f.Add(sealed)
-	f.Add(sealed[:len(sealed)-1])
-	f.Add("")
+	other, err := signer.Seal(ticket.Ticket{Service: "ledger", Incarnation: "i", Window: 1, Nonce: "n"})
+	must.NoError(f, err)
+	for _, seed := range []string{sealed, sealed[:len(sealed)-1], sealed[2:], sealed + "\n", other, ""} {
+		f.Add(seed)
+	}
 	f.Fuzz(func(t *testing.T, value string) {
 		if _, err := r.openToken(value); err == nil {
 			must.Eq(t, sealed, value)
