Take both orders of a submission and its revoke for right

Cause: TestAgentPausedAndWoken expected that a ticket submitted to a paused agent has run once it is woken. The submission and the router's revoke both wait in the paused process and either may be taken first; the caller was told may-have-run, which is true of both. The test now holds each answer against the count: answered means one run, not-run means none; the other ticket must still be answered with one run. Ruled out: a run after a not-run answer (0 seen). Conclusion: as strict on what is promised, without betting on an order.

--- a/e2e/kill_test.go
+++ b/e2e/kill_test.go
@@ -160,9 +160,17 @@
 	draw(ctx, t, "router-2") // the woken process answers
 	for operation, ticket := range map[string]string{"k-pause-during": during, "k-pause-before": before} {
 		a := post(ctx, "router-2", operation, ticketHeader, ticket)
-		t.Logf("%s: status %d", operation, a.Status)
-		must.Eq(t, http.StatusOK, a.Status, must.Sprintf("%s", a.Body))
-		must.Eq(t, 1, loneRuns(ctx, t, operation))
+		runs := loneRuns(ctx, t, operation)
+		t.Logf("%s: status %d, %d runs", operation, a.Status, runs)
+		if a.Status == http.StatusOK {
+			must.Eq(t, 1, runs)
+			continue
+		}
+		// The submission and its revoke waited in the paused process: either may
+		// come first.
+		must.Eq(t, "k-pause-before", operation)
+		must.Eq(t, "not-run", outcomeOf(t, a), must.Sprintf("%s", a.Body))
+		must.Eq(t, 0, runs)
 	}
 }
 
