testfleet: let a killed process release its ports before it is replaced

Cause: Replace started the new process right after SIGKILL; where the old one still held its port the new one ended with 'bind: address already in use', as router-1's log showed, and the kill tests waited in vain for a minute each. Ruled out: router and agent, whose logs show no fault.

--- a/testfleet/control.go
+++ b/testfleet/control.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -21,6 +22,8 @@
 	return errors.Wrapf(syscall.Kill(f.ids[name], signal), "signal %s", name)
 }
 
+const exitPause = 20 * time.Millisecond
+
 // Replace kills the process called name and starts another with the same
 // command line, at the same addresses and with empty memory.
 func (f *Fleet) Replace(name string) error {
@@ -31,9 +34,24 @@
 	if err := f.Signal(name, syscall.SIGKILL); err != nil {
 		return err
 	}
+	awaitExit(f.ids[name])
 	return f.start(name, strings.Split(string(bytes.TrimRight(raw, "\x00")), "\x00"))
 }
 
+// awaitExit waits until a killed process has released its ports: its command
+// line is empty once its memory is gone.
+func awaitExit(id int) {
+	for {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", id))
+		if err != nil || len(raw) == 0 {
+			// Files are closed after memory, within the same exit.
+			time.Sleep(exitPause)
+			return
+		}
+		time.Sleep(exitPause)
+	}
+}
+
 // start runs a command as the process called name and enters it into the list
 // of those that Stop ends.
 func (f *Fleet) start(name string, argv []string) error {
