--- a/router/claims_fault_test.go
+++ b/router/claims_fault_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -125,3 +126,30 @@
 		})
 	}
 }
+
+// TestRevokeRacesWithStart sends and revokes tickets at the same time: one of
+// the two wins, and both callers are told so.
+func TestRevokeRacesWithStart(t *testing.T) {
+	const operations = 200
+	_, services, routers := newKeyedPair(t)
+	var c tally
+	for i := range operations {
+		op := fmt.Sprint("op", i)
+		drawn := routers[0].Do(t, "POST", "/v1/tickets", `{"service":"share-ledger"}`, nil).Header.Get(router.HeaderTicket)
+		var sent, revoked fleettest.Answer
+		var calls sync.WaitGroup
+		calls.Go(func() {
+			sent = routers[0].Do(t, "POST", transfers, `{"operation":"`+op+`"}`, map[string]string{router.HeaderTicket: drawn})
+		})
+		calls.Go(func() {
+			time.Sleep(time.Duration(i%20) * 50 * time.Microsecond)
+			revoked = routers[1].Do(t, "DELETE", "/v1/tickets/"+drawn, "", nil)
+		})
+		calls.Wait()
+		runs := services[0].Runs()[op]
+		c.add(sent, runs)
+		must.Eq(t, revoked.Status == 204, runs == 0, must.Sprint(op, ": ", revoked.Status, " ", revoked.Body))
+	}
+	t.Logf("%d operations: %d answered, %d not run, %d may have run", operations, c.answered, c.notRun, c.mayHaveRun)
+	must.Eq(t, 0, c.violations)
+}
