Offer a version up to eight times while no later one is in force

TestChangeReachesAllWithDelayAndLoss failed once under the race detector: one agent of 48 was not at the version after 12 s at 20 % loss each way, three offers of each of its two routers and their exchanges having failed. Offers end when a later version is in force, so that silent peers do not use up the slots. The test is unchanged.

--- a/controllers/configuration/spread.go
+++ b/controllers/configuration/spread.go
@@ -16,7 +16,7 @@
 const directOfferBytes = 2 << 10
 
 const (
-	offerAttempts = 3                      // offers of one version to one peer
+	offerAttempts = 8                      // offers of one version to one peer
 	offerPause    = 200 * time.Millisecond // mean time between them
 )
 
@@ -63,11 +63,13 @@
 	}
 }
 
-// offerNew offers a version that was just adopted, again if it fails.
+// offerNew offers a version that was just adopted, again if it fails, until a
+// later one is in force, which has offers of its own.
 func (c *Controller) offerNew(ctx context.Context, host string, version uint64) {
 	for range offerAttempts {
 		c.offerNewOnce(ctx, host)
-		if view, _ := c.opts.Board.Host(host); view.ConfigVersion >= version {
+		view, _ := c.opts.Board.Host(host)
+		if view.ConfigVersion >= version || c.opts.Board.ConfigVersion() > version {
 			return
 		}
 		if !schedule.Sleep(ctx, schedule.Jitter(offerPause, c.opts.Random())) {
