--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 MODULES := . ./experiment ./standin
 GO      := go
 
-.PHONY: bench-loadunit bench-placement bench-overload bench-mean spec-large check build fmt vet lint test spec known-red demo bench clean setup
+.PHONY: check build fmt vet lint test spec spec-large known-red setup demo clean \
+	bench bench-capacity bench-loadunit bench-mean bench-overload bench-placement capacity
 
 check: setup fmt vet lint build test spec known-red
 
@@ -25,7 +26,7 @@
 	@for m in $(MODULES); do (cd $$m && $(GO) test -race ./...) || exit 1; done
 
 spec:
-	@if [ -x spec/check ]; then spec/check; fi
+	spec/check
 
 spec-large:
 	spec/check large
@@ -42,6 +43,14 @@
 bench-mean:
 	cd experiment && $(GO) run ./cmd/bench-mean -out ../docs
 
+# Measures the slopes of state, then writes the tables of docs/CAPACITY.md.
+bench-capacity:
+	cd experiment && $(GO) run ./cmd/capacity -measure -docs ../docs
+
+# Writes the tables of docs/CAPACITY.md from the slopes at hand.
+capacity:
+	cd experiment && $(GO) run ./cmd/capacity -docs ../docs
+
 known-red:
 	@cat KNOWN-RED.txt
 
--- a/agent/options.go
+++ b/agent/options.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"net"
 	"net/url"
 	"time"
@@ -65,27 +66,20 @@
 
 // withDefaults returns o with zero values replaced.
 func (o Options) withDefaults() Options {
-	setDefault(&o.KeptAnswerBytes, DefaultKeptAnswerBytes)
-	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	setDefault(&o.MaxRunning, DefaultMaxRunning)
-	setDefault(&o.MaxQueued, DefaultMaxQueued)
-	setDefault(&o.MaxQueueWait, DefaultMaxQueueWait)
-	setDefault(&o.WindowDuration, DefaultWindowDuration)
-	setDefault(&o.Windows, DefaultWindows)
-	setDefault(&o.MaxRecords, DefaultMaxRecords)
-	setDefault(&o.UpstreamTimeout, DefaultUpstreamTimeout)
-	setDefault(&o.UnreadRetention, DefaultUnreadRetention)
-	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
-	setDefault(&o.DrainQuiet, DefaultDrainQuiet)
+	o.KeptAnswerBytes = cmp.Or(o.KeptAnswerBytes, DefaultKeptAnswerBytes)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.MaxRunning = cmp.Or(o.MaxRunning, DefaultMaxRunning)
+	o.MaxQueued = cmp.Or(o.MaxQueued, DefaultMaxQueued)
+	o.MaxQueueWait = cmp.Or(o.MaxQueueWait, DefaultMaxQueueWait)
+	o.WindowDuration = cmp.Or(o.WindowDuration, DefaultWindowDuration)
+	o.Windows = cmp.Or(o.Windows, DefaultWindows)
+	o.MaxRecords = cmp.Or(o.MaxRecords, DefaultMaxRecords)
+	o.UpstreamTimeout = cmp.Or(o.UpstreamTimeout, DefaultUpstreamTimeout)
+	o.UnreadRetention = cmp.Or(o.UnreadRetention, DefaultUnreadRetention)
+	o.DrainTimeout = cmp.Or(o.DrainTimeout, DefaultDrainTimeout)
+	o.DrainQuiet = cmp.Or(o.DrainQuiet, DefaultDrainQuiet)
 	if o.Observed == nil {
 		o.Observed = func(string, uint64) {}
 	}
 	return o
 }
-
-func setDefault[T comparable](p *T, value T) {
-	var zero T
-	if *p == zero {
-		*p = value
-	}
-}
--- a/decide/eject/eject.go
+++ b/decide/eject/eject.go
@@ -6,6 +6,7 @@
 package eject
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -33,21 +34,14 @@
 const firstWeight = 0.1
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Base, DefaultBase)
-	setDefault(&o.Max, DefaultMax)
-	setDefault(&o.Forget, DefaultForget)
-	setDefault(&o.Return, DefaultReturn)
-	setDefault(&o.Ceiling, DefaultCeiling)
+	o.Base = cmp.Or(o.Base, DefaultBase)
+	o.Max = cmp.Or(o.Max, DefaultMax)
+	o.Forget = cmp.Or(o.Forget, DefaultForget)
+	o.Return = cmp.Or(o.Return, DefaultReturn)
+	o.Ceiling = cmp.Or(o.Ceiling, DefaultCeiling)
 	return o
 }
 
-func setDefault[T comparable](p *T, value T) {
-	var zero T
-	if *p == zero {
-		*p = value
-	}
-}
-
 // Record is what is held against one host. The zero Record holds nothing. It is
 // not safe for concurrent use.
 type Record struct {
--- a/experiment/capacity/size.go
+++ b/experiment/capacity/size.go
@@ -28,7 +28,7 @@
 
 // Shares of one node at the design size.
 const (
-	TokensPerRouter    = TokensPerSecond / Routers
+	TokensPerRouter    = float64(TokensPerSecond) / Routers
 	RequestsPerRouter  = float64(RequestsPerSecond) / Routers
 	RequestsPerAgent   = float64(RequestsPerSecond) / Upstreams
 	TokenInterval      = 0.031 // seconds between tokens at p95
--- a/experiment/cmd/capacity/main.go
+++ b/experiment/cmd/capacity/main.go
@@ -6,23 +6,23 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"dandelionrill.example/experiment/capacity"
 )
 
 func main() {
-	measure := flag.Bool("measure", false, "measure the slopes of this command and write them to -measured")
-	measured := flag.String("measured", "docs/capacity/measured.json", "slopes measured by this command")
-	others := flag.String("others", "docs/capacity/others.json", "slopes measured by other commands")
-	page := flag.String("page", "docs/CAPACITY.md", "page to write")
+	measure := flag.Bool("measure", false, "measure the slopes of this command first")
+	docs := flag.String("docs", "docs", "folder of CAPACITY.md and of capacity/measured.json and capacity/others.json")
 	flag.Parse()
-	if err := run(*measure, *measured, *others, *page); err != nil {
+	if err := run(*measure, *docs); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(measure bool, measured, others, page string) error {
+func run(measure bool, docs string) error {
+	measured := filepath.Join(docs, "capacity", "measured.json")
 	if measure {
 		slopes, err := capacity.Measure()
 		if err != nil {
@@ -32,9 +32,9 @@
 			return err
 		}
 	}
-	slopes, err := capacity.Load(measured, others)
+	slopes, err := capacity.Load(measured, filepath.Join(docs, "capacity", "others.json"))
 	if err != nil {
 		return err
 	}
-	return capacity.WritePage(page, slopes)
+	return capacity.WritePage(filepath.Join(docs, "CAPACITY.md"), slopes)
 }
--- a/experiment/cmd/spread/main.go
+++ b/experiment/cmd/spread/main.go
@@ -51,12 +51,14 @@
 	seconds := traffic.Over.Seconds()
 	fmt.Printf("idle: %.2f platform reads a second, %.0f link bytes a second and node\n",
 		float64(traffic.Reads)/seconds, float64(traffic.LinkBytes)/seconds/float64(nodes))
-	return measure(fleet, size, changes, out)
+	rest := float64(traffic.LinkBytes) / seconds
+	return measure(fleet, size, changes, out, rest, nodes)
 }
 
-func measure(fleet *spread.Fleet, size spread.Size, changes int, out bool) error {
+// measure makes changes; rest is the link bytes a second without any.
+func measure(fleet *spread.Fleet, size spread.Size, changes int, out bool, rest float64, nodes int) error {
 	var half, most, all []time.Duration
-	reads := fleet.Reads()
+	reads, bytes, began := fleet.Reads(), fleet.LinkBytes(), time.Now()
 	for i := range changes {
 		var after func()
 		if out {
@@ -74,6 +76,8 @@
 		}
 	}
 	fmt.Printf("changes %d, %.1f platform reads each besides host lists\n", changes, float64(fleet.Reads()-reads)/float64(changes))
+	extra := float64(fleet.LinkBytes()-bytes) - rest*time.Since(began).Seconds()
+	fmt.Printf("link bytes a change and node, above idle: %.0f\n", extra/float64(changes*nodes))
 	show("50 %", half)
 	show("99 %", most)
 	show("100 %", all)
--- a/experiment/spread/measure.go
+++ b/experiment/spread/measure.go
@@ -146,3 +146,7 @@
 	config.Normalize(cfg)
 	return cfg
 }
+
+// LinkBytes returns the bytes read and written on the links so far, both ends
+// counted.
+func (f *Fleet) LinkBytes() int64 { return linkBytes() }
--- a/router/options.go
+++ b/router/options.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/apex/log"
@@ -65,28 +66,21 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	setDefault(&o.Timeout, DefaultTimeout)
-	setDefault(&o.MaxTimeout, DefaultMaxTimeout)
-	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
-	setDefault(&o.LostAfter, DefaultLostAfter)
-	setDefault(&o.DrainTimeout, DefaultDrainTimeout)
-	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&o.HeaderTimeout, DefaultHeaderTimeout)
-	setDefault(&o.BodyTimeout, DefaultBodyTimeout)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.MaxHeaderBytes, DefaultMaxHeaderBytes)
-	setDefault(&o.MaxRequests, DefaultMaxRequests)
+	o.MaxBodyBytes = cmp.Or(o.MaxBodyBytes, DefaultMaxBodyBytes)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.Timeout = cmp.Or(o.Timeout, DefaultTimeout)
+	o.MaxTimeout = cmp.Or(o.MaxTimeout, DefaultMaxTimeout)
+	o.MaxAttempts = cmp.Or(o.MaxAttempts, DefaultMaxAttempts)
+	o.LostAfter = cmp.Or(o.LostAfter, DefaultLostAfter)
+	o.DrainTimeout = cmp.Or(o.DrainTimeout, DefaultDrainTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+	o.HeaderTimeout = cmp.Or(o.HeaderTimeout, DefaultHeaderTimeout)
+	o.BodyTimeout = cmp.Or(o.BodyTimeout, DefaultBodyTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	o.MaxRequests = cmp.Or(o.MaxRequests, DefaultMaxRequests)
 	if o.Observed == nil {
 		o.Observed = func(string, uint64) {}
 	}
 	return o
 }
-
-func setDefault[T comparable](p *T, value T) {
-	var zero T
-	if *p == zero {
-		*p = value
-	}
-}
--- a/settings/router.go
+++ b/settings/router.go
@@ -69,7 +69,7 @@
 	s.duration(&r.RequestTimeout, "request-timeout", time.Minute, time.Second, 24*time.Hour, "deadline of a request whose caller gives none")
 	s.duration(&r.MaxRequestTimeout, "max-request-timeout", 10*time.Minute, time.Second, 24*time.Hour, "longest deadline that a caller may give")
 	s.number(&r.MaxAnswerBytes, "max-answer-bytes", 16<<20, 1<<10, 1<<40, "bytes", "largest answer that is given whole, not as a stream")
-	s.duration(&r.DrainDelay, "drain-delay", 0, 0, time.Hour, "how long a draining router still accepts connections, for the balancer to see that it is not ready")
+	s.duration(&r.DrainDelay, "drain-delay", 3*time.Second, 0, time.Hour, "how long a draining router still accepts connections, for the balancer to see that it is not ready")
 	r.process(s)
 	return s
 }
