--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +15,7 @@
 	"dandelionrill.example/fleet/decide/admit"
 	"dandelionrill.example/fleet/decide/fair"
 	"dandelionrill.example/fleet/decide/ticket"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
@@ -26,9 +25,8 @@
 	// RPCName is the name under which the agent's methods are served.
 	RPCName = "Agent"
 
-	janitorInterval  = time.Second
-	drainPoll        = 20 * time.Millisecond
-	incarnationBytes = 16
+	janitorInterval = time.Second
+	drainPoll       = 20 * time.Millisecond
 
 	// loadFloor is the load that an upstream may always carry.
 	loadFloor = 4
@@ -57,7 +55,7 @@
 	}
 	incarnation := opts.Incarnation
 	if incarnation == "" {
-		incarnation = newIncarnation()
+		incarnation = randid.New()
 	}
 	a := &Agent{
 		opts:        opts,
@@ -76,12 +74,6 @@
 	return a, nil
 }
 
-func newIncarnation() string {
-	var b [incarnationBytes]byte
-	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
-	return hex.EncodeToString(b[:])
-}
-
 // Incarnation identifies this start of the process.
 func (a *Agent) Incarnation() string {
 	return a.incarnation
--- /dev/null
+++ b/agent/revoke.go
@@ -0,0 +1,34 @@
+package agent
+
+import (
+	"dandelionrill.example/fleet/decide/ticket"
+	"dandelionrill.example/fleet/wire"
+)
+
+// Revoke makes sure that a ticket which has not started never does.
+func (s *Service) Revoke(args *wire.RequestArgs, reply *wire.RequestReply) error {
+	a := s.agent
+	a.observe(args.Meta)
+	reply.Verdict = a.revoke(args)
+	reply.Meta = a.Meta()
+	counters.Add("revoked", 1)
+	return nil
+}
+
+func (a *Agent) revoke(args *wire.RequestArgs) wire.Verdict {
+	t, err := a.opts.Signer.Open(args.Ticket)
+	if err != nil || t.Customer != args.Customer {
+		return wire.VerdictUnknown
+	}
+	a.mu.Lock()
+	decision := a.ledger.Revoke(t)
+	a.mu.Unlock()
+	switch decision {
+	case ticket.DecisionNotRun:
+		return wire.VerdictRevokedNotRun
+	case ticket.DecisionKnown:
+		return wire.VerdictKnown
+	default:
+		return wire.VerdictMayHaveRun
+	}
+}
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrill.example/fleet/controllers/schedule"
 	"dandelionrill.example/fleet/platform"
 )
 
@@ -144,7 +145,7 @@
 		if readErr == nil && now != version {
 			return b.accept(id, standing)
 		}
-		if try >= b.opts.Tries || !sleep(ctx, b.opts.Pause) {
+		if try >= b.opts.Tries || !schedule.Sleep(ctx, b.opts.Pause) {
 			return "", unavailable(err)
 		}
 	}
--- a/claims/sweep.go
+++ b/claims/sweep.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrill.example/fleet/controllers/schedule"
 	"dandelionrill.example/fleet/platform"
 )
 
@@ -65,7 +66,7 @@
 func (s *Sweeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		seen, version, err := s.read(ctx)
-		if !sleep(ctx, s.opts.Interval) {
+		if !schedule.Sleep(ctx, s.opts.Interval) {
 			return
 		}
 		if err == nil {
@@ -117,7 +118,7 @@
 		if o.Version >= before {
 			continue
 		}
-		if !sleep(ctx, s.opts.Pause) {
+		if !schedule.Sleep(ctx, s.opts.Pause) {
 			return ctx.Err()
 		}
 		// A claim that was rebound meanwhile has another version and stays.
@@ -143,15 +144,3 @@
 	}
 	return m, object.Version, nil
 }
-
-// sleep waits for d and tells whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -8,6 +8,7 @@
 	"dandelionrill.example/fleet/agent"
 	"dandelionrill.example/fleet/controllers/configuration"
 	"dandelionrill.example/fleet/controllers/load"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
 	"dandelionrill.example/fleet/platform"
@@ -32,7 +33,7 @@
 	if err != nil {
 		return errors.Wrap(err, "upstream")
 	}
-	incarnation := newIncarnation()
+	incarnation := randid.New()
 	p, err := newProcess(&s.Common, platform.RoleAgent, incarnation)
 	if err != nil {
 		return err
--- a/cli/controllers.go
+++ b/cli/controllers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"expvar"
 	"net"
 	"sync"
@@ -17,17 +15,6 @@
 	"dandelionrill.example/fleet/timeline"
 )
 
-const (
-	incarnationBytes = 16
-)
-
-// newIncarnation draws the identity of this start of the process.
-func newIncarnation() string {
-	var b [incarnationBytes]byte
-	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
-	return hex.EncodeToString(b[:])
-}
-
 func (p *process) announceStart(address string) {
 	p.timeline.Record(timeline.Event{Kind: timeline.KindProcessStarted})
 	p.log.WithField("address", address).WithField("version", Version()).Info("started")
--- a/cli/router.go
+++ b/cli/router.go
@@ -7,6 +7,7 @@
 	"dandelionrill.example/fleet/claims"
 	"dandelionrill.example/fleet/controllers/configuration"
 	"dandelionrill.example/fleet/controllers/load"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
 	"dandelionrill.example/fleet/platform"
@@ -26,7 +27,7 @@
 }
 
 func runRouter(ctx context.Context, s *settings.Router) error {
-	incarnation := newIncarnation()
+	incarnation := randid.New()
 	p, err := newProcess(&s.Common, platform.RoleRouter, incarnation)
 	if err != nil {
 		return err
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -74,15 +74,21 @@
 
 // RunDiff writes what a sheet would change.
 func RunDiff(ctx context.Context, opts Options, in io.Reader, out io.Writer) error {
-	s, err := sheet.Read(in)
+	s, current, err := opts.read(ctx, in)
 	if err != nil {
 		return err
 	}
-	current, err := opts.current(ctx)
+	return writeChanges(out, current.Version, config.Diff(current, s.Config))
+}
+
+// read returns a sheet and the version in force.
+func (o Options) read(ctx context.Context, in io.Reader) (*sheet.Sheet, *config.Config, error) {
+	s, err := sheet.Read(in)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	return writeChanges(out, current.Version, config.Diff(current, s.Config))
+	current, err := o.current(ctx)
+	return s, current, err
 }
 
 // current returns the version in force, an empty configuration before the first.
@@ -152,11 +158,7 @@
 // RunApply makes a sheet the next version and waits until the fleet has it in
 // force.
 func RunApply(ctx context.Context, opts Options, in io.Reader, out io.Writer) error {
-	s, err := sheet.Read(in)
-	if err != nil {
-		return err
-	}
-	current, err := opts.current(ctx)
+	s, current, err := opts.read(ctx, in)
 	if err != nil {
 		return err
 	}
--- a/revision/publish.go
+++ b/revision/publish.go
@@ -6,6 +6,7 @@
 
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/controllers/schedule"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/platform"
 	"github.com/cockroachdb/errors"
 )
@@ -23,7 +24,7 @@
 // same conditional update again: it succeeds at most once, and the change ID
 // tells whose update the platform holds.
 func (s *Store) Publish(ctx context.Context, cfg *config.Config, base uint64) (uint64, error) {
-	cfg.ChangeID = newChangeID()
+	cfg.ChangeID = randid.New()
 	value, err := Encode(cfg)
 	if err != nil {
 		return 0, err
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
 	"strconv"
 	"strings"
@@ -34,7 +32,6 @@
 )
 
 const (
-	changeIDBytes = 16
 	// maxListed bounds one listing of the history.
 	maxListed = 4096
 	// retryPause is the wait before an unanswered call is made again.
@@ -218,10 +215,3 @@
 func historyKey(version uint64) string {
 	return fmt.Sprintf("%s%020d", historyPrefix, version)
 }
-
-// newChangeID draws the identity of a change.
-func newChangeID() string {
-	var b [changeIDBytes]byte
-	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
-	return hex.EncodeToString(b[:])
-}
--- a/router/chat.go
+++ b/router/chat.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/problem"
 )
 
@@ -160,7 +161,7 @@
 		return nil, false
 	}
 	return &request{
-		id:        newID(),
+		id:        randid.New(),
 		adopted:   c.adopted,
 		customer:  c.customer,
 		service:   service,
--- a/router/peers.go
+++ b/router/peers.go
@@ -9,6 +9,7 @@
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/decide/ticket"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
 )
@@ -104,7 +105,7 @@
 		Address:     c.Address,
 		Incarnation: p.incarnation,
 		Window:      p.window,
-		Nonce:       newID(),
+		Nonce:       randid.New(),
 		Customer:    q.customer.ID,
 		Digest:      digest,
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync"
@@ -17,12 +15,11 @@
 
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/decide/retry"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
 )
 
-const idBytes = 16
-
 // Router serves callers. All methods may be called concurrently.
 type Router struct {
 	opts      Options
@@ -43,20 +40,13 @@
 		return nil, errors.New("router: signer, board and pool are required")
 	}
 	if opts.Incarnation == "" {
-		opts.Incarnation = newID()
+		opts.Incarnation = randid.New()
 	}
 	r := &Router{opts: opts, budgets: make(map[string]*retry.Budget)}
 	r.pools.Store(r.buildPools())
 	return r, nil
 }
 
-// newID draws an identifier that does not repeat.
-func newID() string {
-	var b [idBytes]byte
-	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
-	return hex.EncodeToString(b[:])
-}
-
 // Incarnation identifies this start of the process.
 func (r *Router) Incarnation() string {
 	return r.opts.Incarnation
--- a/router/service.go
+++ b/router/service.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/problem"
 )
 
@@ -20,7 +21,7 @@
 		return
 	}
 	q := &request{
-		id:       newID(),
+		id:       randid.New(),
 		adopted:  c.adopted,
 		customer: c.customer,
 		service:  service,
--- a/router/submit.go
+++ b/router/submit.go
@@ -10,6 +10,7 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/decide/retry"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
@@ -192,7 +193,7 @@
 // handOver submits idempotent work to the agent of c and returns the reader of
 // its answer.
 func (r *Router) handOver(ctx context.Context, q *request, c place.Candidate, mayQueue bool) (*reader, error) {
-	h := handle{address: c.Address, host: c.Host, request: newID(), customer: q.customer.ID}
+	h := handle{address: c.Address, host: c.Host, request: randid.New(), customer: q.customer.ID}
 	reply, err := r.submit(ctx, q, c, h, mayQueue)
 	if err != nil {
 		r.abandon(h, err)
--- a/router/tickets.go
+++ b/router/tickets.go
@@ -9,6 +9,7 @@
 
 	"dandelionrill.example/fleet/claims"
 	"dandelionrill.example/fleet/decide/ticket"
+	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/problem"
 	"dandelionrill.example/fleet/wire"
 )
@@ -107,7 +108,7 @@
 	if !ok {
 		return
 	}
-	q := &request{adopted: c.adopted, customer: c.customer, service: service, chat: newID()}
+	q := &request{adopted: c.adopted, customer: c.customer, service: service, chat: randid.New()}
 	op, err := r.drawAnywhere(req.Context(), q, r.newChooser(q, ""), "")
 	if err != nil {
 		r.fail(w, r.unavailable("no upstream takes work now"))
