--- a/fleettest/leaving_test.go
+++ b/fleettest/leaving_test.go
@@ -190,7 +190,7 @@
 		for old.Board.Drain().Value == board.DrainServing {
 			time.Sleep(time.Millisecond)
 		}
-		r.more(5) // the balancer has not noticed yet
+		r.more(20) // the balancer has not noticed yet
 		r.mu.Lock()
 		r.routers[i] = fresh
 		r.mu.Unlock()
