Take out state that can be derived, and run controllers in one way

Ruled out: the other pairs shown as alike (option defaults, settings of the two roles, fault accessors of the three stand-ins) are the same in shape and not in what they mean. Behaviour and tests are as before. Conclusion: nothing else worth changing.

--- a/agent/rpc.go
+++ b/agent/rpc.go
@@ -1,10 +1,15 @@
 package agent
 
 import (
+	"time"
+
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/wire"
 )
 
+// maxReadWait bounds how long one Read waits for a byte.
+const maxReadWait = 5 * time.Second
+
 // Service is the agent's net/rpc receiver. Its methods follow the contract of
 // net/rpc: they may be called concurrently, and an error means that the call
 // itself was malformed.
--- a/agent/submit.go
+++ b/agent/submit.go
@@ -11,10 +11,6 @@
 	"dandelionrill.example/fleet/wire"
 )
 
-const (
-	maxReadWait = 5 * time.Second
-)
-
 // verdict is the agent's decision on a submitted request.
 type verdict struct {
 	verdict    wire.Verdict
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -76,12 +76,11 @@
 		return st
 	}
 	defer p.serveAdmin(listeners[1], status)()
-	defer p.startControllers(ctx, keeper)()
 	reporter := load.NewReporter(load.ReporterOptions{
 		Host: s.Host, Service: s.Service, FailureDomain: s.FailureDomain,
 		Board: p.board, Caller: load.PoolCaller{Pool: p.pool}, Upstream: a,
 	})
-	defer runUntil(ctx, reporter.Run)()
+	defer p.startControllers(ctx, keeper, reporter.Run)()
 	p.announceStart(s.Listen)
 	serving, cancel := p.untilDrain(ctx)
 	defer cancel()
--- a/cli/controllers.go
+++ b/cli/controllers.go
@@ -66,30 +66,17 @@
 	}
 }
 
-// startControllers starts what keeps the board, until the returned function is
-// called. The controllers outlive a drain, so that work in progress is served
-// under the rules in force.
-func (p *process) startControllers(ctx context.Context, keeper *configuration.Controller) func() {
+// startControllers starts what keeps the board, and more that belongs to the
+// role, until the returned function is called. The controllers outlive a drain,
+// so that work in progress is served under the rules in force.
+func (p *process) startControllers(ctx context.Context, keeper *configuration.Controller, more ...func(context.Context)) func() {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	members := membership.New(membership.Options{Board: p.board, List: p.api, Log: p.log, Probe: keeper.Probe})
 	publishCounters("membership", members.Vars())
 	var wg sync.WaitGroup
-	wg.Go(func() { p.watchReadiness(ctx) })
-	wg.Go(func() { p.recordAdoptions(ctx) })
-	wg.Go(func() { keeper.Run(ctx) })
-	wg.Go(func() { members.Run(ctx) })
-	return func() {
-		cancel()
-		wg.Wait()
+	for _, run := range append(more, p.watchReadiness, p.recordAdoptions, keeper.Run, members.Run) {
+		wg.Go(func() { run(ctx) })
 	}
-}
-
-// runUntil runs a controller until the returned function is called; it outlives
-// a drain like the others.
-func runUntil(ctx context.Context, run func(context.Context)) func() {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	var wg sync.WaitGroup
-	wg.Go(func() { run(ctx) })
 	return func() {
 		cancel()
 		wg.Wait()
--- a/cli/router.go
+++ b/cli/router.go
@@ -68,10 +68,10 @@
 	}
 	defer p.serveAdmin(listeners[1], func() admin.Status { return p.status(incarnation, r.InProgress()) })()
 	defer p.servePeers(server, listeners[2])()
-	defer p.startControllers(ctx, keeper)()
 	exchange := load.ExchangeOptions{Host: s.Host, Caller: load.PoolCaller{Pool: p.pool}}
-	defer runUntil(ctx, func(ctx context.Context) { collectors.Run(ctx, exchange) })()
-	defer runUntil(ctx, claims.NewSweeper(claims.SweeperOptions{Store: p.api}).Run)()
+	collect := func(ctx context.Context) { collectors.Run(ctx, exchange) }
+	sweeper := claims.NewSweeper(claims.SweeperOptions{Store: p.api})
+	defer p.startControllers(ctx, keeper, collect, sweeper.Run)()
 	p.announceStart(s.Listen)
 	serving, cancel := p.untilDrain(ctx)
 	defer cancel()
--- a/router/chat.go
+++ b/router/chat.go
@@ -13,7 +13,6 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionrill.example/fleet/decide/place"
-	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/problem"
 )
 
@@ -161,7 +160,6 @@
 		return nil, false
 	}
 	return &request{
-		id:        randid.New(),
 		adopted:   c.adopted,
 		customer:  c.customer,
 		service:   service,
--- a/router/pools.go
+++ b/router/pools.go
@@ -147,7 +147,6 @@
 	key     uint64
 	prefer  string
 	tried   []int
-	last    string   // address tried last
 	before  []string // addresses tried in earlier snapshots
 }
 
@@ -185,9 +184,7 @@
 
 // next returns the next upstream to try, or false when none is left.
 func (c *chooser) next() (place.Candidate, bool) {
-	if c.last != "" {
-		c.reload()
-	}
+	c.reload()
 	i, ok := c.pool.picker.Pick(place.Query{
 		Key:     c.key,
 		Prefer:  c.prefer,
@@ -202,9 +199,7 @@
 		return place.Candidate{}, false
 	}
 	c.tried = append(c.tried, i)
-	next := c.pool.picker.Candidate(i)
-	c.last = next.Address
-	return next, true
+	return c.pool.picker.Candidate(i), true
 }
 
 // doubtful returns an upstream that the picker leaves out, though the rules
--- a/router/service.go
+++ b/router/service.go
@@ -21,7 +21,6 @@
 		return
 	}
 	q := &request{
-		id:       randid.New(),
 		adopted:  c.adopted,
 		customer: c.customer,
 		service:  service,
@@ -32,7 +31,7 @@
 		header:   passed(req.Header),
 		body:     body,
 	}
-	q.chat = q.id
+	q.chat = randid.New() // no affinity: any upstream will do
 	q.mayRepeat = c.adopted.Index.MayRepeat(service.ID, q.method, q.path)
 	if q.mayRepeat {
 		r.collectAnswer(req.Context(), w, q, r.newChooser(q, ""), false)
--- a/router/stream.go
+++ b/router/stream.go
@@ -13,9 +13,7 @@
 	"dandelionrill.example/fleet/problem"
 )
 
-const (
-	eventStreamType = "text/event-stream"
-)
+const eventStreamType = "text/event-stream"
 
 // doneEvent ends a chat completion stream of the OpenAI API.
 var doneEvent = []byte("data: [DONE]")
@@ -29,7 +27,6 @@
 	router  *Router
 	w       http.ResponseWriter
 	control *http.ResponseController
-	begun   bool // the caller has the status and headers
 
 	idPrefix string // of event identifiers: the request, or a sealed handle
 	skip     int64  // events up to this offset are not sent again
@@ -46,10 +43,6 @@
 
 // begin sends the status and headers of an event stream.
 func (s *stream) begin(rd *reader) {
-	if s.begun {
-		return
-	}
-	s.begun = true
 	copyHeader(s.w.Header(), rd.header)
 	s.w.Header().Set("Cache-Control", "no-cache")
 	s.w.Header().Set(HeaderRequest, rd.handle.request)
--- a/router/submit.go
+++ b/router/submit.go
@@ -18,7 +18,6 @@
 
 // request is one request of a caller under one configuration.
 type request struct {
-	id        string
 	adopted   *board.Adopted
 	customer  *config.Customer
 	service   *config.Service
@@ -113,12 +112,21 @@
 	r.opts.Board.ObservePeer(board.Evidence{Host: c.Host, Address: c.Address, Kind: kind})
 }
 
+// reasonOf returns the reason of a refusal, empty if err is none.
+func reasonOf(err error) wire.Reason {
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		return refused.reason
+	}
+	return ""
+}
+
 // failure classifies err for the retry decision.
 func failure(err error) retry.Failure {
-	var refused *refusedError
+	if reason := reasonOf(err); reason != "" {
+		return refusal(reason)
+	}
 	switch {
-	case errors.As(err, &refused):
-		return refusal(refused.reason)
 	case errors.Is(err, errMayHaveRun):
 		return retry.FailureMayHaveRun
 	case errors.Is(err, errNeverSent), errors.Is(err, link.ErrNotSent):
@@ -180,11 +188,7 @@
 // never left, or met an agent that is leaving. Such retries need no budget; the
 // number of attempts bounds them.
 func isHarmless(err error) bool {
-	var refused *refusedError
-	if errors.As(err, &refused) {
-		return refused.reason == wire.ReasonLeaving
-	}
-	return failure(err) == retry.FailureNotSent
+	return reasonOf(err) == wire.ReasonLeaving || failure(err) == retry.FailureNotSent
 }
 
 // errNoUpstream says that no upstream may be chosen.
@@ -253,6 +257,5 @@
 // isConnectionLost tells whether only the connection was at fault: the agent
 // has answered a revoke on a fresh one.
 func isConnectionLost(err error) bool {
-	var refused *refusedError
-	return errors.As(err, &refused) && refused.reason == wire.ReasonConnectionLost
+	return reasonOf(err) == wire.ReasonConnectionLost
 }
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -67,7 +67,8 @@
 	s.duration(&a.WindowDuration, "window-duration", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket window stays open")
 	s.number(&a.WindowsKept, "windows-kept", 6, 1, 1000, "windows", "windows whose tickets are remembered, the open one included")
 	s.number(&a.MaxTickets, "max-tickets", 100_000, 1, 1<<30, "tickets", "most tickets remembered")
-	a.process(s)
+	s.group = "Planned stop"
 	s.duration(&a.DrainQuiet, "drain-quiet", 3*time.Second, time.Millisecond, time.Minute, "how long no router has submitted anything before a planned stop ends; longer than routers need to learn of it")
+	a.process(s)
 	return s
 }
