--- a/experiment/cmd/bench-overload/main.go
+++ b/experiment/cmd/bench-overload/main.go
@@ -23,6 +23,7 @@
 	page := bytes.NewBufferString("# Overload, measured\n\nWritten by `make bench-overload`; DESIGN-placement.md explains the columns.\n")
 	goodput(page, *parallel)
 	surge(page, *parallel)
+	idle(page, *parallel)
 	if err := os.WriteFile(filepath.Join(*out, "overload-tables.md"), page.Bytes(), 0o644); err != nil {
 		fmt.Fprintln(os.Stderr, errors.Wrap(err, "write tables"))
 		os.Exit(1)
@@ -74,6 +75,19 @@
 	}
 }
 
+func idle(page *bytes.Buffer, parallel int) {
+	var all []overload.Options
+	for _, load := range []float64{0.03, 0.1, 0.3} {
+		for _, floor := range []int{1, 2, 4, 8} {
+			all = append(all, overload.Options{Load: load, Floor: floor})
+		}
+	}
+	page.WriteString("\n## Floors of the bound in a nearly idle pool\n\n| offered | floor | refused % | attempts per answer | first token p99 s | most on one engine |\n|---|---|---|---|---|---|\n")
+	for i, r := range runAll(all, parallel) {
+		fmt.Fprintf(page, "| %.4g | %d | %.2f | %.3f | %.2f | %d |\n", all[i].Load, all[i].Floor, 100*r.Refused, r.Attempts, r.Others.FirstTokenP99, r.Top)
+	}
+}
+
 func surge(page *bytes.Buffer, parallel int) {
 	variants := []overload.Options{
 		{Name: "chosen, without the surge"},
