--- a/board/board.go
+++ b/board/board.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"dandelionrill.example/fleet/config"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 )
 
@@ -147,10 +147,10 @@
 // ObserveHostList takes the rows of one host list. A host that is missing in
 // the list is leaving, unless the list holds no host of that role at all while
 // the last one did: such a list is held to be faulty for that role.
-func (b *Board) ObserveHostList(hosts []platform.Host) {
+func (b *Board) ObserveHostList(hosts []store.Host) {
 	at, change := b.now(), false
-	rows := make(map[string]platform.Host, len(hosts))
-	roles := make(map[platform.Role]bool)
+	rows := make(map[string]store.Host, len(hosts))
+	roles := make(map[store.Role]bool)
 	for _, h := range hosts {
 		rows[h.Name] = h
 		roles[h.Role] = true
@@ -172,7 +172,7 @@
 }
 
 // unlisted returns the known hosts without a row, of roles that the list shows.
-func (b *Board) unlisted(rows map[string]platform.Host, roles map[platform.Role]bool) []string {
+func (b *Board) unlisted(rows map[string]store.Host, roles map[store.Role]bool) []string {
 	var names []string
 	for i := range b.shards {
 		s := &b.shards[i]
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -6,20 +6,20 @@
 	"time"
 
 	"dandelionrill.example/fleet/config"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 	"github.com/shoenig/test/must"
 )
 
-func rowOf(name string, state platform.HostState) platform.Host {
-	return platform.Host{Name: name, Role: platform.RoleAgent, Service: "llm", FailureDomain: "a", Address: "127.0.0.1:1", State: state}
+func rowOf(name string, state store.HostState) store.Host {
+	return store.Host{Name: name, Role: store.RoleAgent, Service: "llm", FailureDomain: "a", Address: "127.0.0.1:1", State: state}
 }
 
 // Each step is one observation; after it the host is choosable or not.
 func TestChoosable(t *testing.T) {
 	var b *Board
 	now := time.Duration(0)
-	lists := func(hosts ...platform.Host) func() { return func() { b.ObserveHostList(hosts) } }
+	lists := func(hosts ...store.Host) func() { return func() { b.ObserveHostList(hosts) } }
 	sees := func(kind EvidenceKind, incarnation string) func() {
 		return func() { b.ObservePeer(Evidence{Host: "e", Kind: kind, Incarnation: incarnation}) }
 	}
@@ -29,7 +29,7 @@
 		}
 	}
 	waits := func(d time.Duration) func() { return func() { now += d; b.Expire() } }
-	live, other := rowOf("e", platform.HostLive), rowOf("o", platform.HostLive)
+	live, other := rowOf("e", store.HostLive), rowOf("o", store.HostLive)
 	moved := live
 	moved.Address = "127.0.0.1:2"
 	type step struct {
@@ -37,11 +37,11 @@
 		want bool
 	}
 	for name, steps := range map[string][]step{
-		"the list says leaving":   {{lists(live), true}, {lists(rowOf("e", platform.HostLeaving)), false}, {sees(EvidenceAlive, "1"), false}},
+		"the list says leaving":   {{lists(live), true}, {lists(rowOf("e", store.HostLeaving)), false}, {sees(EvidenceAlive, "1"), false}},
 		"its own word":            {{lists(live), true}, {sees(EvidenceLeaving, "1"), false}, {lists(live), false}, {sees(EvidenceAlive, "1"), false}, {sees(EvidenceAlive, "2"), true}, {sees(EvidenceLeaving, "1"), true}},
 		"replaced elsewhere":      {{lists(live), true}, {sees(EvidenceLeaving, "1"), false}, {lists(moved), true}, {sees(EvidenceLeaving, "1"), true}, {sees(EvidenceHeard, "2"), true}},
 		"missing in the list":     {{lists(live, other), true}, {lists(other), false}, {lists(live, other), true}},
-		"a list without agents":   {{lists(live), true}, {lists(platform.Host{Name: "r", Role: platform.RoleRouter}), true}, {lists(), true}},
+		"a list without agents":   {{lists(live), true}, {lists(store.Host{Name: "r", Role: store.RoleRouter}), true}, {lists(), true}},
 		"a flap keeps own words":  {{lists(live, other), true}, {sees(EvidenceLeaving, "1"), false}, {lists(other), false}, {lists(live, other), false}},
 		"not listed yet":          {{sees(EvidenceAlive, "1"), false}, {lists(live), true}},
 		"refused":                 {{lists(live), true}, {sees(EvidenceRefused, ""), false}, {waits(minHold), true}, {sees(EvidenceTimeout, ""), false}, {waits(minHold), false}, {waits(minHold), true}},
@@ -75,7 +75,7 @@
 func TestEntriesCarryAge(t *testing.T) {
 	now := time.Duration(0)
 	b := NewWithClock(func() time.Duration { return now })
-	b.ObserveHostList([]platform.Host{rowOf("e", platform.HostLive), rowOf("f", platform.HostLive)})
+	b.ObserveHostList([]store.Host{rowOf("e", store.HostLive), rowOf("f", store.HostLive)})
 	now = time.Second
 	b.ObservePeer(Evidence{Host: "e", Kind: EvidenceAlive, Incarnation: "1", ConfigVersion: 4, Load: &wire.Load{InFlight: 3}})
 	now = 3 * time.Second
@@ -86,7 +86,7 @@
 	generation := b.Generation()
 	b.ObservePeer(Evidence{Host: "e", Kind: EvidenceAlive, Incarnation: "1", Load: &wire.Load{InFlight: 4}})
 	must.Eq(t, generation, b.Generation(), must.Sprint("a load report is no change"))
-	b.ObserveHostList([]platform.Host{rowOf("f", platform.HostLive)})
+	b.ObserveHostList([]store.Host{rowOf("f", store.HostLive)})
 	now += forgetAfter + time.Second
 	b.Expire()
 	must.Len(t, 1, b.Hosts())
--- a/board/host.go
+++ b/board/host.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 )
 
@@ -55,7 +55,7 @@
 
 // hostEntry is what is known of one host. Its shard's lock guards it.
 type hostEntry struct {
-	listed       Entry[platform.Host]
+	listed       Entry[store.Host]
 	present      bool          // the last host list has the host
 	unlistedAt   time.Duration // since when not, if present is false
 	own          Entry[own]
@@ -67,12 +67,12 @@
 	wasChoosable bool // when last announced
 }
 
-func (e *hostEntry) list(h platform.Host, version uint64, at time.Duration) {
+func (e *hostEntry) list(h store.Host, version uint64, at time.Duration) {
 	if e.listed.Value.Address != h.Address {
 		e.forgetPredecessor()
 	}
 	e.present = true
-	e.listed = Entry[platform.Host]{Value: h, Origin: OriginHostList, Version: version, At: at}
+	e.listed = Entry[store.Host]{Value: h, Origin: OriginHostList, Version: version, At: at}
 }
 
 func (e *hostEntry) unlist(at time.Duration) {
@@ -155,7 +155,7 @@
 }
 
 func (e *hostEntry) leaving(now time.Duration) bool {
-	return !e.present || e.listed.Value.State != platform.HostLive || now < e.own.Value.leavingUntil
+	return !e.present || e.listed.Value.State != store.HostLive || now < e.own.Value.leavingUntil
 }
 
 func (e *hostEntry) choosable(now time.Duration) bool {
@@ -168,7 +168,7 @@
 
 // HostView is what is known of a host at one moment.
 type HostView struct {
-	platform.Host
+	store.Host
 	Listed        bool          // the last host list has it
 	Leaving       bool          // by the list, by its own word, or by its absence from the list
 	ListedLive    bool          // the last host list has it as live
@@ -188,7 +188,7 @@
 		Host:          e.listed.Value,
 		Listed:        e.present,
 		Leaving:       e.leaving(now),
-		ListedLive:    e.present && e.listed.Value.State == platform.HostLive,
+		ListedLive:    e.present && e.listed.Value.State == store.HostLive,
 		Held:          max(0, e.holdUntil-now),
 		Incarnation:   e.own.Value.incarnation,
 		ConfigVersion: e.own.Value.configVersion,
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionrill.example/fleet/controllers/schedule"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 )
 
 // Prefix begins the platform keys of all claims.
@@ -59,7 +59,7 @@
 
 // Options configure a Binder. Zero values take the defaults.
 type Options struct {
-	Store platform.Store
+	Store store.Store
 	Tries int           // conditional updates of one call
 	Pause time.Duration // between tries, when the platform does not answer
 }
@@ -103,7 +103,7 @@
 	switch {
 	case err == nil:
 		return b.accept(id, claim)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return "", undrawn
 	default:
 		return "", unavailable(err)
@@ -115,7 +115,7 @@
 // returned. It fails like Bind.
 func (b *Binder) Rebind(ctx context.Context, id ID, spent string, draw Draw) (string, error) {
 	claim, version, err := b.read(ctx, id)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return "", unavailable(err)
 	}
 	if version != 0 && claim.Ticket != spent {
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -11,12 +11,12 @@
 	"github.com/shoenig/test/must"
 
 	"dandelionrill.example/fleet/claims"
-	"dandelionrill.example/fleet/platform"
-	"dandelionrill.example/fleet/platform/httpapi"
+	"dandelionrill.example/fleet/store"
+	"dandelionrill.example/fleet/store/httpapi"
 	standin "dandelionrill.example/standin/platform"
 )
 
-func newStore(t *testing.T) (*standin.Server, platform.Store) {
+func newStore(t *testing.T) (*standin.Server, store.Store) {
 	server := standin.New(standin.Options{})
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
--- a/claims/sweep.go
+++ b/claims/sweep.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionrill.example/fleet/controllers/schedule"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 )
 
 // MarksKey is the platform key of the marks by which old claims are told.
@@ -24,7 +24,7 @@
 
 // SweeperOptions configure a Sweeper. Zero values take the defaults.
 type SweeperOptions struct {
-	Store    platform.Store
+	Store    store.Store
 	Interval time.Duration // least time between two marks
 	Marks    int           // marks kept: claims older than all of them are deleted
 	Pause    time.Duration // between two calls of a sweep
@@ -123,7 +123,7 @@
 		}
 		// A claim that was rebound meanwhile has another version and stays.
 		err := s.opts.Store.Delete(ctx, o.Key, o.Version)
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, store.ErrUnavailable) {
 			return errors.Wrap(err, "claims: delete")
 		}
 	}
@@ -132,7 +132,7 @@
 
 func (s *Sweeper) read(ctx context.Context) (marks, uint64, error) {
 	object, err := s.opts.Store.Get(ctx, MarksKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return marks{}, 0, nil
 	}
 	if err != nil {
--- a/claims/sweep_test.go
+++ b/claims/sweep_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dandelionrill.example/fleet/platform/httpapi"
+	"dandelionrill.example/fleet/store/httpapi"
 	standin "dandelionrill.example/standin/platform"
 )
 
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -11,8 +11,8 @@
 	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
-	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/settings"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/timeline"
 
 	"github.com/cockroachdb/errors"
@@ -34,7 +34,7 @@
 		return errors.Wrap(err, "upstream")
 	}
 	incarnation := randid.New()
-	p, err := newProcess(&s.Common, platform.RoleAgent, incarnation)
+	p, err := newProcess(&s.Common, store.RoleAgent, incarnation)
 	if err != nil {
 		return err
 	}
--- a/cli/config.go
+++ b/cli/config.go
@@ -9,9 +9,9 @@
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/operator"
 	"dandelionrill.example/fleet/peers"
-	"dandelionrill.example/fleet/platform/httpapi"
 	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/settings"
+	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/fleet/wire"
 
 	"github.com/cockroachdb/errors"
--- a/cli/controllers.go
+++ b/cli/controllers.go
@@ -11,7 +11,7 @@
 	"dandelionrill.example/fleet/controllers/membership"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/timeline"
 )
 
@@ -51,7 +51,7 @@
 		Host: p.settings.Host, FailureDomain: p.settings.FailureDomain, Role: p.role,
 		Board: p.board, Store: p.api, Log: p.log,
 	}
-	if p.role == platform.RoleRouter {
+	if p.role == store.RoleRouter {
 		opts.Peers = peers.NewLinks(p.board, p.pool, meta)
 	}
 	p.configuration = configuration.New(opts)
--- a/cli/process.go
+++ b/cli/process.go
@@ -13,10 +13,10 @@
 	"dandelionrill.example/fleet/health"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/logging"
-	"dandelionrill.example/fleet/platform"
-	"dandelionrill.example/fleet/platform/httpapi"
 	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/settings"
+	"dandelionrill.example/fleet/store"
+	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
 
@@ -31,7 +31,7 @@
 // process holds what a router and an agent have in common.
 type process struct {
 	settings *settings.Common
-	role     platform.Role
+	role     store.Role
 	started  time.Time
 	log      log.Interface
 	board    *board.Board
@@ -53,7 +53,7 @@
 	drainSince atomic.Pointer[time.Time]
 }
 
-func newProcess(c *settings.Common, role platform.Role, incarnation string) (*process, error) {
+func newProcess(c *settings.Common, role store.Role, incarnation string) (*process, error) {
 	name := c.Host + "/" + string(role)
 	logger, err := logging.New(logging.Options{Level: c.LogLevel, Process: name})
 	if err != nil {
--- a/cli/router.go
+++ b/cli/router.go
@@ -10,9 +10,9 @@
 	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
-	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/router"
 	"dandelionrill.example/fleet/settings"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/timeline"
 )
 
@@ -28,7 +28,7 @@
 
 func runRouter(ctx context.Context, s *settings.Router) error {
 	incarnation := randid.New()
-	p, err := newProcess(&s.Common, platform.RoleRouter, incarnation)
+	p, err := newProcess(&s.Common, store.RoleRouter, incarnation)
 	if err != nil {
 		return err
 	}
--- a/cli/timeline.go
+++ b/cli/timeline.go
@@ -11,8 +11,8 @@
 
 	"dandelionrill.example/fleet/admin"
 	"dandelionrill.example/fleet/link"
-	"dandelionrill.example/fleet/platform/httpapi"
 	"dandelionrill.example/fleet/settings"
+	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/fleet/timeline"
 
 	"github.com/cockroachdb/errors"
--- a/controllers/configuration/configuration.go
+++ b/controllers/configuration/configuration.go
@@ -19,7 +19,7 @@
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/controllers/schedule"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -59,9 +59,9 @@
 type Options struct {
 	Host          string // own name
 	FailureDomain string
-	Role          platform.Role
+	Role          store.Role
 	Board         *board.Board
-	Store         platform.Store
+	Store         store.Store
 	Peers         Peers    // nil for agents: they only answer
 	Seeds         []string // hosts to ask at the start, before the host list is there
 	Log           log.Interface
@@ -158,7 +158,7 @@
 		wg.Go(func() { c.spread(ctx) })
 		wg.Go(func() { c.exchange(ctx) })
 	}
-	if c.opts.Role == platform.RoleRouter {
+	if c.opts.Role == store.RoleRouter {
 		wg.Go(func() { c.watch(ctx) })
 	}
 	wg.Go(func() { c.confirm(ctx) })
--- a/controllers/configuration/configuration_test.go
+++ b/controllers/configuration/configuration_test.go
@@ -11,7 +11,7 @@
 
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/config"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 	"github.com/shoenig/test/must"
 )
@@ -35,7 +35,7 @@
 	inBubble(t, 12, 48, func(t *testing.T, f *fleet) {
 		f.within(f.put("first"), inForceWithin)
 		hosts := f.nodes["h000"].opts.Board.Hosts()
-		i := slices.IndexFunc(f.rows, func(h platform.Host) bool { return watches(h.Name, 1, hosts) })
+		i := slices.IndexFunc(f.rows, func(h store.Host) bool { return watches(h.Name, 1, hosts) })
 		for _, h := range f.rows {
 			f.nodes[h.Name].cut.Store(h.Name != f.rows[i].Name)
 		}
@@ -61,7 +61,7 @@
 		f.store.SetOut(true)
 		f.nodes["h000"].cut.Store(false)
 		f.nodes["h001"].cut.Store(false)
-		n := f.start(platform.Host{Name: "new", Role: platform.RoleRouter, FailureDomain: "a"}, nil, "h000", "h001", "h002")
+		n := f.start(store.Host{Name: "new", Role: store.RoleRouter, FailureDomain: "a"}, nil, "h000", "h001", "h002")
 		must.Nil(t, n.opts.Board.Configuration())
 		time.Sleep(DefaultPeerTimeout)
 		must.Eq(t, version, n.opts.Board.ConfigVersion())
@@ -133,7 +133,7 @@
 		must.SliceEmpty(t, f.behind(version))
 		f.within(f.put("third"), inForceWithin)
 		n := f.nodes["h000"]
-		must.NoError(t, n.take(platform.Object{Key: ObjectKey, Version: 1, Value: []byte("{}")}))
+		must.NoError(t, n.take(store.Object{Key: ObjectKey, Version: 1, Value: []byte("{}")}))
 		must.Eq(t, 1, n.Behind.Value())
 		must.SliceEmpty(t, f.behind(n.opts.Board.ConfigVersion()))
 	})
@@ -186,7 +186,7 @@
 	encoded, err := config.Encode(&config.Config{Version: 4})
 	must.NoError(t, err)
 	for sender, want := range map[uint64]uint64{4: 4, 5: 0} {
-		c := New(Options{Board: board.New(), Role: platform.RoleAgent})
+		c := New(Options{Board: board.New(), Role: store.RoleAgent})
 		c.ServeOffer(wire.OfferArgs{Meta: wire.Meta{ConfigVersion: sender}, ConfigUpdate: wire.ConfigUpdate{Version: 4, Encoded: encoded}})
 		must.Eq(t, want, c.opts.Board.ConfigVersion())
 	}
@@ -197,9 +197,9 @@
 		routers, domains := tc[0], tc[1]
 		var hosts []board.HostView
 		for i := range routers * 4 {
-			h := board.HostView{Listed: true, Host: platform.Host{Name: fmt.Sprint("h", i), Role: platform.RoleAgent, FailureDomain: fmt.Sprint("d", i%domains)}}
+			h := board.HostView{Listed: true, Host: store.Host{Name: fmt.Sprint("h", i), Role: store.RoleAgent, FailureDomain: fmt.Sprint("d", i%domains)}}
 			if i < routers {
-				h.Role = platform.RoleRouter
+				h.Role = store.RoleRouter
 			}
 			hosts = append(hosts, h)
 		}
--- a/controllers/configuration/depth_test.go
+++ b/controllers/configuration/depth_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"dandelionrill.example/fleet/board"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 )
 
 // BenchmarkHops reports how many offers in a row a version needs from one
@@ -36,8 +36,8 @@
 	hosts := make([]board.HostView, routers)
 	index := make(map[string]int)
 	for i := range hosts {
-		hosts[i] = board.HostView{Listed: true, Host: platform.Host{
-			Name: fmt.Sprint("router-", i), Role: platform.RoleRouter, FailureDomain: fmt.Sprint("d", i%domains),
+		hosts[i] = board.HostView{Listed: true, Host: store.Host{
+			Name: fmt.Sprint("router-", i), Role: store.RoleRouter, FailureDomain: fmt.Sprint("d", i%domains),
 		}}
 		index[hosts[i].Name] = i
 	}
--- a/controllers/configuration/fleet_test.go
+++ b/controllers/configuration/fleet_test.go
@@ -12,8 +12,8 @@
 
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/config"
-	"dandelionrill.example/fleet/platform"
-	"dandelionrill.example/fleet/platform/memory"
+	"dandelionrill.example/fleet/store"
+	"dandelionrill.example/fleet/store/memory"
 	"dandelionrill.example/fleet/wire"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -27,7 +27,7 @@
 // node is one process of a test fleet, on the virtual clock of synctest.
 type node struct {
 	*Controller
-	row    platform.Host
+	row    store.Host
 	fleet  *fleet
 	cut    atomic.Bool // nothing reaches it or leaves it
 	cancel context.CancelFunc
@@ -42,7 +42,7 @@
 	loss   float64
 	apart  func(a, b string) bool // no message passes between these
 	nodes  map[string]*node
-	rows   []platform.Host
+	rows   []store.Host
 	wg     sync.WaitGroup
 }
 
@@ -70,9 +70,9 @@
 func newFleet(t *testing.T, routers, agentCount int) *fleet {
 	f := &fleet{t: t, store: memory.New(), random: rand.New(rand.NewPCG(1, 2)), nodes: make(map[string]*node)}
 	for i := range routers + agentCount {
-		h := platform.Host{Name: fmt.Sprintf("h%03d", i), Role: platform.RoleRouter, FailureDomain: string(rune('a' + i%3)), Address: "127.0.0.1:1", State: platform.HostLive}
+		h := store.Host{Name: fmt.Sprintf("h%03d", i), Role: store.RoleRouter, FailureDomain: string(rune('a' + i%3)), Address: "127.0.0.1:1", State: store.HostLive}
 		if i >= routers {
-			h.Role = platform.RoleAgent
+			h.Role = store.RoleAgent
 		}
 		f.rows = append(f.rows, h)
 	}
@@ -84,11 +84,11 @@
 }
 
 // start starts a node that has taken a host list and knows seeds.
-func (f *fleet) start(h platform.Host, list []platform.Host, seeds ...string) *node {
+func (f *fleet) start(h store.Host, list []store.Host, seeds ...string) *node {
 	n := &node{row: h, fleet: f}
 	opts := Options{Host: h.Name, FailureDomain: h.FailureDomain, Role: h.Role, Board: board.New(), Store: n, Random: f.draw,
 		Seeds: seeds, Log: &log.Logger{Handler: discard.New()}}
-	if h.Role == platform.RoleRouter {
+	if h.Role == store.RoleRouter {
 		opts.Peers = n
 		opts.Board.ObserveHostList(list)
 	}
@@ -202,32 +202,32 @@
 // The node reaches the platform unless it is cut off.
 func (n *node) reach() error {
 	if n.cut.Load() {
-		return &platform.UnavailableError{}
+		return &store.UnavailableError{}
 	}
 	return nil
 }
 
-func (n *node) Get(ctx context.Context, key string) (platform.Object, error) {
+func (n *node) Get(ctx context.Context, key string) (store.Object, error) {
 	if err := n.reach(); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return n.fleet.store.Get(ctx, key)
 }
 
-func (n *node) List(ctx context.Context, prefix string, limit int) ([]platform.Object, error) {
+func (n *node) List(ctx context.Context, prefix string, limit int) ([]store.Object, error) {
 	if err := n.reach(); err != nil {
 		return nil, err
 	}
 	return n.fleet.store.List(ctx, prefix, limit)
 }
 
-func (n *node) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Object, error) {
+func (n *node) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (store.Object, error) {
 	if err := n.reach(); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	object, err := n.fleet.store.Watch(ctx, key, after, wait)
 	if cut := n.reach(); cut != nil {
-		return platform.Object{}, cut
+		return store.Object{}, cut
 	}
 	return object, err
 }
--- a/controllers/configuration/source.go
+++ b/controllers/configuration/source.go
@@ -9,7 +9,7 @@
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/controllers/schedule"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"github.com/cockroachdb/errors"
 )
 
@@ -76,7 +76,7 @@
 
 // take puts the platform's object in force if its version is greater. The
 // platform's version is the version of the configuration.
-func (c *Controller) take(object platform.Object) error {
+func (c *Controller) take(object store.Object) error {
 	current := c.opts.Board.ConfigVersion()
 	if object.Version < current {
 		c.Behind.Add(1)
@@ -120,7 +120,7 @@
 	c.PlatformCalls.Add(1)
 	after := max(c.opts.Board.ConfigVersion(), c.unusable.Load())
 	object, err := c.opts.Store.Watch(ctx, ObjectKey, after, wait)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -145,7 +145,7 @@
 		c.opts.Log.WithError(err).Warn("platform unavailable")
 	}
 	failures++
-	schedule.Sleep(ctx, backoff.Wait(failures, platform.RetryAfter(err), c.opts.Random()))
+	schedule.Sleep(ctx, backoff.Wait(failures, store.RetryAfter(err), c.opts.Random()))
 	return failures
 }
 
@@ -164,7 +164,7 @@
 			continue
 		}
 		failures++
-		schedule.Sleep(ctx, c.confirmPace().Wait(failures, platform.RetryAfter(err), c.opts.Random()))
+		schedule.Sleep(ctx, c.confirmPace().Wait(failures, store.RetryAfter(err), c.opts.Random()))
 	}
 }
 
@@ -198,7 +198,7 @@
 		return err
 	}
 	if len(objects) == 0 || objects[0].Key != ObjectKey {
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	}
 	if objects[0].Version > c.opts.Board.ConfigVersion() {
 		return c.read(ctx)
--- a/controllers/configuration/topology.go
+++ b/controllers/configuration/topology.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	"dandelionrill.example/fleet/board"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 )
 
 const (
@@ -67,7 +67,7 @@
 // counts whatever its state.
 func routersOf(self string, hosts []board.HostView) []board.HostView {
 	return filter(hosts, func(h board.HostView) bool {
-		return h.Role == platform.RoleRouter && (!h.Leaving || h.Name == self)
+		return h.Role == store.RoleRouter && (!h.Leaving || h.Name == self)
 	})
 }
 
@@ -130,7 +130,7 @@
 	}
 	var chosen []string
 	for _, h := range hosts {
-		if h.Role != platform.RoleAgent || !h.Listed {
+		if h.Role != store.RoleAgent || !h.Listed {
 			continue
 		}
 		candidates := byDomain[h.FailureDomain]
--- a/controllers/load/exchange.go
+++ b/controllers/load/exchange.go
@@ -7,7 +7,7 @@
 
 	"dandelionrill.example/fleet/controllers/schedule"
 	"dandelionrill.example/fleet/decide/mean"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 )
 
@@ -97,7 +97,7 @@
 	c.with(p, false, func(col *collector) { col.Merge(theirs, stamp, now) })
 }
 
-func (x *exchange) call(ctx context.Context, p, peer pool, host platform.Host) {
+func (x *exchange) call(ctx context.Context, p, peer pool, host store.Host) {
 	ctx, cancel := context.WithTimeout(ctx, x.opts.Timeout)
 	defer cancel()
 	c := x.collectors
--- a/controllers/load/load_test.go
+++ b/controllers/load/load_test.go
@@ -12,7 +12,7 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/mean"
 	"dandelionrill.example/fleet/link"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 )
@@ -50,7 +50,7 @@
 type fleet struct {
 	t      *testing.T
 	ctx    context.Context
-	hosts  []platform.Host
+	hosts  []store.Host
 	boards []*board.Board
 	group  sync.WaitGroup
 }
@@ -75,7 +75,7 @@
 	must.NoError(f.t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(f.t, err)
-	f.hosts = append(f.hosts, platform.Host{Name: name, Role: platform.RoleRouter, FailureDomain: domain, Address: l.Addr().String(), State: platform.HostLive})
+	f.hosts = append(f.hosts, store.Host{Name: name, Role: store.RoleRouter, FailureDomain: domain, Address: l.Addr().String(), State: store.HostLive})
 	ctx, cancel := context.WithCancel(f.ctx)
 	caller := f.pool()
 	f.group.Go(func() { _ = server.Serve(l) })
@@ -89,7 +89,7 @@
 }
 
 func (f *fleet) agent(name, domain string, load int) *upstream {
-	f.hosts = append(f.hosts, platform.Host{Name: name, Role: platform.RoleAgent, Service: "model", FailureDomain: domain, Address: "127.0.0.1:1", State: platform.HostLive})
+	f.hosts = append(f.hosts, store.Host{Name: name, Role: store.RoleAgent, Service: "model", FailureDomain: domain, Address: "127.0.0.1:1", State: store.HostLive})
 	u := &upstream{load: load}
 	r := NewReporter(ReporterOptions{
 		Host: name, Service: "model", FailureDomain: domain, Board: f.board(), Caller: f.pool(), Upstream: u,
@@ -99,7 +99,7 @@
 	return u
 }
 
-func (f *fleet) publish(hosts []platform.Host) {
+func (f *fleet) publish(hosts []store.Host) {
 	for _, b := range f.boards {
 		b.ObserveHostList(hosts)
 	}
@@ -132,7 +132,7 @@
 
 	owner, ok := newDirectory(f.boards[0]).owner(pool{"model", "a"})
 	must.True(t, ok)
-	var left []platform.Host
+	var left []store.Host
 	for i, h := range f.hosts {
 		if h.Name == owner.Name {
 			stops[i]()
@@ -153,9 +153,9 @@
 }
 
 func TestCollectorsAreShared(t *testing.T) {
-	d := &directory{routers: map[string][]platform.Host{}}
+	d := &directory{routers: map[string][]store.Host{}}
 	for i := range 11 {
-		h := platform.Host{Name: fmt.Sprint("r", i)}
+		h := store.Host{Name: fmt.Sprint("r", i)}
 		d.routers[""] = append(d.routers[""], h)
 	}
 	for i := range 11 {
--- a/controllers/load/reporter.go
+++ b/controllers/load/reporter.go
@@ -7,7 +7,7 @@
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/controllers/schedule"
 	"dandelionrill.example/fleet/decide/mean"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 )
 
@@ -43,7 +43,7 @@
 type Reporter struct {
 	opts      ReporterOptions
 	start     time.Time
-	collector platform.Host
+	collector store.Host
 	seen      uint64 // generation of the board that collector and pool were read at
 	dating    *mean.Reporter
 }
--- a/controllers/membership/membership.go
+++ b/controllers/membership/membership.go
@@ -11,7 +11,7 @@
 
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/controllers/schedule"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"github.com/apex/log"
 )
 
@@ -35,7 +35,7 @@
 // Options sets up a Controller.
 type Options struct {
 	Board          *board.Board
-	List           platform.HostList
+	List           store.HostList
 	Log            log.Interface
 	Random         func() float64                         // within 0 and 1; nil means schedule.Random
 	Probe          func(ctx context.Context, host string) // asks a host for its incarnation and writes it to the board; nil: none is asked
@@ -98,7 +98,7 @@
 			continue
 		}
 		failures = c.failed(failures, err)
-		schedule.Sleep(ctx, backoff.Wait(failures, platform.RetryAfter(err), c.opts.Random()))
+		schedule.Sleep(ctx, backoff.Wait(failures, store.RetryAfter(err), c.opts.Random()))
 	}
 }
 
--- a/controllers/membership/membership_test.go
+++ b/controllers/membership/membership_test.go
@@ -9,17 +9,17 @@
 	"time"
 
 	"dandelionrill.example/fleet/board"
-	"dandelionrill.example/fleet/platform"
-	"dandelionrill.example/fleet/platform/memory"
+	"dandelionrill.example/fleet/store"
+	"dandelionrill.example/fleet/store/memory"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/shoenig/test/must"
 )
 
-func rows(count int, state platform.HostState) []platform.Host {
-	var hosts []platform.Host
+func rows(count int, state store.HostState) []store.Host {
+	var hosts []store.Host
 	for i := range count {
-		hosts = append(hosts, platform.Host{Name: fmt.Sprintf("host-%04d", i), Role: platform.RoleAgent, Service: "registry-llm",
+		hosts = append(hosts, store.Host{Name: fmt.Sprintf("host-%04d", i), Role: store.RoleAgent, Service: "registry-llm",
 			FailureDomain: "bkk-a", Address: "127.0.0.1:10000", State: state})
 	}
 	return hosts
@@ -32,13 +32,13 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			p, b := memory.New(), board.New()
-			p.SetHosts(rows(tc.hosts, platform.HostLive))
+			p.SetHosts(rows(tc.hosts, store.HostLive))
 			c := New(Options{Board: b, List: p, Log: &log.Logger{Handler: discard.New()}})
 			done := make(chan struct{})
 			go func() { defer close(done); c.Run(ctx) }()
 			time.Sleep(10 * time.Minute)
 			must.Between(t, tc.least, p.Calls(), tc.most, must.Sprint(tc.hosts))
-			p.SetHosts(rows(tc.hosts, platform.HostLeaving))
+			p.SetHosts(rows(tc.hosts, store.HostLeaving))
 			if tc.hosts == 8 {
 				time.Sleep(2 * DefaultInterval)
 				must.False(t, b.Hosts()[0].Choosable())
@@ -52,7 +52,7 @@
 			b.ObservePeer(board.Evidence{Host: "host-0000", Kind: board.EvidenceRefused})
 			changed := b.Changed()
 			p.SetOut(false)
-			p.SetHosts(rows(tc.hosts, platform.HostLive))
+			p.SetHosts(rows(tc.hosts, store.HostLive))
 			time.Sleep(10 * time.Minute)
 			must.True(t, b.Hosts()[0].Choosable())
 			select {
@@ -74,7 +74,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		p, b := memory.New(), board.New()
 		var replaced atomic.Bool
-		p.SetHosts(rows(1, platform.HostLive))
+		p.SetHosts(rows(1, store.HostLive))
 		probe := func(_ context.Context, host string) {
 			kind, incarnation := board.EvidenceLeaving, "1"
 			if replaced.Load() {
--- a/e2e/versions_test.go
+++ b/e2e/versions_test.go
@@ -12,8 +12,8 @@
 	"github.com/shoenig/test/must"
 
 	"dandelionrill.example/fleet/admin"
-	"dandelionrill.example/fleet/platform/httpapi"
 	"dandelionrill.example/fleet/revision"
+	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/standin/platform"
 )
 
--- a/experiment/capacity/measure.go
+++ b/experiment/capacity/measure.go
@@ -11,7 +11,7 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/decide/ticket"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
 )
@@ -66,16 +66,16 @@
 	return out
 }
 
-func hosts(n int) []platform.Host {
-	out := make([]platform.Host, n)
+func hosts(n int) []store.Host {
+	out := make([]store.Host, n)
 	for i := range out {
-		out[i] = platform.Host{
+		out[i] = store.Host{
 			Name:          fmt.Sprintf("bkk-a-rack-%03d-host-%05d", i/20, i),
-			Role:          platform.RoleAgent,
+			Role:          store.RoleAgent,
 			Service:       fmt.Sprintf("registry-llm-%02d", i%services),
 			FailureDomain: fmt.Sprintf("domain-%02d", i%failureDomains),
 			Address:       fmt.Sprintf("10.%d.%d.%d:7100", i>>16, i>>8&255, i&255),
-			State:         platform.HostLive,
+			State:         store.HostLive,
 		}
 	}
 	return out
--- a/experiment/meanload/run.go
+++ b/experiment/meanload/run.go
@@ -15,7 +15,7 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/controllers/load"
 	"dandelionrill.example/fleet/link"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"github.com/cockroachdb/errors"
 )
 
@@ -97,7 +97,7 @@
 	board   *board.Board
 	agents  []*agent
 	routers []*meter
-	hosts   []platform.Host
+	hosts   []store.Host
 	group   sync.WaitGroup
 }
 
@@ -134,9 +134,9 @@
 		}
 		m := new(meter)
 		r.routers = append(r.routers, m)
-		host := platform.Host{
-			Name: fmt.Sprintf("router-%03d", i), Role: platform.RoleRouter, FailureDomain: domainName(i % r.opts.Domains),
-			Address: l.Addr().String(), State: platform.HostLive,
+		host := store.Host{
+			Name: fmt.Sprintf("router-%03d", i), Role: store.RoleRouter, FailureDomain: domainName(i % r.opts.Domains),
+			Address: l.Addr().String(), State: store.HostLive,
 		}
 		r.hosts = append(r.hosts, host)
 		collectors := load.NewCollectors(r.board)
@@ -168,9 +168,9 @@
 				a := &agent{service: s, load: firstLoad}
 				r.agents = append(r.agents, a)
 				name := fmt.Sprintf("engine-%02d-%02d-%02d", s, d, i)
-				r.hosts = append(r.hosts, platform.Host{
-					Name: name, Role: platform.RoleAgent, Service: serviceName(s), FailureDomain: domainName(d),
-					Address: "127.0.0.1:1", State: platform.HostLive,
+				r.hosts = append(r.hosts, store.Host{
+					Name: name, Role: store.RoleAgent, Service: serviceName(s), FailureDomain: domainName(d),
+					Address: "127.0.0.1:1", State: store.HostLive,
 				})
 				reporter := load.NewReporter(load.ReporterOptions{
 					Host: name, Service: serviceName(s), FailureDomain: domainName(d), Board: r.board,
--- a/experiment/spread/measure.go
+++ b/experiment/spread/measure.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"dandelionrill.example/fleet/config"
-	"dandelionrill.example/fleet/platform/httpapi"
 	"dandelionrill.example/fleet/revision"
+	"dandelionrill.example/fleet/store/httpapi"
 	standin "dandelionrill.example/standin/platform"
 	"github.com/cockroachdb/errors"
 )
--- a/experiment/spread/node.go
+++ b/experiment/spread/node.go
@@ -17,8 +17,8 @@
 	"dandelionrill.example/fleet/controllers/membership"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
-	"dandelionrill.example/fleet/platform"
-	"dandelionrill.example/fleet/platform/httpapi"
+	"dandelionrill.example/fleet/store"
+	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/fleet/wire"
 	standin "dandelionrill.example/standin/platform"
 	"github.com/apex/log"
@@ -69,10 +69,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "spread: listen")
 		}
-		row := standin.Host{Name: fmt.Sprintf("host-%04d", i), Role: string(platform.RoleAgent), Service: "registry-llm",
-			FailureDomain: fmt.Sprint("domain-", i%opts.Domains), Address: ln.Addr().String(), State: string(platform.HostLive)}
+		row := standin.Host{Name: fmt.Sprintf("host-%04d", i), Role: string(store.RoleAgent), Service: "registry-llm",
+			FailureDomain: fmt.Sprint("domain-", i%opts.Domains), Address: ln.Addr().String(), State: string(store.HostLive)}
 		if i < opts.Routers {
-			row.Role, row.Service = string(platform.RoleRouter), ""
+			row.Role, row.Service = string(store.RoleRouter), ""
 		}
 		rows, listeners = append(rows, row), append(listeners, ln)
 	}
@@ -95,8 +95,8 @@
 	meta := func() wire.Meta {
 		return wire.Meta{From: row.Name, Incarnation: "incarnation-of-" + row.Name, ConfigVersion: n.board.ConfigVersion()}
 	}
-	opts := configuration.Options{Host: row.Name, FailureDomain: row.FailureDomain, Role: platform.Role(row.Role), Board: n.board, Store: api, Log: silent}
-	if opts.Role == platform.RoleRouter {
+	opts := configuration.Options{Host: row.Name, FailureDomain: row.FailureDomain, Role: store.Role(row.Role), Board: n.board, Store: api, Log: silent}
+	if opts.Role == store.RoleRouter {
 		pool := link.NewPool(link.ClientOptions{Dial: f.dial})
 		f.links = append(f.links, pool)
 		opts.Peers = peers.NewLinks(n.board, pool, meta)
--- a/fleettest/fleettest.go
+++ b/fleettest/fleettest.go
@@ -24,8 +24,8 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/link"
-	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/router"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/timeline"
 )
 
@@ -66,7 +66,7 @@
 
 // Upstream is an upstream with its agent.
 type Upstream struct {
-	Host  platform.Host
+	Host  store.Host
 	Agent *agent.Agent
 	Board *board.Board
 	Stop  context.CancelFunc // begins the agent's graceful stop
@@ -96,9 +96,9 @@
 func StartAgent(t testing.TB, name, service string, base *url.URL, cfg *config.Config, change AgentOptions) *Upstream {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	host := platform.Host{
-		Name: name, Role: platform.RoleAgent, Service: service, FailureDomain: "bkk-a",
-		Address: listener.Addr().String(), State: platform.HostLive,
+	host := store.Host{
+		Name: name, Role: store.RoleAgent, Service: service, FailureDomain: "bkk-a",
+		Address: listener.Addr().String(), State: store.HostLive,
 	}
 	opts := agent.Options{
 		Host: name, Service: service, FailureDomain: host.FailureDomain, Address: host.Address,
@@ -156,7 +156,7 @@
 		Timeline: timeline.New(timeline.Options{Process: name}), Log: NoLog(),
 	}
 	opts.Board.Adopt(cfg, "test")
-	var hosts []platform.Host
+	var hosts []store.Host
 	for _, u := range upstreams {
 		hosts = append(hosts, u.Host)
 	}
--- a/fleettest/leaving_test.go
+++ b/fleettest/leaving_test.go
@@ -18,8 +18,8 @@
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/fleettest"
-	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/router"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/standin/engine"
 	"dandelionrill.example/standin/service"
 )
@@ -104,7 +104,7 @@
 	return r.routers[i%len(r.routers)]
 }
 
-func (r *rolling) list(hosts ...platform.Host) {
+func (r *rolling) list(hosts ...store.Host) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, ro := range r.routers {
@@ -112,7 +112,7 @@
 	}
 }
 
-func (r *rolling) hosts() (hosts []platform.Host) {
+func (r *rolling) hosts() (hosts []store.Host) {
 	for _, s := range r.slots {
 		hosts = append(hosts, s.current.Host)
 	}
@@ -223,9 +223,9 @@
 // However a router learns that an agent leaves, or if it never does, the
 // upstream gets no new work.
 func TestLeavingAgentGetsNoNewWork(t *testing.T) {
-	leave := func(u *fleettest.Upstream) platform.Host {
+	leave := func(u *fleettest.Upstream) store.Host {
 		row := u.Host
-		row.State = platform.HostLeaving
+		row.State = store.HostLeaving
 		return row
 	}
 	for name, tc := range map[string]struct {
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -10,7 +10,7 @@
 
 	"dandelionrill.example/fleet/controllers/configuration"
 	"dandelionrill.example/fleet/controllers/schedule"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 	"github.com/cockroachdb/errors"
 )
@@ -42,14 +42,14 @@
 
 // NewFleet returns the fleet of a host list, whose processes are asked over
 // peers. connect is told the list before the first process is asked.
-func NewFleet(list platform.HostList, peers configuration.Peers, connect func([]platform.Host)) Fleet {
+func NewFleet(list store.HostList, peers configuration.Peers, connect func([]store.Host)) Fleet {
 	return &listedFleet{list: list, peers: peers, connect: connect}
 }
 
 type listedFleet struct {
-	list    platform.HostList
+	list    store.HostList
 	peers   configuration.Peers
-	connect func([]platform.Host)
+	connect func([]store.Host)
 }
 
 func (f *listedFleet) Hosts(ctx context.Context) ([]string, error) {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"dandelionrill.example/fleet/config"
-	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/sheet"
+	"dandelionrill.example/fleet/store"
 	"github.com/cockroachdb/errors"
 )
 
@@ -64,7 +64,7 @@
 	if err != nil {
 		return "", err
 	}
-	share := 100 * len(value) / platform.MaxValueBytes
+	share := 100 * len(value) / store.MaxValueBytes
 	text := fmt.Sprintf("%d bytes, %d%% of what the platform holds", len(value), share)
 	if share >= warnShare {
 		text += "; warning: little room is left, see docs/SHEET.md on large sheets"
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"dandelionrill.example/fleet/config"
-	"dandelionrill.example/fleet/platform"
-	"dandelionrill.example/fleet/platform/memory"
 	"dandelionrill.example/fleet/revision"
+	"dandelionrill.example/fleet/store"
+	"dandelionrill.example/fleet/store/memory"
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 )
@@ -93,7 +93,7 @@
 		must.NoError(t, RunApply(t.Context(), o, &buf, &bytes.Buffer{}), must.Sprint("a shown sheet can be applied"))
 		p.SetOut(true)
 		_, err = apply(t, o, 2)
-		must.ErrorIs(t, err, platform.ErrUnavailable)
+		must.ErrorIs(t, err, store.ErrUnavailable)
 	})
 }
 
@@ -211,11 +211,11 @@
 		value, err := revision.Encode(large(550, rulesEach))
 		must.NoError(t, err)
 		t.Logf("550 customers, 11 models, %d rules: %d bytes", 550*rulesEach, len(value))
-		must.Less(t, platform.MaxValueBytes/4, len(value))
+		must.Less(t, store.MaxValueBytes/4, len(value))
 	}
 	_, err := revision.Encode(large(16_000, 0))
 	var tooLarge *revision.TooLargeError
 	must.True(t, errors.As(err, &tooLarge))
-	must.Greater(t, platform.MaxValueBytes, tooLarge.Bytes)
+	must.Greater(t, store.MaxValueBytes, tooLarge.Bytes)
 	must.Less(t, tooLarge.Customers, tooLarge.Rules)
 }
--- a/revision/publish.go
+++ b/revision/publish.go
@@ -7,7 +7,7 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/controllers/schedule"
 	"dandelionrill.example/fleet/internal/randid"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"github.com/cockroachdb/errors"
 )
 
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > store.MaxValueBytes {
 		return nil, tooLarge(cfg, len(value))
 	}
 	return value, nil
@@ -68,7 +68,7 @@
 		return len(raw)
 	}
 	return &TooLargeError{
-		Bytes: size, Limit: platform.MaxValueBytes,
+		Bytes: size, Limit: store.MaxValueBytes,
 		Customers: part(config.Config{Customers: cfg.Customers}),
 		Services:  part(config.Config{Services: cfg.Services}),
 		Rules:     part(config.Config{Rules: cfg.Rules}),
@@ -80,13 +80,13 @@
 	if base == 0 {
 		return nil
 	}
-	var object platform.Object
+	var object store.Object
 	err := retry(ctx, func() (err error) {
 		object, err = s.opts.Platform.Get(ctx, KeyCurrent)
 		return err
 	})
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return &ConflictError{Base: base}
 	case err != nil:
 		return errors.Wrap(err, "revision: read current")
@@ -97,7 +97,7 @@
 		_, err := s.opts.Platform.Put(ctx, historyKey(base), object.Value, 0)
 		return err
 	})
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, store.ErrConflict) {
 		return errors.Wrapf(err, "revision: keep version %d", base)
 	}
 	return nil
@@ -107,10 +107,10 @@
 func retry(ctx context.Context, call func() error) error {
 	for failures := 1; ; failures++ {
 		err := call()
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, store.ErrUnavailable) {
 			return err
 		}
-		if !schedule.Sleep(ctx, pause.Wait(failures, platform.RetryAfter(err), schedule.Random())) {
+		if !schedule.Sleep(ctx, pause.Wait(failures, store.RetryAfter(err), schedule.Random())) {
 			return err
 		}
 	}
@@ -126,9 +126,9 @@
 	switch {
 	case err == nil:
 		return version, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return s.settle(ctx, changeID, base)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return 0, &UnknownError{ChangeID: changeID, Cause: err}
 	}
 	return 0, errors.Wrap(err, "revision: publish")
@@ -186,7 +186,7 @@
 			continue
 		}
 		cfg, err := s.At(ctx, version)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, store.ErrNotFound) {
 			continue // trimmed meanwhile
 		}
 		if err != nil {
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"dandelionrill.example/fleet/config"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"github.com/cockroachdb/errors"
 )
 
@@ -41,7 +41,7 @@
 
 // Options sets up a Store.
 type Options struct {
-	Platform      platform.Store
+	Platform      store.Store
 	Keep          int           // versions kept in the history; 0 means DefaultKeep
 	SettleTimeout time.Duration // how long a lost answer is settled; 0 means DefaultSettleTimeout
 }
@@ -128,7 +128,7 @@
 // Current returns the newest version; nil if there is none.
 func (s *Store) Current(ctx context.Context) (*config.Config, error) {
 	object, err := s.opts.Platform.Get(ctx, KeyCurrent)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -137,7 +137,7 @@
 	return decode(object, object.Version)
 }
 
-func decode(object platform.Object, version uint64) (*config.Config, error) {
+func decode(object store.Object, version uint64) (*config.Config, error) {
 	cfg, err := config.Decode(object.Value)
 	if err != nil {
 		return nil, errors.Wrapf(err, "revision: %s", object.Key)
@@ -147,7 +147,7 @@
 }
 
 // At returns a version from the history or the current one. It fails with
-// platform.ErrNotFound if the history does not reach back to it.
+// store.ErrNotFound if the history does not reach back to it.
 func (s *Store) At(ctx context.Context, version uint64) (*config.Config, error) {
 	current, err := s.Current(ctx)
 	if err != nil {
@@ -180,7 +180,7 @@
 			continue
 		}
 		cfg, err := s.At(ctx, versions[i])
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, store.ErrNotFound) {
 			continue // trimmed meanwhile
 		}
 		if err != nil {
--- a/router/keyed_test.go
+++ b/router/keyed_test.go
@@ -11,8 +11,8 @@
 
 	"dandelionrill.example/fleet/claims"
 	"dandelionrill.example/fleet/fleettest"
-	"dandelionrill.example/fleet/platform/httpapi"
 	"dandelionrill.example/fleet/router"
+	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/standin/platform"
 	"dandelionrill.example/standin/service"
 )
--- a/router/pools.go
+++ b/router/pools.go
@@ -11,7 +11,7 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/controllers/schedule"
 	"dandelionrill.example/fleet/decide/place"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 )
 
 const (
@@ -76,7 +76,7 @@
 func (r *Router) candidates() map[string][]place.Candidate {
 	hosts := make(map[string][]board.HostView)
 	for _, h := range r.opts.Board.Hosts() {
-		if h.Role == platform.RoleAgent && !h.Leaving {
+		if h.Role == store.RoleAgent && !h.Leaving {
 			hosts[h.Service] = append(hosts[h.Service], h)
 		}
 	}
--- a/router/pools_test.go
+++ b/router/pools_test.go
@@ -9,7 +9,7 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/decide/retry"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 	"github.com/shoenig/test/must"
 )
@@ -19,11 +19,11 @@
 func TestCandidatesEjectWithinCeiling(t *testing.T) {
 	now := time.Hour
 	b := board.NewWithClock(func() time.Duration { return now })
-	var hosts []platform.Host
+	var hosts []store.Host
 	for _, name := range []string{"e1", "e2", "e3", "e4"} {
-		hosts = append(hosts, platform.Host{Name: name, Role: platform.RoleAgent, Service: "model", Address: name, State: platform.HostLive})
+		hosts = append(hosts, store.Host{Name: name, Role: store.RoleAgent, Service: "model", Address: name, State: store.HostLive})
 	}
-	hosts[3].State = platform.HostLeaving
+	hosts[3].State = store.HostLeaving
 	b.ObserveHostList(hosts)
 	r := &Router{opts: Options{Board: b}}
 	weights := func() (ws []float64) {
--- a/router/wrong_test.go
+++ b/router/wrong_test.go
@@ -14,7 +14,7 @@
 
 	"dandelionrill.example/fleet/fleettest"
 	"dandelionrill.example/fleet/link"
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 )
 
@@ -69,9 +69,9 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			must.NoError(t, err)
 			go func() { _ = server.Serve(listener) }()
-			up := &fleettest.Upstream{Host: platform.Host{
-				Name: "w", Role: platform.RoleAgent, Service: fleettest.PlainService,
-				Address: listener.Addr().String(), State: platform.HostLive,
+			up := &fleettest.Upstream{Host: store.Host{
+				Name: "w", Role: store.RoleAgent, Service: fleettest.PlainService,
+				Address: listener.Addr().String(), State: store.HostLive,
 			}}
 			r := fleettest.StartRouter(t, "r", fleettest.Config(1), []*fleettest.Upstream{up}, nil, nil)
 			a := r.Do(t, "GET", "/v1/services/share-ledger/holdings", "", nil)
--- a/platform/httpapi/httpapi.go
+++ b/store/httpapi/httpapi.go
@@ -4,7 +4,7 @@
 // It sends each update at most once: net/http repeats a request by itself only
 // if it is a GET or if nothing of it was written, and redirects are not
 // followed. The outcome of an update whose answer was lost is unknown
-// (platform.ErrUnavailable); the caller settles it by reading back.
+// (store.ErrUnavailable); the caller settles it by reading back.
 package httpapi
 
 import (
@@ -18,7 +18,7 @@
 	"strings"
 	"time"
 
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"github.com/cockroachdb/errors"
 )
 
@@ -35,7 +35,7 @@
 	Client  *http.Client  // 0 means a client of its own; its redirect policy is not used
 }
 
-// Client implements platform.Store and platform.HostList. All methods may be
+// Client implements store.Store and store.HostList. All methods may be
 // called concurrently.
 type Client struct {
 	base    string
@@ -44,8 +44,8 @@
 }
 
 var (
-	_ platform.Store    = (*Client)(nil)
-	_ platform.HostList = (*Client)(nil)
+	_ store.Store    = (*Client)(nil)
+	_ store.HostList = (*Client)(nil)
 )
 
 // New returns a client, or an error if the base URL is not absolute HTTP.
@@ -114,13 +114,13 @@
 		return reply{}, unavailable(err, in)
 	}
 	if int64(len(body)) > in.limit {
-		return reply{}, errors.Wrapf(platform.ErrTooLarge, "httpapi: %s %s: answer", in.method, in.path)
+		return reply{}, errors.Wrapf(store.ErrTooLarge, "httpapi: %s %s: answer", in.method, in.path)
 	}
 	return reply{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
 func unavailable(err error, in call) error {
-	return errors.Wrapf(&platform.UnavailableError{Cause: err}, "httpapi: %s %s", in.method, in.path)
+	return errors.Wrapf(&store.UnavailableError{Cause: err}, "httpapi: %s %s", in.method, in.path)
 }
 
 // failure returns the error of an answer that is no success.
@@ -128,16 +128,16 @@
 	var err error
 	switch r.status {
 	case http.StatusNotFound:
-		err = platform.ErrNotFound
+		err = store.ErrNotFound
 	case http.StatusPreconditionFailed:
-		err = platform.ErrConflict
+		err = store.ErrConflict
 	case http.StatusRequestEntityTooLarge:
-		err = platform.ErrTooLarge
+		err = store.ErrTooLarge
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		err = &platform.UnavailableError{RetryAfter: retryAfter(r.header)}
+		err = &store.UnavailableError{RetryAfter: retryAfter(r.header)}
 	default:
 		if r.status >= http.StatusInternalServerError {
-			err = platform.ErrUnavailable
+			err = store.ErrUnavailable
 		} else {
 			err = errors.Newf("status %d", r.status)
 		}
@@ -177,40 +177,40 @@
 	return http.Header{"If-Match": {`"` + strconv.FormatUint(expected, 10) + `"`}}
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Object, error) {
 	return c.read(ctx, key, call{})
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Object, error) {
+// Watch implements store.Store.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (store.Object, error) {
 	seconds := int(wait / time.Second)
 	query := url.Values{"watch": {strconv.FormatUint(after, 10)}, "wait": {strconv.Itoa(seconds)}}
 	return c.read(ctx, key, call{query: query, wait: time.Duration(seconds) * time.Second})
 }
 
-func (c *Client) read(ctx context.Context, key string, in call) (platform.Object, error) {
-	in.method, in.path, in.limit = http.MethodGet, objectPath(key), platform.MaxValueBytes
+func (c *Client) read(ctx context.Context, key string, in call) (store.Object, error) {
+	in.method, in.path, in.limit = http.MethodGet, objectPath(key), store.MaxValueBytes
 	r, err := c.do(ctx, in)
 	if err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	if r.status != http.StatusOK {
-		return platform.Object{}, failure(r, in)
+		return store.Object{}, failure(r, in)
 	}
 	v, err := version(r, in)
 	if err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
-	return platform.Object{Key: key, Version: v, Value: r.body}, nil
+	return store.Object{Key: key, Version: v, Value: r.body}, nil
 }
 
-// Put implements platform.Store. It refuses a value over
-// platform.MaxValueBytes without a call.
+// Put implements store.Store. It refuses a value over
+// store.MaxValueBytes without a call.
 func (c *Client) Put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
 	in := call{method: http.MethodPut, path: objectPath(key), header: precondition(expected), body: value, limit: maxListBytes}
-	if len(value) > platform.MaxValueBytes {
-		return 0, errors.Wrapf(platform.ErrTooLarge, "httpapi: PUT %s: %d bytes", in.path, len(value))
+	if len(value) > store.MaxValueBytes {
+		return 0, errors.Wrapf(store.ErrTooLarge, "httpapi: PUT %s: %d bytes", in.path, len(value))
 	}
 	r, err := c.do(ctx, in)
 	if err != nil {
@@ -222,7 +222,7 @@
 	return version(r, in)
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
 	in := call{method: http.MethodDelete, path: objectPath(key), header: precondition(expected), limit: maxListBytes}
 	r, err := c.do(ctx, in)
@@ -235,8 +235,8 @@
 	return nil
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string, limit int) ([]platform.Object, error) {
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, prefix string, limit int) ([]store.Object, error) {
 	query := url.Values{"prefix": {prefix}, "limit": {strconv.Itoa(limit)}}
 	var rows []struct {
 		Key     string `json:"key"`
@@ -245,16 +245,16 @@
 	if err := c.readJSON(ctx, call{path: "/objects", query: query}, &rows); err != nil {
 		return nil, err
 	}
-	objects := make([]platform.Object, len(rows))
+	objects := make([]store.Object, len(rows))
 	for i, row := range rows {
-		objects[i] = platform.Object{Key: row.Key, Version: row.Version}
+		objects[i] = store.Object{Key: row.Key, Version: row.Version}
 	}
 	return objects, nil
 }
 
-// Hosts implements platform.HostList.
-func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
-	var hosts []platform.Host
+// Hosts implements store.HostList.
+func (c *Client) Hosts(ctx context.Context) ([]store.Host, error) {
+	var hosts []store.Host
 	err := c.readJSON(ctx, call{path: "/hosts"}, &hosts)
 	return hosts, err
 }
--- a/platform/httpapi/httpapi_test.go
+++ b/store/httpapi/httpapi_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"github.com/shoenig/test/must"
 )
 
@@ -26,18 +26,18 @@
 	}{
 		{"get", 200, `"7"`, "GET /objects/a/b%20c ", nil, func(c *Client) error {
 			o, err := c.Get(ctx, "a/b c")
-			must.Eq(t, platform.Object{Key: "a/b c", Version: 7, Value: []byte(`[]`)}, o)
+			must.Eq(t, store.Object{Key: "a/b c", Version: 7, Value: []byte(`[]`)}, o)
 			return err
 		}},
-		{"get without version", 200, "", "GET /objects/k ", platform.ErrUnavailable, func(c *Client) error { _, err := c.Get(ctx, "k"); return err }},
-		{"get missing", 404, "", "GET /objects/k ", platform.ErrNotFound, func(c *Client) error { _, err := c.Get(ctx, "k"); return err }},
+		{"get without version", 200, "", "GET /objects/k ", store.ErrUnavailable, func(c *Client) error { _, err := c.Get(ctx, "k"); return err }},
+		{"get missing", 404, "", "GET /objects/k ", store.ErrNotFound, func(c *Client) error { _, err := c.Get(ctx, "k"); return err }},
 		{"create", 200, `"1"`, `PUT /objects/k *`, nil, func(c *Client) error { _, err := c.Put(ctx, "k", nil, 0); return err }},
-		{"update", 412, "", `PUT /objects/k "3"`, platform.ErrConflict, func(c *Client) error { _, err := c.Put(ctx, "k", nil, 3); return err }},
-		{"large", 413, "", `PUT /objects/k "3"`, platform.ErrTooLarge, func(c *Client) error { _, err := c.Put(ctx, "k", nil, 3); return err }},
+		{"update", 412, "", `PUT /objects/k "3"`, store.ErrConflict, func(c *Client) error { _, err := c.Put(ctx, "k", nil, 3); return err }},
+		{"large", 413, "", `PUT /objects/k "3"`, store.ErrTooLarge, func(c *Client) error { _, err := c.Put(ctx, "k", nil, 3); return err }},
 		{"delete", 204, "", `DELETE /objects/k "3"`, nil, func(c *Client) error { return c.Delete(ctx, "k", 3) }},
 		{"watch", 200, `"9"`, "GET /objects/k?wait=2&watch=8 ", nil, func(c *Client) error { _, err := c.Watch(ctx, "k", 8, 2*time.Second); return err }},
 		{"list", 200, "", "GET /objects?limit=3&prefix=p%2F ", nil, func(c *Client) error { _, err := c.List(ctx, "p/", 3); return err }},
-		{"hosts in an outage", 503, "", "GET /hosts ", platform.ErrUnavailable, func(c *Client) error { _, err := c.Hosts(ctx); return err }},
+		{"hosts in an outage", 503, "", "GET /hosts ", store.ErrUnavailable, func(c *Client) error { _, err := c.Hosts(ctx); return err }},
 		{"redirect", 307, "", `PUT /objects/k "3"`, nil, func(c *Client) error {
 			_, err := c.Put(ctx, "k", nil, 3)
 			must.ErrorContains(t, err, "status 307")
@@ -61,7 +61,7 @@
 		must.ErrorIs(t, err, tc.err, must.Sprint(tc.name))
 		must.Eq(t, tc.want, seen, must.Sprint(tc.name))
 		if tc.status == 503 {
-			must.Eq(t, 4*time.Second, platform.RetryAfter(err))
+			must.Eq(t, 4*time.Second, store.RetryAfter(err))
 		}
 		s.Close()
 	}
@@ -96,10 +96,10 @@
 		_, err = c.Get(context.Background(), "k")
 		must.NoError(t, err)
 		_, err = c.Put(context.Background(), "k", []byte(strings.Repeat("x", 10)), 1)
-		must.ErrorIs(t, err, platform.ErrUnavailable)
+		must.ErrorIs(t, err, store.ErrUnavailable)
 		_, err = c.Get(context.Background(), "k")
 		must.NoError(t, err)
-		must.ErrorIs(t, c.Delete(context.Background(), "k", 1), platform.ErrUnavailable)
+		must.ErrorIs(t, c.Delete(context.Background(), "k", 1), store.ErrUnavailable)
 	}
 	must.Eq(t, 2, puts.Load())
 	must.Eq(t, 2, deletes.Load())
--- a/platform/memory/memory.go
+++ b/store/memory/memory.go
@@ -9,16 +9,16 @@
 	"sync"
 	"time"
 
-	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 )
 
-// Platform implements platform.Store and platform.HostList. All methods may be
+// Platform implements store.Store and store.HostList. All methods may be
 // called concurrently. Use New.
 type Platform struct {
 	mu       sync.Mutex
 	version  uint64
-	objects  map[string]platform.Object
-	hosts    []platform.Host
+	objects  map[string]store.Object
+	hosts    []store.Host
 	changed  chan struct{}
 	out      bool
 	loseNext int
@@ -27,13 +27,13 @@
 }
 
 var (
-	_ platform.Store    = (*Platform)(nil)
-	_ platform.HostList = (*Platform)(nil)
+	_ store.Store    = (*Platform)(nil)
+	_ store.HostList = (*Platform)(nil)
 )
 
 // New returns an empty platform.
 func New() *Platform {
-	return &Platform{objects: make(map[string]platform.Object), changed: make(chan struct{})}
+	return &Platform{objects: make(map[string]store.Object), changed: make(chan struct{})}
 }
 
 // SetOut starts or ends an outage. Its start ends waiting watches.
@@ -59,7 +59,7 @@
 }
 
 // SetHosts sets the host list.
-func (p *Platform) SetHosts(hosts []platform.Host) {
+func (p *Platform) SetHosts(hosts []store.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts = slices.Clone(hosts)
@@ -82,30 +82,30 @@
 func (p *Platform) begin() error {
 	p.calls++
 	if p.out {
-		return &platform.UnavailableError{}
+		return &store.UnavailableError{}
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (p *Platform) Get(_ context.Context, key string) (platform.Object, error) {
+// Get implements store.Store.
+func (p *Platform) Get(_ context.Context, key string) (store.Object, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := p.begin(); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return p.get(key)
 }
 
-func (p *Platform) get(key string) (platform.Object, error) {
+func (p *Platform) get(key string) (store.Object, error) {
 	object, ok := p.objects[key]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
 	return object, nil
 }
 
-// Put implements platform.Store.
+// Put implements store.Store.
 func (p *Platform) Put(_ context.Context, key string, value []byte, expected uint64) (uint64, error) {
 	p.hook()
 	p.mu.Lock()
@@ -113,14 +113,14 @@
 	if err := p.begin(); err != nil {
 		return 0, err
 	}
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(value) > store.MaxValueBytes {
+		return 0, store.ErrTooLarge
 	}
 	if p.objects[key].Version != expected {
-		return 0, platform.ErrConflict
+		return 0, store.ErrConflict
 	}
 	p.version++
-	p.objects[key] = platform.Object{Key: key, Version: p.version, Value: slices.Clone(value)}
+	p.objects[key] = store.Object{Key: key, Version: p.version, Value: slices.Clone(value)}
 	p.announce()
 	return p.version, p.answer()
 }
@@ -142,10 +142,10 @@
 		return nil
 	}
 	p.loseNext--
-	return &platform.UnavailableError{Cause: context.DeadlineExceeded}
+	return &store.UnavailableError{Cause: context.DeadlineExceeded}
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (p *Platform) Delete(_ context.Context, key string, expected uint64) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,20 +157,20 @@
 		return err
 	}
 	if object.Version != expected {
-		return platform.ErrConflict
+		return store.ErrConflict
 	}
 	delete(p.objects, key)
 	p.announce()
 	return p.answer()
 }
 
-// Watch implements platform.Store.
-func (p *Platform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Object, error) {
+// Watch implements store.Store.
+func (p *Platform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (store.Object, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for first := true; ; first = false {
 		object, changed, err := p.watchOnce(key, first)
-		if err != nil && err != platform.ErrNotFound || object.Version > after {
+		if err != nil && err != store.ErrNotFound || object.Version > after {
 			return object, err
 		}
 		select {
@@ -178,43 +178,43 @@
 		case <-timer.C:
 			return object, err
 		case <-ctx.Done():
-			return platform.Object{}, &platform.UnavailableError{Cause: ctx.Err()}
+			return store.Object{}, &store.UnavailableError{Cause: ctx.Err()}
 		}
 	}
 }
 
-func (p *Platform) watchOnce(key string, first bool) (platform.Object, <-chan struct{}, error) {
+func (p *Platform) watchOnce(key string, first bool) (store.Object, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if first {
 		p.calls++
 	}
 	if p.out {
-		return platform.Object{}, p.changed, &platform.UnavailableError{}
+		return store.Object{}, p.changed, &store.UnavailableError{}
 	}
 	object, err := p.get(key)
 	return object, p.changed, err
 }
 
-// List implements platform.Store.
-func (p *Platform) List(_ context.Context, prefix string, limit int) ([]platform.Object, error) {
+// List implements store.Store.
+func (p *Platform) List(_ context.Context, prefix string, limit int) ([]store.Object, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := p.begin(); err != nil {
 		return nil, err
 	}
-	var objects []platform.Object
+	var objects []store.Object
 	for key, object := range p.objects {
 		if strings.HasPrefix(key, prefix) {
-			objects = append(objects, platform.Object{Key: key, Version: object.Version})
+			objects = append(objects, store.Object{Key: key, Version: object.Version})
 		}
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(objects, func(a, b store.Object) int { return strings.Compare(a.Key, b.Key) })
 	return objects[:min(limit, len(objects))], nil
 }
 
-// Hosts implements platform.HostList.
-func (p *Platform) Hosts(context.Context) ([]platform.Host, error) {
+// Hosts implements store.HostList.
+func (p *Platform) Hosts(context.Context) ([]store.Host, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := p.begin(); err != nil {
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,6 +1,6 @@
 // Package platform defines what the fleet needs of the platform's object API
 // and host list. Adapters live in subpackages; nothing else knows the protocol.
-package platform
+package store
 
 import (
 	"context"
@@ -15,15 +15,15 @@
 // Errors that every adapter returns, to be tested with errors.Is.
 var (
 	// ErrNotFound says that no object has the key.
-	ErrNotFound = errors.New("platform: object not found")
+	ErrNotFound = errors.New("store: object not found")
 	// ErrConflict says that the object's version was not the expected one. The
 	// update was not made by this call.
-	ErrConflict = errors.New("platform: version conflict")
+	ErrConflict = errors.New("store: version conflict")
 	// ErrUnavailable says that the platform did not answer, or not in time. An
 	// update may have taken effect: read it back to know.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("store: unavailable")
 	// ErrTooLarge says that the value exceeds MaxValueBytes.
-	ErrTooLarge = errors.New("platform: value too large")
+	ErrTooLarge = errors.New("store: value too large")
 )
 
 // UnavailableError is an ErrUnavailable with its cause, and with the wait that
@@ -36,9 +36,9 @@
 // Error describes the failure.
 func (e *UnavailableError) Error() string {
 	if e.Cause != nil {
-		return "platform: unavailable: " + e.Cause.Error()
+		return "store: unavailable: " + e.Cause.Error()
 	}
-	return "platform: unavailable, retry after " + e.RetryAfter.String()
+	return "store: unavailable, retry after " + e.RetryAfter.String()
 }
 
 // Unwrap returns the cause.
