--- a/cli/cli.go
+++ b/cli/cli.go
@@ -62,6 +62,7 @@
 
 Commands:
   router      run a router
+  gateway     run a router on the users' platform
   status      show the state of a process
   drain       begin the planned stop of a process
   timeline    merge the recent events of processes
@@ -84,6 +85,8 @@
 	switch name := args[0]; name {
 	case "router":
 		return Router(ctx, args[1:], env)
+	case "gateway":
+		return Gateway(ctx, args[1:], env)
 	case "version", "--version":
 		fmt.Fprintln(env.Stdout, Version())
 		return exitOK
--- /dev/null
+++ b/cli/gateway.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"context"
+	"strconv"
+
+	"dandelionrill.example/fleet/entry"
+	"dandelionrill.example/fleet/logging"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/settings"
+)
+
+// Gateway runs a router on the users' platform until ctx ends, and returns the
+// exit code.
+func Gateway(ctx context.Context, args []string, env Environment) int {
+	s, err := settings.ParseGateway(args, env.Getenv)
+	var host platform.Settings
+	if err == nil && (s.Action == settings.ActionRun || s.Action == settings.ActionCheck) {
+		host, err = platform.LoadSettings(s.Config)
+	}
+	if code, done := act(s.Action, settings.GatewayHelp(), err, env); done {
+		return code
+	}
+	return finish(runGateway(ctx, s, host, env), env)
+}
+
+func runGateway(ctx context.Context, s *settings.Gateway, host platform.Settings, env Environment) error {
+	logger, stop, err := logging.NewBounded(logging.Options{
+		Level: s.LogLevel, Output: env.Stdout, Process: host.Host,
+	})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	port := ""
+	if s.MetricsPort != 0 {
+		port = strconv.FormatInt(s.MetricsPort, 10)
+	}
+	h, err := entry.New(entry.Options{Settings: host, SettingsPath: s.Config, MetricsPort: port, Log: logger})
+	if err != nil {
+		return err
+	}
+	return h.Run(ctx)
+}
--- /dev/null
+++ b/decide/place/prompt.go
@@ -0,0 +1,145 @@
+package place
+
+import "math"
+
+// PromptOptions is the policy for requests that name the parts of their prompt.
+// A replica is full for a request once its load reaches
+// min(Multiple*mean + Slack, Ceiling*mean + CeilingSlack).
+type PromptOptions struct {
+	Multiple     float64 // of the mean load, from which a prompt is led away from its home
+	Slack        float64 // requests beyond Multiple, which keeps prompts home in a quiet pool
+	Ceiling      float64 // bound that the routers together must hold, of the mean; 0 means none
+	CeilingSlack float64 // requests beyond Ceiling
+}
+
+// Replica is a candidate for a request that names the parts of its prompt.
+type Replica struct {
+	Seed   uint64  // hash of its identity
+	Load   float64 // requests in progress, of all routers as far as known
+	Weight float64 // 1 normal, between 0 and 1 while it returns gradually, 0 ejected
+	Holds  bool    // has lately read the shared part of the prompt
+	Tried  bool    // not to be chosen again
+	Local  bool    // in the failure domain of the router
+}
+
+// PromptChoice is the replica for a request, and where the shared part of its
+// prompt can be fetched from.
+type PromptChoice struct {
+	Index  int // -1 if no replica can be chosen
+	Source int // a replica that holds the part while the chosen one does not; -1 if none
+	Full   bool
+}
+
+// full returns the load from which a replica takes no further request.
+func (o PromptOptions) full(mean float64) float64 {
+	limit := o.Multiple*mean + o.Slack
+	if o.Ceiling > 0 {
+		limit = min(limit, o.Ceiling*mean+o.CeilingSlack)
+	}
+	return limit
+}
+
+// ChoosePrompt returns the replica for a request whose shared part has the
+// given key: the first of its hash order that holds the part and is not full,
+// else the first that is not full, else the least loaded.
+func ChoosePrompt(opts PromptOptions, key uint64, replicas []Replica) PromptChoice {
+	limit := opts.full(meanOf(replicas))
+	holder, open, least := -1, -1, -1
+	var holderScore, openScore uint64
+	for i := range replicas {
+		r := &replicas[i]
+		if r.Tried || r.Weight <= 0 {
+			continue
+		}
+		if least < 0 || r.Load/r.Weight < replicas[least].Load/replicas[least].Weight {
+			least = i
+		}
+		if r.Load >= limit || !takesShare(r, key) {
+			continue
+		}
+		score := mix(key ^ r.Seed)
+		if open < 0 || score > openScore {
+			open, openScore = i, score
+		}
+		if r.Holds && (holder < 0 || score > holderScore) {
+			holder, holderScore = i, score
+		}
+	}
+	switch {
+	case holder >= 0:
+		return PromptChoice{Index: holder, Source: -1}
+	case open >= 0:
+		return PromptChoice{Index: open, Source: sourceFor(replicas, open)}
+	case least >= 0:
+		return PromptChoice{Index: least, Source: sourceFor(replicas, least), Full: true}
+	}
+	return PromptChoice{Index: -1, Source: -1}
+}
+
+// takesShare tells whether a replica that returns gradually takes the key. The
+// keys it takes at a lower weight are a subset of those at a higher one.
+func takesShare(r *Replica, key uint64) bool {
+	return r.Weight >= 1 || mix(key+r.Seed) < keyShare(r.Weight)
+}
+
+// sourceFor returns the least loaded replica that holds the part, for one that
+// does not; -1 if there is none. A tried replica may still be read from.
+func sourceFor(replicas []Replica, chosen int) int {
+	if replicas[chosen].Holds {
+		return -1
+	}
+	source := -1
+	for i := range replicas {
+		if i == chosen || !replicas[i].Holds || replicas[i].Weight <= 0 {
+			continue
+		}
+		if source < 0 || replicas[i].Load < replicas[source].Load {
+			source = i
+		}
+	}
+	return source
+}
+
+// meanOf averages the loads of replicas that are not ejected.
+func meanOf(replicas []Replica) float64 {
+	sum, n := 0.0, 0
+	for i := range replicas {
+		if replicas[i].Weight > 0 {
+			sum += replicas[i].Load
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// ChooseLeast returns the replica with the lowest load; one of another failure
+// domain counts as if it had remoteLoad more requests. The scan starts at a
+// random place, so that routers which know the same loads do not all choose
+// the same of several equal ones. It returns -1 if all are tried or ejected.
+func ChooseLeast(replicas []Replica, remoteLoad float64, random uint64) int {
+	n := len(replicas)
+	if n == 0 {
+		return -1
+	}
+	best, bestCost := -1, math.Inf(1)
+	i := int(mix(random) >> 32 * uint64(n) >> 32)
+	for range n {
+		r := &replicas[i]
+		if !r.Tried && r.Weight > 0 {
+			cost := (r.Load + 1) / r.Weight
+			if !r.Local {
+				cost += remoteLoad
+			}
+			if cost < bestCost {
+				best, bestCost = i, cost
+			}
+		}
+		if i++; i == n {
+			i = 0
+		}
+	}
+	return best
+}
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -33,6 +33,12 @@
 	return &Budget{opts: opts, credit: opts.Burst}
 }
 
+// SetBurst changes the most retries saved up. Those beyond it are lost.
+func (b *Budget) SetBurst(burst float64) {
+	b.opts.Burst = burst
+	b.credit = min(b.credit, burst)
+}
+
 // Deposit records a first attempt.
 func (b *Budget) Deposit() {
 	b.credit = min(b.opts.Burst, b.credit+b.opts.Ratio)
--- /dev/null
+++ b/entry/apply.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/feed"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/routing"
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+)
+
+// applyConfiguration puts a newer configuration in force. One that cannot be
+// decoded leaves the old one in force.
+func (h *Host) applyConfiguration(s feed.Snapshot) {
+	c, err := platform.DecodeConfiguration(s.Records)
+	if errors.Is(err, platform.ErrNoConfiguration) {
+		return
+	}
+	if err != nil {
+		h.log.WithError(err).WithField("revision", s.Revision).Error("configuration refused; the old one stays in force")
+		return
+	}
+	if h.gateway.SetTable(routing.NewTable(c)) {
+		h.idle.setLimit(c.Limits.IdleTimeout)
+		h.log.WithFields(log.Fields{
+			"config": c.Version, "revision": s.Revision, "routes": len(c.Routes), "customers": len(c.Customers),
+		}).Info("configuration in force")
+	}
+}
+
+// applyUpstreams puts a newer list of upstreams in force.
+func (h *Host) applyUpstreams(s feed.Snapshot) {
+	listed, findings := platform.DecodeUpstreams(s.Records)
+	for _, f := range findings {
+		h.log.WithError(f.Err).WithFields(log.Fields{"entry": f.Name, "revision": f.Revision}).Warn("upstream entry left out")
+	}
+	h.lapsing.Lock()
+	defer h.lapsing.Unlock()
+	steady := h.upstreams.Stamp().Steady
+	merged := h.lapse.Merge(listed, steady)
+	h.gateway.SetCatalog(catalog.New(s.Revision, merged))
+	h.log.WithFields(log.Fields{
+		"revision": s.Revision, "listed": len(listed), "kept": h.lapse.Kept(), "leaving": leaving(listed),
+		"store_steady_ms": steady.Milliseconds(),
+	}).Info("upstreams changed")
+}
+
+func leaving(upstreams []catalog.Upstream) int {
+	n := 0
+	for _, u := range upstreams {
+		if u.State == catalog.StateLeaving {
+			n++
+		}
+	}
+	return n
+}
+
+// expireLapsed drops entries that did not return in time.
+func (h *Host) expireLapsed() {
+	h.lapsing.Lock()
+	due := h.lapse.Kept() > 0 && h.upstreams.Stamp().Steady >= returnWindow
+	h.lapsing.Unlock()
+	if due {
+		h.applyUpstreams(h.upstreams.Snapshot())
+	}
+}
+
+// applyRouters puts a newer list of routers in force.
+func (h *Host) applyRouters(s feed.Snapshot) {
+	routers, findings := platform.DecodeRouters(s.Records)
+	for _, f := range findings {
+		h.log.WithError(f.Err).WithFields(log.Fields{"entry": f.Name, "revision": f.Revision}).Warn("router entry left out")
+	}
+	addresses := make([]string, 0, len(routers))
+	for _, r := range routers {
+		addresses = append(addresses, r.Address)
+	}
+	h.mesh.SetPeers(addresses)
+	h.gateway.SetRouters(len(routers))
+	h.log.WithFields(log.Fields{"revision": s.Revision, "routers": len(routers)}).Info("routers changed")
+}
+
+// registerDelay is the wait after a failed registration.
+const registerDelay = time.Second
+
+// register makes this router known to the others.
+func (h *Host) register(ctx context.Context) {
+	s := &h.opts.Settings
+	value, err := platform.EncodeRouter(platform.Router{Address: s.PeersAddress, FailureDomain: s.FailureDomain})
+	for err == nil {
+		if err = h.store.WriteRecord(ctx, platform.KindRouters, s.Host, value); err == nil {
+			return
+		}
+		h.log.WithError(err).Warn("cannot register this router; trying again")
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(registerDelay):
+			err = nil
+		}
+	}
+	h.log.WithError(err).Error("cannot register this router")
+}
+
+// maintainInterval is how often connections and lapsed entries are looked at.
+const maintainInterval = 250 * time.Millisecond
+
+// maintain closes what is idle and drops what lapsed, until ctx ends.
+func (h *Host) maintain(ctx context.Context) {
+	ticker := time.NewTicker(maintainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			h.idle.closeExpired(now)
+			h.expireLapsed()
+			h.gateway.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,318 @@
+// Package entry assembles the process of an entry host on the platform: the
+// gateway for callers, the feeds of what the store holds, the mesh with the
+// other routers, readiness and the planned stop.
+package entry
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/decide/eject"
+	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/feed"
+	"dandelionrill.example/fleet/gateway"
+	"dandelionrill.example/fleet/gossip"
+	"dandelionrill.example/fleet/platform"
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// configurationWait and upstreamsWait bound one watch: a connection that
+	// went silent is found when it ends.
+	configurationWait = time.Second
+	upstreamsWait     = time.Second
+	// routersWait is longer: a router that is not known yet makes itself known
+	// by calling.
+	routersWait = 5 * time.Second
+	// sureFor is the age of the newest confirmation up to which a request may
+	// be denied by the configuration in force.
+	sureFor = 2500 * time.Millisecond
+	// returnWindow is how long after the store's return expired entries may be
+	// back.
+	returnWindow = 2200 * time.Millisecond
+	// memoryShare of the limit is where the garbage collector works harder.
+	memoryShare = 0.75
+	// bodyShare of the memory limit is set aside for request bodies.
+	bodyShare = 0.125
+	// headerTimeout and maxHeaderBytes bound what a caller may send before the
+	// configuration's own limits can be looked at.
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// Options sets up an entry host.
+type Options struct {
+	Settings     platform.Settings
+	SettingsPath string // read again when it changes; empty if there is no file
+	MetricsPort  string // empty means none
+	Log          log.Interface
+}
+
+// Host is the process of an entry host. Use Run.
+type Host struct {
+	opts    Options
+	log     log.Interface
+	store   *platform.Client
+	gateway *gateway.Gateway
+	mesh    *gossip.Mesh
+
+	configuration *feed.Feed
+	upstreams     *feed.Feed
+	routers       *feed.Feed
+
+	lapsing sync.Mutex // guards lapse
+	lapse   catalog.Lapse
+
+	idle *idleConns
+	stop stopState
+}
+
+// New returns an entry host that is not running.
+func New(opts Options) (*Host, error) {
+	s := &opts.Settings
+	h := &Host{
+		opts:  opts,
+		log:   opts.Log,
+		store: platform.NewClient(platform.ClientOptions{Address: s.StoreAddress}),
+		lapse: catalog.Lapse{Return: returnWindow},
+		idle:  newIdleConns(),
+	}
+	h.gateway = gateway.New(gateway.Options{
+		Protocol:      platform.Protocol{},
+		Log:           opts.Log,
+		FailureDomain: s.FailureDomain,
+		Policy:        policy(s),
+		BodyBytes:     int64(float64(s.MemoryBytes) * bodyShare),
+		Sure:          func() bool { return h.configuration.Stamp().Age < sureFor },
+	})
+	h.configuration = h.feed(platform.KindConfiguration, configurationWait, h.applyConfiguration)
+	h.upstreams = h.feed(platform.KindUpstreams, upstreamsWait, h.applyUpstreams)
+	h.routers = h.feed(platform.KindRouters, routersWait, h.applyRouters)
+	var err error
+	h.mesh, err = gossip.New(gossip.Options{
+		Router:  s.Host,
+		Address: s.PeersAddress,
+		Seeds:   s.SeedAddresses,
+		Feeds: map[string]*feed.Feed{
+			platform.KindConfiguration: h.configuration,
+			platform.KindUpstreams:     h.upstreams,
+			platform.KindRouters:       h.routers,
+		},
+		Board:   h.gateway.Board(),
+		Prompts: h.gateway.Prompts(),
+		Log:     opts.Log,
+	})
+	return h, errors.Wrap(err, "entry host")
+}
+
+func (h *Host) feed(kind string, wait time.Duration, changed func(feed.Snapshot)) *feed.Feed {
+	return feed.New(feed.Options{Kind: kind, Source: h.store, Wait: wait, Log: h.log, Changed: changed})
+}
+
+// Figures of the policy that the platform's settings do not give.
+const (
+	// promptMultiple and promptSlack: see docs/PLATFORM.md for the measurements.
+	promptMultiple = 1.6
+	promptSlack    = 4
+	// ceilingSlack stays below the 3 requests that the platform allows beyond
+	// the multiple of the mean, since loads are known with a lag.
+	ceilingSlack = 2
+	// remoteLoad is the number of requests more at a local plain upstream at
+	// which one of another failure domain is preferred.
+	remoteLoad = 2
+	// budgetShare of the platform's budget of repeats is used: routers that
+	// restart begin with a full one.
+	budgetShare = 0.6
+	// ejectBase is the first time out of an upstream that failed.
+	ejectBase = time.Second
+	// ejectMax is the longest; the platform replaces what stays broken.
+	ejectMax = 8 * time.Second
+	// ejectReturn is the time in which one that returns takes its full share.
+	ejectReturn = 500 * time.Millisecond
+	// ejectForget is the time in which half of what is held is forgotten.
+	ejectForget = 5 * time.Second
+)
+
+func policy(s *platform.Settings) gateway.Policy {
+	return gateway.Policy{
+		Prompt: place.PromptOptions{
+			Multiple:     promptMultiple,
+			Slack:        promptSlack,
+			Ceiling:      s.Bounds.LoadMultiple,
+			CeilingSlack: ceilingSlack,
+		},
+		RemoteLoad:  remoteLoad,
+		RepeatShare: s.Bounds.RepeatShare * budgetShare,
+		RepeatExtra: s.Bounds.RepeatExtra * budgetShare,
+		Eject:       eject.Options{Base: ejectBase, Max: ejectMax, Return: ejectReturn, Forget: ejectForget},
+	}
+}
+
+// Run serves until ctx ends and the planned stop that it begins is over.
+func (h *Host) Run(ctx context.Context) error {
+	s := &h.opts.Settings
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	listeners, err := listen(s.CallersAddress, s.ReadyAddress, s.PeersAddress)
+	if err != nil {
+		return err
+	}
+	h.announce("started")
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.start(running)
+	h.serveAside(listeners[1], listeners[2])
+	callers := &http.Server{
+		Handler:                      h.gateway,
+		ReadHeaderTimeout:            headerTimeout,
+		MaxHeaderBytes:               maxHeaderBytes,
+		ConnState:                    h.idle.note,
+		DisableGeneralOptionsHandler: true,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- callers.Serve(listeners[0]) }()
+	select {
+	case err = <-failed:
+		return errors.Wrap(err, "serve callers")
+	case <-ctx.Done():
+	}
+	h.drain()
+	_ = callers.Close() // the process ends
+	h.announce("stopped")
+	return nil
+}
+
+// listen opens the listeners, or none.
+func listen(addresses ...string) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+func (h *Host) announce(event string) {
+	s := &h.opts.Settings
+	h.log.WithFields(log.Fields{
+		"failure_domain": s.FailureDomain, "callers": s.CallersAddress, "peers": s.PeersAddress,
+		"store": s.StoreAddress, "config": h.gateway.Version(),
+	}).Info("router " + event)
+}
+
+// start runs everything beside the request path until ctx ends.
+func (h *Host) start(ctx context.Context) {
+	for _, run := range []func(context.Context){
+		h.configuration.Run, h.upstreams.Run, h.routers.Run, h.mesh.Run,
+		h.register, h.maintain, h.watchSettings,
+	} {
+		go run(ctx)
+	}
+}
+
+// serveAside serves readiness, the other routers and metrics. Their failure is
+// logged: callers can be served without.
+func (h *Host) serveAside(ready, peers net.Listener) {
+	readiness := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == platform.ReadyPath && h.ready() {
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	h.serve("readiness", func() error {
+		return (&http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}).Serve(ready)
+	})
+	h.serve("routers", func() error { return h.mesh.Server().Serve(peers) })
+	if h.opts.MetricsPort == "" {
+		return
+	}
+	host, _, err := net.SplitHostPort(h.opts.Settings.PeersAddress)
+	if err != nil {
+		return // the settings are checked
+	}
+	expvar.Publish("gateway", h.gateway.Metrics())
+	server := &http.Server{
+		Addr: net.JoinHostPort(host, h.opts.MetricsPort), Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout,
+	}
+	h.serve("metrics", server.ListenAndServe)
+}
+
+func (h *Host) serve(what string, run func() error) {
+	go func() {
+		if err := run(); err != nil {
+			h.log.WithError(err).Errorf("cannot serve %s", what)
+		}
+	}()
+}
+
+// ready tells whether new connections of callers are welcome. An outage of the
+// store alone does not matter.
+func (h *Host) ready() bool {
+	return h.gateway.Version() != 0 && h.upstreams.Stamp().Revision != 0 && !h.stop.begun()
+}
+
+// watchSettings reads the settings file again when it changes or on SIGHUP.
+func (h *Host) watchSettings(ctx context.Context) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	seen := modified(h.opts.SettingsPath)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+			if modified(h.opts.SettingsPath) == seen {
+				continue
+			}
+		}
+		seen = modified(h.opts.SettingsPath)
+		h.reload()
+	}
+}
+
+// settingsInterval is how often the settings file is looked at: it may change
+// without a signal.
+const settingsInterval = 2 * time.Second
+
+// modified returns when the file was changed, and zero if it cannot be read.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload checks the settings file and puts it in force; on error the settings
+// that were in force stay.
+func (h *Host) reload() {
+	s, err := platform.LoadSettings(h.opts.SettingsPath)
+	if err != nil {
+		h.log.WithError(err).Error("settings not reloaded; the old ones stay in force")
+		return
+	}
+	h.mesh.SetSeeds(s.SeedAddresses)
+	h.gateway.SetPolicy(policy(&s))
+	h.stop.setLimit(s.Bounds.Stop)
+	h.log.WithField("path", h.opts.SettingsPath).Info("settings reloaded")
+}
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,304 @@
+// Package feed keeps a kind of the store's objects up to date: it lists them,
+// follows their changes, and takes newer snapshots from other routers while the
+// store is out of reach or a watch is silent.
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"dandelionrill.example/fleet/store"
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// retryDelay is the mean wait after a failed call. It bounds the calls of
+	// the fleet to a store that is down, and the time until its return is seen.
+	retryDelay = 400 * time.Millisecond
+	// outageGap is the time without an answer of the store that counts as an
+	// outage, during which entries can expire.
+	outageGap = 2500 * time.Millisecond
+	// lostAfter is the time without an answer after which the loss of the store
+	// is logged.
+	lostAfter = 2 * time.Second
+)
+
+// Snapshot is the content of a kind at a revision of the store.
+type Snapshot struct {
+	Revision uint64
+	Records  []store.Record // by name
+}
+
+// Stamp says how new a feed's content is.
+type Stamp struct {
+	Revision uint64        // of the store; 0 if the feed has no content
+	Digest   uint64        // of the content
+	Age      time.Duration // since the store was last known to hold nothing newer
+	Steady   time.Duration // since the store answers without an outage
+}
+
+// Options sets up a Feed.
+type Options struct {
+	Kind   string
+	Source store.Collections
+	Wait   time.Duration // of one watch; bounds how long a silent one is trusted
+	Log    log.Interface
+	// Changed is called with each new content, one call at a time.
+	Changed func(Snapshot)
+}
+
+// Feed holds the content of one kind. All methods may be called concurrently.
+type Feed struct {
+	opts Options
+
+	mu        sync.Mutex
+	records   map[string]store.Record
+	revision  uint64 // 0 until there is content
+	digest    uint64
+	confirmed time.Time // when the store was last known to hold nothing newer
+	answered  time.Time // when the store last answered this router
+	steady    time.Time // since when the store answers without an outage
+	lost      bool      // the loss of the store has been logged
+	adopted   context.CancelFunc
+	publish   sync.Mutex // orders calls of Changed
+}
+
+// New returns a feed without content. Run keeps it.
+func New(opts Options) *Feed {
+	now := time.Now()
+	return &Feed{opts: opts, records: make(map[string]store.Record), answered: now, steady: now}
+}
+
+// Run keeps the feed until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = f.list(ctx)
+			listed = err == nil
+		} else {
+			err = f.watch(ctx)
+			listed = !errors.Is(err, store.ErrHistoryGone)
+		}
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		f.noteFailure(err)
+		if !errors.Is(err, store.ErrHistoryGone) {
+			pause(ctx, retryDelay/2+rand.N(retryDelay))
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// list replaces the content by the store's.
+func (f *Feed) list(ctx context.Context) error {
+	records, revision, err := f.opts.Source.ListKind(ctx, f.opts.Kind)
+	if err != nil {
+		return err
+	}
+	f.noteAnswer()
+	f.replace(records, revision, 0)
+	return nil
+}
+
+// watch waits for changes after the revision of the content. A snapshot that
+// is adopted meanwhile ends it.
+func (f *Feed) watch(ctx context.Context) error {
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	from := f.revision
+	f.adopted = cancel
+	f.mu.Unlock()
+	changes, at, err := f.opts.Source.WatchKind(watching, f.opts.Kind, from, f.opts.Wait)
+	if err != nil {
+		if watching.Err() != nil {
+			return nil
+		}
+		return err
+	}
+	f.noteAnswer()
+	f.apply(from, changes, at)
+	return nil
+}
+
+// apply makes the changes after revision from.
+func (f *Feed) apply(from uint64, changes []store.Change, at uint64) {
+	f.publish.Lock()
+	defer f.publish.Unlock()
+	f.mu.Lock()
+	if f.revision != from {
+		f.mu.Unlock()
+		return // a newer snapshot was adopted meanwhile
+	}
+	for _, c := range changes {
+		if c.Deleted {
+			delete(f.records, c.Record.Name)
+		} else if held := f.records[c.Record.Name]; c.Record.Revision >= held.Revision {
+			f.records[c.Record.Name] = c.Record
+		}
+	}
+	f.revision = at
+	f.confirmed = time.Now()
+	f.digest = digest(f.records)
+	s := f.snapshot()
+	f.mu.Unlock()
+	if len(changes) > 0 {
+		f.opts.Changed(s)
+	}
+}
+
+// replace puts a whole content in place of the one held.
+func (f *Feed) replace(records []store.Record, revision uint64, age time.Duration) bool {
+	f.publish.Lock()
+	defer f.publish.Unlock()
+	f.mu.Lock()
+	if revision <= f.revision && f.revision != 0 {
+		if at := time.Now().Add(-age); revision == f.revision && at.After(f.confirmed) {
+			f.confirmed = at
+		}
+		f.mu.Unlock()
+		return false
+	}
+	f.records = make(map[string]store.Record, len(records))
+	for _, r := range records {
+		f.records[r.Name] = r
+	}
+	f.revision = revision
+	f.confirmed = time.Now().Add(-age)
+	f.digest = digest(f.records)
+	if f.adopted != nil {
+		f.adopted()
+	}
+	s := f.snapshot()
+	f.mu.Unlock()
+	f.opts.Changed(s)
+	return true
+}
+
+// Adopt takes the snapshot of another router if it is newer. age is the age of
+// its confirmation there, steady how long the store has been answering there.
+func (f *Feed) Adopt(s Snapshot, age, steady time.Duration) bool {
+	if !f.replace(s.Records, s.Revision, age) {
+		return false
+	}
+	f.trustSteady(steady)
+	return true
+}
+
+// Confirm takes another router's word that the content was the newest some time
+// ago. It returns whether the other one holds newer content.
+func (f *Feed) Confirm(peer Stamp) (behind bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if peer.Digest == f.digest && f.revision != 0 {
+		if at := time.Now().Add(-peer.Age); at.After(f.confirmed) {
+			f.confirmed = at
+		}
+		return false
+	}
+	return peer.Revision > f.revision
+}
+
+// trustSteady takes another router's view of the store while this one gets no
+// answer.
+func (f *Feed) trustSteady(steady time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.answered) > outageGap {
+		f.steady = time.Now().Add(-steady)
+	}
+}
+
+// Stamp says how new the content is.
+func (f *Feed) Stamp() Stamp {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	s := Stamp{Revision: f.revision, Digest: f.digest, Steady: now.Sub(f.steady)}
+	if f.revision != 0 {
+		s.Age = now.Sub(f.confirmed)
+	}
+	if now.Sub(f.answered) > outageGap && now.Sub(f.confirmed) > outageGap {
+		s.Steady = 0
+	}
+	return s
+}
+
+// Snapshot returns the content.
+func (f *Feed) Snapshot() Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot()
+}
+
+// snapshot returns the content by name. f.mu is held.
+func (f *Feed) snapshot() Snapshot {
+	s := Snapshot{Revision: f.revision, Records: make([]store.Record, 0, len(f.records))}
+	for _, r := range f.records {
+		s.Records = append(s.Records, r)
+	}
+	slices.SortFunc(s.Records, func(a, b store.Record) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+func (f *Feed) noteAnswer() {
+	f.mu.Lock()
+	now := time.Now()
+	gap := now.Sub(f.answered)
+	if gap > outageGap {
+		f.steady = now
+	}
+	f.answered = now
+	regained := f.lost
+	f.lost = false
+	f.mu.Unlock()
+	if regained {
+		f.opts.Log.WithFields(log.Fields{"kind": f.opts.Kind, "gap_ms": gap.Milliseconds()}).Info("store answers again")
+	}
+}
+
+func (f *Feed) noteFailure(err error) {
+	f.mu.Lock()
+	gap := time.Since(f.answered)
+	tell := !f.lost && gap > lostAfter
+	if tell {
+		f.lost = true
+	}
+	revision := f.revision
+	f.mu.Unlock()
+	if tell {
+		f.opts.Log.WithError(err).WithFields(log.Fields{
+			"kind": f.opts.Kind, "gap_ms": gap.Milliseconds(), "revision": revision,
+		}).Warn("store does not answer")
+	}
+}
+
+// digest identifies a content whatever the revision at which it was read.
+func digest(records map[string]store.Record) uint64 {
+	var sum uint64
+	for name, r := range records {
+		sum += (xxhash.Sum64String(name) ^ r.Revision) * 0x9e3779b97f4a7c15
+	}
+	return sum ^ uint64(len(records))
+}
--- /dev/null
+++ b/forward/conn.go
@@ -0,0 +1,108 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dandelionrill.example/fleet/internal/netdial"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// readBufferBytes holds a few events of a stream, or a small answer.
+	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the status line and headers of an answer.
+	maxHeadBytes = 64 << 10
+	// concurrentBodyBytes is the size from which a body is written beside the
+	// reading of the answer: an upstream may answer before it has read it.
+	concurrentBodyBytes = 4 << 10
+	// maxForeignAnswers is how many late answers to earlier requests are passed
+	// over before the connection is given up.
+	maxForeignAnswers = 2
+)
+
+// conn is one connection to an upstream. It carries one request at a time and
+// is used by one goroutine at a time.
+type conn struct {
+	net      net.Conn
+	reader   *bufio.Reader
+	limit    io.LimitedReader // between net and reader: bounds heads
+	uses     int
+	idleFrom time.Time
+	idleMax  time.Duration // that the upstream announced; 0 if none
+}
+
+func newConn(c net.Conn) *conn {
+	out := &conn{net: c}
+	out.limit = io.LimitedReader{R: c, N: maxHeadBytes}
+	out.reader = bufio.NewReaderSize(&out.limit, readBufferBytes)
+	return out
+}
+
+// usable tells whether an idle connection can carry another request: not
+// closed, no stray bytes, and not about to be closed by the upstream.
+func (c *conn) usable(now time.Time, margin time.Duration, longest time.Duration) bool {
+	idle := now.Sub(c.idleFrom)
+	if idle > longest || c.idleMax > 0 && idle > c.idleMax-margin {
+		return false
+	}
+	return c.reader.Buffered() == 0 && !netdial.Unread(c.net)
+}
+
+// head returns the request line and headers.
+func (r *Request) head() []byte {
+	out := make([]byte, 0, 512)
+	out = append(out, r.Method...)
+	out = append(out, ' ')
+	out = append(out, r.Target...)
+	out = append(out, " HTTP/1.1\r\nHost: "...)
+	out = append(out, r.Host...)
+	out = append(out, "\r\n"...)
+	for name, values := range r.Header {
+		for _, value := range values {
+			out = append(out, name...)
+			out = append(out, ": "...)
+			out = append(out, value...)
+			out = append(out, "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		out = append(out, "Content-Length: "...)
+		out = strconv.AppendInt(out, int64(len(r.Body)), 10)
+		out = append(out, "\r\n"...)
+	}
+	return append(out, "\r\n"...)
+}
+
+// write sends the request. It returns how many bytes may have left.
+func (c *conn) write(r *Request) (int, error) {
+	head := r.head()
+	if len(r.Body) > 0 && len(r.Body) < concurrentBodyBytes {
+		return c.net.Write(append(head, r.Body...))
+	}
+	buffers := net.Buffers{head}
+	if len(r.Body) > 0 {
+		buffers = append(buffers, r.Body)
+	}
+	n, err := buffers.WriteTo(c.net)
+	return int(n), err
+}
+
+// readHead reads the head of the next final answer, interim ones passed over.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	for {
+		c.limit.N = maxHeadBytes
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
+		if response.StatusCode >= http.StatusOK {
+			c.limit.N = 1 << 62
+			return response, nil
+		}
+	}
+}
--- /dev/null
+++ b/forward/send.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Request is what is sent to an upstream.
+type Request struct {
+	Method string
+	Target string // path and query, as the caller sent them
+	Host   string
+	Header http.Header
+	Body   []byte
+	ID     string // to tell its answer from others
+	Once   bool   // must not run more than once: only fresh connections will do
+}
+
+// Response is the answer of an upstream. Its body must be closed.
+type Response struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body; -1 if unknown
+	Reused bool  // came over a connection that carried requests before
+
+	body io.ReadCloser
+	conn *conn
+	ex   *exchange
+}
+
+// exchange is a request in progress on a connection.
+type exchange struct {
+	pool    *Pool
+	address string
+	conn    *conn
+	written chan error // nil if the request was written before the answer was read
+	stop    func() bool
+	once    sync.Once
+}
+
+// Send sends the request to the address, once, and returns the answer's head.
+// When ctx ends, the connection is closed at once. A failure is an *Error.
+func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, error) {
+	longest := p.opts.Idle
+	if r.Once {
+		longest = p.opts.IdleOnce
+	}
+	for {
+		c, fresh, err := p.connect(ctx, address, longest)
+		if err != nil {
+			return nil, &Error{Outcome: NotSent, Address: address, Cause: err}
+		}
+		response, sent, err := p.exchange(ctx, address, c, r)
+		switch {
+		case err == nil:
+			response.Reused = !fresh
+			return response, nil
+		case sent:
+			return nil, &Error{Outcome: MayHaveRun, Address: address, Cause: err}
+		case fresh || ctx.Err() != nil:
+			return nil, &Error{Outcome: NotSent, Address: address, Cause: err}
+		}
+	}
+}
+
+// exchange sends the request over the connection and reads the answer's head.
+// sent tells whether a byte can have left.
+func (p *Pool) exchange(ctx context.Context, address string, c *conn, r *Request) (*Response, bool, error) {
+	ex := &exchange{pool: p, address: address, conn: c}
+	ex.stop = context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
+	c.uses++
+	if len(r.Body) >= concurrentBodyBytes {
+		ex.written = make(chan error, 1)
+		go func() {
+			_, err := c.write(r)
+			ex.written <- err
+		}()
+	} else if n, err := c.write(r); err != nil {
+		ex.end(false)
+		return nil, n > 0, errors.Wrap(err, "write request")
+	}
+	response, err := ex.readAnswer(r)
+	if err != nil {
+		ex.end(false)
+		return nil, true, err
+	}
+	return response, true, nil
+}
+
+// readAnswer reads the head of the answer to r. Late answers to requests that
+// the connection carried before are passed over.
+func (ex *exchange) readAnswer(r *Request) (*Response, error) {
+	for range maxForeignAnswers + 1 {
+		head, err := ex.conn.readHead(r.Method)
+		if err != nil {
+			return nil, err
+		}
+		response := &Response{
+			Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
+			body: head.Body, conn: ex.conn, ex: ex,
+		}
+		if ex.pool.opts.Matches(r, response) {
+			ex.conn.idleMax = announcedIdle(head.Header)
+			if head.Close {
+				ex.conn.idleMax = -1
+			}
+			return response, nil
+		}
+		if head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
+			return nil, ErrForeignAnswer
+		}
+		if _, err := io.Copy(io.Discard, head.Body); err != nil {
+			return nil, errors.Wrap(err, "read past a late answer")
+		}
+	}
+	return nil, ErrForeignAnswer
+}
+
+// announcedIdle returns the idle time that the upstream announces; 0 if none.
+func announcedIdle(h http.Header) time.Duration {
+	for _, value := range h["Keep-Alive"] {
+		for field := range strings.SplitSeq(value, ",") {
+			text, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+			if !ok {
+				continue
+			}
+			if seconds, err := strconv.Atoi(text); err == nil && seconds > 0 {
+				return time.Duration(seconds) * time.Second
+			}
+		}
+	}
+	return 0
+}
+
+// Read reads the body. It returns io.EOF only after the whole body.
+func (r *Response) Read(p []byte) (int, error) { return r.body.Read(p) }
+
+// Buffered returns how many bytes can be read without waiting, at least.
+func (r *Response) Buffered() int { return r.conn.reader.Buffered() }
+
+// Close ends the exchange. whole tells that the body was read to its end, so
+// that the connection may carry another request; otherwise it is closed, which
+// makes the upstream stop.
+func (r *Response) Close(whole bool) { r.ex.end(whole) }
+
+func (ex *exchange) end(whole bool) {
+	ex.once.Do(func() {
+		live := ex.stop()
+		if whole && live && ex.conn.idleMax >= 0 && ex.bodySent() && ex.conn.reader.Buffered() == 0 {
+			ex.pool.put(ex.address, ex.conn)
+			return
+		}
+		ex.pool.discard(ex.address, ex.conn)
+	})
+}
+
+// bodySent tells whether the whole request left before its answer ended. If
+// not, what is left of it would be taken for the next request.
+func (ex *exchange) bodySent() bool {
+	if ex.written == nil {
+		return true
+	}
+	select {
+	case err := <-ex.written:
+		return err == nil
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/gateway/board.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/decide/eject"
+)
+
+// boardShards is the number of independently locked parts of a Board.
+const boardShards = 16
+
+// peerLoadAge is how long another router's word on its requests in progress
+// counts. Routers exchange several times as often.
+const peerLoadAge = 1500 * time.Millisecond
+
+// Board is what a router knows of each upstream beyond the catalog: requests in
+// progress here and at other routers, and failures. All methods may be called
+// concurrently.
+type Board struct {
+	start  time.Time
+	eject  eject.Options
+	shards [boardShards]boardShard
+}
+
+type boardShard struct {
+	mu        sync.Mutex
+	upstreams map[catalog.Key]*upstreamState
+}
+
+// upstreamState is guarded by the lock of its shard.
+type upstreamState struct {
+	own      int                  // requests in progress sent by this router
+	peers    map[string]peerCount // by router
+	failures eject.Record
+	heldAt   time.Duration // of the last failure, for reports to other routers
+	progress time.Duration // when a byte of an answer last came
+	waiting  time.Duration // since when requests are in progress without a pause
+	seen     time.Duration // last use, for forgetting
+}
+
+type peerCount struct {
+	requests int
+	at       time.Duration
+}
+
+// NewBoard returns an empty board.
+func NewBoard(opts eject.Options) *Board {
+	b := &Board{start: time.Now(), eject: opts}
+	for i := range b.shards {
+		b.shards[i].upstreams = make(map[catalog.Key]*upstreamState)
+	}
+	return b
+}
+
+// now returns the time since the board was made, by the monotonic clock.
+func (b *Board) now() time.Duration { return time.Since(b.start) }
+
+func (b *Board) shard(key catalog.Key) *boardShard {
+	h := uint32(key.Born)
+	for i := range len(key.ID) {
+		h = h*31 + uint32(key.ID[i])
+	}
+	return &b.shards[h%boardShards]
+}
+
+// update calls f with the state of an upstream under its lock.
+func (b *Board) update(key catalog.Key, f func(*upstreamState, time.Duration)) {
+	now := b.now()
+	s := b.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.upstreams[key]
+	if u == nil {
+		u = &upstreamState{peers: make(map[string]peerCount)}
+		s.upstreams[key] = u
+	}
+	u.seen = now
+	f(u, now)
+}
+
+// Begin records that a request is sent to the upstream.
+func (b *Board) Begin(key catalog.Key) {
+	b.update(key, func(u *upstreamState, now time.Duration) {
+		if u.own == 0 {
+			u.waiting = now
+		}
+		u.own++
+	})
+}
+
+// End records that a request at the upstream has ended.
+func (b *Board) End(key catalog.Key) {
+	b.update(key, func(u *upstreamState, _ time.Duration) { u.own = max(0, u.own-1) })
+}
+
+// Progress records that a byte of an answer has come from the upstream.
+func (b *Board) Progress(key catalog.Key) {
+	b.update(key, func(u *upstreamState, now time.Duration) { u.progress = now })
+}
+
+// Failed records a failure that speaks against the upstream.
+func (b *Board) Failed(key catalog.Key) {
+	b.update(key, func(u *upstreamState, now time.Duration) {
+		u.failures.Failure(b.eject, now)
+		u.heldAt = now
+	})
+}
+
+// Hold keeps the upstream out of placement for a time, without a penalty.
+func (b *Board) Hold(key catalog.Key, d time.Duration) {
+	b.update(key, func(u *upstreamState, now time.Duration) { u.failures = u.failures.HeldUntil(now + d) })
+}
+
+// SetPeerLoads records the requests in progress that another router told.
+func (b *Board) SetPeerLoads(router string, loads map[catalog.Key]int) {
+	for key, n := range loads {
+		b.update(key, func(u *upstreamState, now time.Duration) {
+			u.peers[router] = peerCount{requests: n, at: now}
+		})
+	}
+}
+
+// OwnLoads returns this router's requests in progress, upstreams that had some
+// lately included.
+func (b *Board) OwnLoads() map[catalog.Key]int {
+	out := make(map[catalog.Key]int)
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for key, u := range s.upstreams {
+			out[key] = u.own
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Known is what the board knows of one upstream.
+type Known struct {
+	Load     int // requests in progress of all routers, as far as known
+	Own      int
+	Silent   time.Duration // since a request waits here without any byte from the upstream
+	Failures eject.Record
+}
+
+// Known returns what is known of an upstream.
+func (b *Board) Known(key catalog.Key) Known {
+	now := b.now()
+	s := b.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.upstreams[key]
+	if u == nil {
+		return Known{}
+	}
+	k := Known{Load: u.own, Own: u.own, Failures: u.failures}
+	for _, p := range u.peers {
+		if now-p.at < peerLoadAge {
+			k.Load += p.requests
+		}
+	}
+	if u.own > 0 {
+		k.Silent = now - max(u.waiting, u.progress)
+	}
+	return k
+}
+
+// Forget drops what is known of upstreams that are no longer listed and have no
+// request in progress.
+func (b *Board) Forget(listed func(catalog.Key) bool) {
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for key, u := range s.upstreams {
+			if u.own == 0 && !listed(key) {
+				delete(s.upstreams, key)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,341 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/decide/eject"
+	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/decide/retry"
+	"dandelionrill.example/fleet/forward"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxDials bounds the upstreams that one request tries to reach.
+	maxDials = 4
+	// leastUseful is the shortest time in which another attempt can be of use.
+	leastUseful = 20 * time.Millisecond
+	// holdFull is how long an upstream that is full takes no new work.
+	holdFull = 100 * time.Millisecond
+	// holdWrong is how long an address that another upstream has is left out; by
+	// then the catalog shows it.
+	holdWrong = 10 * time.Second
+)
+
+// sharedPart returns the key of the prompt up to its last shared part; the last
+// part belongs to the request itself. 0 means that nothing is shared.
+func sharedPart(m *Meta) uint64 {
+	if len(m.Parts) < 2 {
+		return 0
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(m.Model) // cannot fail
+	for _, part := range m.Parts[:len(m.Parts)-1] {
+		_, _ = h.WriteString("\x00" + part.ID)
+	}
+	return max(1, h.Sum64())
+}
+
+// attempts is the state of a request over its sends.
+type attempts struct {
+	tried map[catalog.Key]bool
+	made  int // sends that reached an upstream
+	dials int // upstreams that could not be reached
+}
+
+// target is the upstream chosen for a send.
+type target struct {
+	upstream *catalog.Upstream
+	load     int
+	source   *catalog.Upstream // that has the prompt cached; nil if none is needed
+}
+
+// dispatch sends a request to upstreams until it has an end.
+func (g *Gateway) dispatch(ctx context.Context, w http.ResponseWriter, req *request) end {
+	g.deposit(req.service)
+	a := &attempts{tried: make(map[catalog.Key]bool)}
+	for {
+		chosen, ok := g.choose(req, a)
+		if !ok {
+			return g.unreachable(req, a)
+		}
+		e, failure := g.attempt(ctx, w, req, chosen, a)
+		if failure == 0 {
+			return e
+		}
+		if !g.again(req, a, failure) {
+			return g.giveUp(ctx, req, e, failure)
+		}
+	}
+}
+
+// unreachable is the end of a request for which no upstream is left.
+func (g *Gateway) unreachable(req *request, a *attempts) end {
+	switch {
+	case req.begun:
+		return end{kind: endCut, reason: "no other upstream to go on at"}
+	case a.made > 0 && !req.lastRefused():
+		return failed(http.StatusBadGateway, "no other upstream to try")
+	}
+	return refused("no upstream of the service is available", retryUnknown)
+}
+
+// lastRefused tells whether no send of the request can have run.
+func (req *request) lastRefused() bool {
+	for _, s := range req.sends {
+		if s.result != resultRefused && s.result != forward.NotSent.String() {
+			return false
+		}
+	}
+	return true
+}
+
+// again tells whether a request may be sent to another upstream, and takes it
+// from the budget of repeats.
+func (g *Gateway) again(req *request, a *attempts, failure retry.Failure) bool {
+	made := a.made
+	if failure == retry.FailureNotSent {
+		made = 0 // nothing arrived anywhere; the dials are bounded by themselves
+		if a.dials >= maxDials {
+			return false
+		}
+	}
+	decision := retry.Decide(retry.Attempt{
+		Failure:    failure,
+		Idempotent: req.route.Repeatable(),
+		Resumes:    req.route.Streams() && req.route.Resumable,
+		Made:       made,
+		Limit:      req.route.MaxAttempts,
+		Left:       time.Until(req.deadline),
+		Need:       leastUseful,
+	})
+	if decision != retry.DecisionRetry {
+		return false
+	}
+	return failure == retry.FailureNotSent && a.made == 0 || g.withdraw(req.service)
+}
+
+// giveUp is the end of a request that is not sent again.
+func (g *Gateway) giveUp(ctx context.Context, req *request, e end, failure retry.Failure) end {
+	switch {
+	case req.begun:
+		return end{kind: endCut, reason: e.reason}
+	case req.http.Context().Err() != nil:
+		return end{kind: endLeft, reason: "caller left"}
+	case failure == retry.FailureNotSent || failure == retry.FailureRefused:
+		if !req.lastRefused() {
+			return failed(http.StatusBadGateway, e.reason)
+		}
+		return refused(e.reason, retrySoon)
+	case ctx.Err() != nil:
+		return failed(http.StatusGatewayTimeout, "timeout")
+	}
+	return e
+}
+
+// choose returns the upstream for the next send.
+func (g *Gateway) choose(req *request, a *attempts) (target, bool) {
+	list := g.catalog.Load().Service(req.service)
+	ready := make([]*catalog.Upstream, 0, len(list))
+	records := make([]eject.Record, 0, len(list))
+	replicas := make([]place.Replica, 0, len(list))
+	for _, u := range list {
+		if u.State != catalog.StateReady {
+			continue
+		}
+		known := g.board.Known(u.Key())
+		ready = append(ready, u)
+		records = append(records, known.Failures)
+		replicas = append(replicas, place.Replica{
+			Seed:  u.Hash,
+			Load:  float64(known.Load),
+			Tried: a.tried[u.Key()],
+			Local: u.FailureDomain == g.opts.FailureDomain,
+		})
+	}
+	if len(ready) == 0 {
+		return target{}, false
+	}
+	for i, weight := range eject.Weights(g.opts.Policy.Eject, g.board.now(), records) {
+		replicas[i].Weight = weight
+	}
+	index, source := g.rank(req, ready, replicas)
+	if index < 0 {
+		return target{}, false
+	}
+	t := target{upstream: ready[index], load: int(replicas[index].Load)}
+	if source >= 0 {
+		t.source = ready[source]
+	}
+	return t, true
+}
+
+// rank applies the policy of the route to the candidates.
+func (g *Gateway) rank(req *request, ready []*catalog.Upstream, replicas []place.Replica) (index, source int) {
+	if req.part == 0 {
+		return place.ChooseLeast(replicas, g.policy.Load().RemoteLoad, rand.Uint64()), -1
+	}
+	g.prompts.Holders(req.part, func(key catalog.Key) {
+		for i, u := range ready {
+			if u.ID == key.ID && u.Born == key.Born {
+				replicas[i].Holds = true
+			}
+		}
+	})
+	choice := place.ChoosePrompt(g.policy.Load().Prompt, req.part, replicas)
+	return choice.Index, choice.Source
+}
+
+// attempt sends the request to one upstream and delivers its answer. failure is
+// 0 if the request has its end.
+func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, req *request, t target, a *attempts) (end, retry.Failure) {
+	key := t.upstream.Key()
+	a.tried[key] = true
+	begin := time.Now()
+	record := sendRecord{upstream: t.upstream.ID, load: t.load}
+	if t.source != nil {
+		record.fetch = t.source.ID
+	}
+	g.board.Begin(key)
+	e, failure, result := g.exchange(ctx, w, req, t)
+	g.board.End(key)
+	if failure == retry.FailureNotSent {
+		a.dials++
+	} else {
+		a.made++
+	}
+	record.result, record.took = result, time.Since(begin)
+	req.sends = append(req.sends, record)
+	return e, failure
+}
+
+// Results of sends in logs, beside those of package forward.
+const (
+	resultRefused  = "refused"
+	resultAnswered = "answered"
+	resultSpoiled  = "spoiled-answer"
+	resultCut      = "cut"
+	resultFailure  = "upstream-failure"
+	resultLeft     = "caller-left"
+)
+
+// exchange sends the request and handles the head of the answer.
+func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, req *request, t target) (end, retry.Failure, string) {
+	key := t.upstream.Key()
+	out := g.upstreamRequest(req, t)
+	if req.part != 0 {
+		g.prompts.Placed(Placement{Part: req.part, At: key})
+	}
+	response, err := g.pool.Send(ctx, t.upstream.Address, out)
+	if err != nil {
+		return g.sendFailed(ctx, req, key, err)
+	}
+	g.board.Progress(key)
+	answer := g.opts.Protocol.ReadAnswer(response.Status, response.Header)
+	switch {
+	case answer.NotRun:
+		drained := drainBody(response)
+		response.Close(drained)
+		if answer.WrongHost {
+			g.board.Hold(key, holdWrong)
+		} else {
+			g.board.Hold(key, holdFull)
+		}
+		return refused("upstream refused", retrySoon), retry.FailureRefused, resultRefused
+	case answer.Encoded, !answer.Signed && (response.Status < 300 || promisesNotRun(response.Status)):
+		response.Close(false)
+		return failed(http.StatusBadGateway, "upstream's answer is not usable"), retry.FailureMayHaveRun, resultSpoiled
+	case response.Status >= http.StatusInternalServerError && !req.begun && g.spare(req):
+		response.Close(drainBody(response))
+		return failed(http.StatusBadGateway, "upstream failed"), retry.FailureMayHaveRun, resultFailure
+	case req.begun && response.Status >= 300:
+		response.Close(drainBody(response))
+		return end{kind: endCut, reason: "upstream did not go on"}, retry.FailureMayHaveRun, resultFailure
+	}
+	return g.deliver(ctx, w, req, key, response)
+}
+
+// spare tells whether an upstream's failure need not be the answer, since
+// another upstream may be tried.
+func (g *Gateway) spare(req *request) bool {
+	return req.route.Repeatable() && len(req.sends)+1 < req.route.MaxAttempts
+}
+
+// promisesNotRun tells whether the status says that a request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// sendFailed classifies a send without an answer.
+func (g *Gateway) sendFailed(ctx context.Context, req *request, key catalog.Key, err error) (end, retry.Failure, string) {
+	var failure *forward.Error
+	if !errors.As(err, &failure) {
+		return failed(http.StatusBadGateway, err.Error()), retry.FailureMayHaveRun, err.Error()
+	}
+	if ctx.Err() == nil && !errors.Is(err, forward.ErrConnectionLimit) {
+		g.board.Failed(key)
+	}
+	if failure.Outcome == forward.NotSent {
+		return refused(err.Error(), retrySoon), retry.FailureNotSent, failure.Outcome.String()
+	}
+	if ctx.Err() != nil {
+		if req.http.Context().Err() != nil {
+			return end{kind: endLeft, reason: "caller left"}, 0, resultLeft
+		}
+		return failed(http.StatusGatewayTimeout, "timeout"), 0, "timeout"
+	}
+	return failed(http.StatusBadGateway, err.Error()), retry.FailureMayHaveRun, failure.Outcome.String()
+}
+
+// upstreamRequest returns what is sent to the upstream.
+func (g *Gateway) upstreamRequest(req *request, t target) *forward.Request {
+	s := Send{
+		UpstreamID:  t.upstream.ID,
+		Deadline:    time.Until(req.deadline),
+		LastEventID: req.LastEventID,
+	}
+	if req.lastID != "" {
+		s.LastEventID = req.lastID
+	}
+	if req.customer != nil {
+		s.Customer = req.customer.Name
+		s.Priority = priority(req)
+	}
+	if t.source != nil {
+		s.FetchFrom = t.source.Address
+	}
+	return &forward.Request{
+		Method: req.http.Method,
+		Target: req.http.RequestURI,
+		Host:   req.http.Host,
+		Header: g.opts.Protocol.UpstreamHeader(req.http.Header, s),
+		Body:   req.body,
+		ID:     req.AttemptID,
+		Once:   !req.route.Repeatable(),
+	}
+}
+
+// priority returns the rank of a request at an engine; nil for plain services.
+func priority(req *request) *int {
+	if !req.route.Prompted {
+		return nil
+	}
+	rank := req.route.Priority
+	if req.customer != nil && req.customer.Priority != nil {
+		rank = *req.customer.Priority
+	}
+	rank = min(max(rank, 0), lowestPriority)
+	return &rank
+}
+
+// lowestPriority is the least urgent rank that engines know.
+const lowestPriority = 9
--- /dev/null
+++ b/gateway/record.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// requestFields are the fields of the log line of one request.
+type requestFields struct {
+	req     *request
+	end     end
+	took    time.Duration
+	catalog uint64 // revision of the upstreams in force at the end
+}
+
+// Fields implements log.Fielder.
+func (f requestFields) Fields() log.Fields {
+	fields := log.Fields{
+		"id":      f.req.AttemptID,
+		"end":     endNames[f.end.kind],
+		"ms":      f.took.Milliseconds(),
+		"catalog": f.catalog,
+	}
+	if f.req.table != nil {
+		fields["config"] = f.req.table.Version
+	}
+	if f.req.route != nil {
+		fields["route"] = f.req.route.Name
+		fields["service"] = f.req.service
+	}
+	if f.req.customer != nil {
+		fields["customer"] = f.req.customer.Name
+	}
+	if f.end.reason != "" {
+		fields["reason"] = f.end.reason
+	}
+	if f.end.status != 0 {
+		fields["status"] = f.end.status
+	}
+	if f.end.retryAfter > 0 {
+		fields["retry_after_ms"] = f.end.retryAfter.Milliseconds()
+	}
+	if f.req.first > 0 {
+		fields["first_ms"] = f.req.first.Milliseconds()
+	}
+	if f.req.pauseMax > 0 {
+		fields["pause_ms"] = f.req.pauseMax.Milliseconds()
+	}
+	if len(f.req.sends) > 0 {
+		fields["sends"] = describeSends(f.req.sends)
+	}
+	return fields
+}
+
+// describeSends returns the attempts of a request: upstream, load there when it
+// was chosen, where the prompt was fetched from, result and time.
+func describeSends(sends []sendRecord) string {
+	var b strings.Builder
+	for i, s := range sends {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		fmt.Fprintf(&b, "%s load=%d", s.upstream, s.load)
+		if s.fetch != "" {
+			b.WriteString(" fetch=" + s.fetch)
+		}
+		fmt.Fprintf(&b, " %s %dms", s.result, s.took.Milliseconds())
+	}
+	return b.String()
+}
--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,327 @@
+// Package gossip lets the routers of a fleet tell each other what they know:
+// how new their copies of the store's kinds are, their requests in progress at
+// each upstream, and which upstreams have read which prompt parts. What a peer
+// tells only helps: a router without peers still works.
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/feed"
+	"dandelionrill.example/fleet/gateway"
+	"dandelionrill.example/fleet/link"
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// minInterval is the time between two calls to one peer in a small fleet.
+	minInterval = 200 * time.Millisecond
+	// callSpacing is the time between two calls of one router whatever the
+	// number of peers: it bounds what a router spends on them.
+	callSpacing = 50 * time.Millisecond
+	// callTimeout bounds one call: a few round trips between failure domains.
+	callTimeout = 600 * time.Millisecond
+	// fetchTimeout bounds the transfer of a snapshot, up to a megabyte or so.
+	fetchTimeout = 2 * time.Second
+	// silentDelay is the time until a peer that did not answer is called again.
+	silentDelay = time.Second
+	// behindFor is how long a newer content of a peer is left to this router's
+	// own watch before it is fetched from the peer.
+	behindFor = 150 * time.Millisecond
+)
+
+// service is the name of the methods in calls.
+const service = "Gossip"
+
+// Load is the requests that a router has in progress at an upstream.
+type Load struct {
+	At       catalog.Key
+	Requests int
+}
+
+// Report is what a router tells a peer.
+type Report struct {
+	Router string
+	Stamps map[string]feed.Stamp // by kind
+	Loads  []Load
+	// NewsAfter asks for the peer's placements from this number on.
+	NewsAfter uint64
+	// News are placements of the router itself, up to number NewsNext.
+	News     []gateway.Placement
+	NewsNext uint64
+}
+
+// FetchArgs asks for the content of a kind.
+type FetchArgs struct{ Kind string }
+
+// Content is the content of a kind.
+type Content struct {
+	Snapshot feed.Snapshot
+	Stamp    feed.Stamp
+}
+
+// Options sets up a Mesh.
+type Options struct {
+	Router  string // name of this router
+	Address string // of this router's listener, not to be called
+	Seeds   []string
+	Feeds   map[string]*feed.Feed // by kind
+	Board   *gateway.Board
+	Prompts *gateway.Prompts
+	Log     log.Interface
+}
+
+// Mesh exchanges reports with the other routers. All methods may be called
+// concurrently.
+type Mesh struct {
+	opts    Options
+	server  *link.Server
+	clients *link.Pool
+
+	mu    sync.Mutex
+	seeds []string
+	peers map[string]*peer // by address
+}
+
+// peer is guarded by the lock of its Mesh.
+type peer struct {
+	due       time.Time
+	calling   bool
+	silent    bool
+	newsAfter uint64
+	behind    map[string]time.Time // kinds of which the peer holds newer content, since when
+}
+
+// New returns a mesh that knows the seeds.
+func New(opts Options) (*Mesh, error) {
+	m := &Mesh{opts: opts, seeds: opts.Seeds, peers: make(map[string]*peer)}
+	m.clients = link.NewPool(link.ClientOptions{
+		PrivateNetwork:    true,
+		DialTimeout:       callTimeout,
+		HeartbeatInterval: callTimeout / 2,
+		HeartbeatTimeout:  callTimeout,
+	})
+	var err error
+	m.server, err = link.NewServer(link.ServerOptions{PrivateNetwork: true}, service, &receiver{mesh: m})
+	m.SetPeers(nil)
+	return m, err
+}
+
+// Server returns the server for the calls of other routers.
+func (m *Mesh) Server() *link.Server { return m.server }
+
+// SetSeeds changes the seeds for the next time that no router is registered.
+func (m *Mesh) SetSeeds(seeds []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = seeds
+}
+
+// SetPeers sets the addresses of the registered routers. While there are none,
+// the seeds stand in.
+func (m *Mesh) SetPeers(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(addresses) <= 1 {
+		addresses = append(append([]string(nil), addresses...), m.seeds...)
+	}
+	wanted := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		wanted[a] = a != m.opts.Address
+	}
+	for address := range m.peers {
+		if !wanted[address] {
+			delete(m.peers, address)
+			m.clients.Remove(address)
+		}
+	}
+	for address, other := range wanted {
+		if other && m.peers[address] == nil {
+			m.peers[address] = &peer{behind: make(map[string]time.Time)}
+		}
+	}
+}
+
+// Run calls the peers in turn until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	ticker := time.NewTicker(callSpacing)
+	defer ticker.Stop()
+	defer m.clients.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if address, after, ok := m.next(); ok {
+				go m.exchange(ctx, address, after)
+			}
+		}
+	}
+}
+
+// next returns the peer whose call has been due for longest.
+func (m *Mesh) next() (address string, newsAfter uint64, ok bool) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var chosen *peer
+	for a, p := range m.peers {
+		if !p.calling && !p.due.After(now) && (chosen == nil || p.due.Before(chosen.due)) {
+			chosen, address = p, a
+		}
+	}
+	if chosen == nil {
+		return "", 0, false
+	}
+	chosen.calling = true
+	interval := max(minInterval, time.Duration(len(m.peers))*callSpacing)
+	chosen.due = now.Add(interval*3/4 + rand.N(interval/2))
+	return address, chosen.newsAfter, true
+}
+
+// exchange tells the peer this router's report and takes the peer's.
+func (m *Mesh) exchange(ctx context.Context, address string, newsAfter uint64) {
+	client, err := m.clients.Client(address)
+	if err != nil {
+		return // the mesh is closed
+	}
+	args := m.report()
+	args.NewsAfter = newsAfter
+	var reply Report
+	calling, cancel := context.WithTimeout(ctx, callTimeout)
+	err = client.Call(calling, service+".Exchange", &args, &reply)
+	cancel()
+	m.noteCall(address, &reply, err)
+	if err != nil {
+		return
+	}
+	m.take(&reply)
+	for _, p := range reply.News {
+		m.opts.Prompts.Learn(p)
+	}
+	for _, kind := range m.behind(address, &reply) {
+		m.fetch(ctx, client, kind)
+	}
+}
+
+// noteCall records the outcome of a call, and logs when a peer falls silent or
+// answers again.
+func (m *Mesh) noteCall(address string, reply *Report, err error) {
+	m.mu.Lock()
+	p := m.peers[address]
+	if p == nil {
+		m.mu.Unlock()
+		return
+	}
+	p.calling = false
+	changed := p.silent != (err != nil)
+	p.silent = err != nil
+	if err != nil {
+		p.due = time.Now().Add(silentDelay/2 + rand.N(silentDelay))
+	} else {
+		p.newsAfter = reply.NewsNext
+	}
+	m.mu.Unlock()
+	if changed && err != nil {
+		m.opts.Log.WithError(err).WithField("peer", address).Warn("router does not answer")
+	} else if changed {
+		m.opts.Log.WithFields(log.Fields{"peer": address, "router": reply.Router}).Info("router answers again")
+	}
+}
+
+// report returns what this router tells.
+func (m *Mesh) report() Report {
+	r := Report{Router: m.opts.Router, Stamps: make(map[string]feed.Stamp, len(m.opts.Feeds))}
+	for kind, f := range m.opts.Feeds {
+		r.Stamps[kind] = f.Stamp()
+	}
+	for key, n := range m.opts.Board.OwnLoads() {
+		r.Loads = append(r.Loads, Load{At: key, Requests: n})
+	}
+	return r
+}
+
+// take learns from a report what needs no further call.
+func (m *Mesh) take(r *Report) {
+	loads := make(map[catalog.Key]int, len(r.Loads))
+	for _, l := range r.Loads {
+		loads[l.At] = l.Requests
+	}
+	m.opts.Board.SetPeerLoads(r.Router, loads)
+}
+
+// behind returns the kinds of which the peer has held newer content for some
+// time.
+func (m *Mesh) behind(address string, r *Report) []string {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[address]
+	if p == nil {
+		return nil
+	}
+	var kinds []string
+	for kind, f := range m.opts.Feeds {
+		if !f.Confirm(r.Stamps[kind]) {
+			delete(p.behind, kind)
+			continue
+		}
+		since, known := p.behind[kind]
+		if !known {
+			p.behind[kind] = now
+		}
+		if f.Stamp().Revision == 0 || known && now.Sub(since) >= behindFor {
+			kinds = append(kinds, kind)
+			delete(p.behind, kind)
+		}
+	}
+	return kinds
+}
+
+// fetch takes the content of a kind from a peer.
+func (m *Mesh) fetch(ctx context.Context, client *link.Client, kind string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var content Content
+	if err := client.Call(ctx, service+".Fetch", &FetchArgs{Kind: kind}, &content); err != nil {
+		m.opts.Log.WithError(err).WithFields(log.Fields{"peer": client.Address(), "kind": kind}).Warn("cannot fetch newer content")
+		return
+	}
+	if m.opts.Feeds[kind].Adopt(content.Snapshot, content.Stamp.Age, content.Stamp.Steady) {
+		m.opts.Log.WithFields(log.Fields{
+			"peer": client.Address(), "kind": kind, "revision": content.Snapshot.Revision,
+			"age_ms": content.Stamp.Age.Milliseconds(),
+		}).Info("newer content adopted from another router")
+	}
+}
+
+// receiver serves the calls of other routers.
+type receiver struct{ mesh *Mesh }
+
+// Exchange takes a report and returns this router's.
+func (r *receiver) Exchange(args *Report, reply *Report) error {
+	m := r.mesh
+	m.take(args)
+	for kind, f := range m.opts.Feeds {
+		f.Confirm(args.Stamps[kind])
+	}
+	*reply = m.report()
+	reply.News, reply.NewsNext = m.opts.Prompts.News(args.NewsAfter)
+	return nil
+}
+
+// Fetch returns the content of a kind.
+func (r *receiver) Fetch(args *FetchArgs, reply *Content) error {
+	f := r.mesh.opts.Feeds[args.Kind]
+	if f == nil {
+		return errors.Newf("gossip: unknown kind %q", args.Kind)
+	}
+	reply.Stamp = f.Stamp()
+	reply.Snapshot = f.Snapshot()
+	return nil
+}
--- /dev/null
+++ b/internal/netdial/netdial.go
@@ -0,0 +1,67 @@
+// Package netdial opens TCP connections whose silent loss is noticed within
+// seconds: a peer that lost its power or its path sends nothing, not even a
+// reset.
+package netdial
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Probes on a connection without traffic.
+const (
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
+// Dialer returns a dialer that gives up after timeout, both for the dial and
+// for data that the peer does not acknowledge.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return limitUnacknowledged(c, max(timeout, probeIdle+probeCount*probeInterval/2))
+		},
+	}
+}
+
+// limitUnacknowledged ends the connection when sent data has not been
+// acknowledged for the given time.
+func limitUnacknowledged(c syscall.RawConn, timeout time.Duration) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Unread tells whether an idle connection has data to read, or has been closed
+// or reset by its peer. It does not block and consumes nothing.
+func Unread(conn net.Conn) bool {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return true
+	}
+	unread := true
+	var buffer [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err != unix.EAGAIN
+		return true
+	})
+	return unread || err != nil
+}
--- a/link/client.go
+++ b/link/client.go
@@ -20,6 +20,7 @@
 type ClientOptions struct {
 	Address           string
 	TLS               *tls.Config // nil means plain, allowed on loopback addresses only
+	PrivateNetwork    bool        // allows plain connections off loopback: only hosts of the fleet reach the network
 	DialTimeout       time.Duration
 	HeartbeatInterval time.Duration // between heartbeats while calls wait and the peer is quiet
 	HeartbeatTimeout  time.Duration // silence after which a connection with waiting calls is closed
@@ -85,7 +86,7 @@
 // NewClient returns a client for opts.Address. It does not dial. It fails with
 // ErrPlainOffLoopback for a plain client of an address off loopback.
 func NewClient(opts ClientOptions) (*Client, error) {
-	if opts.TLS == nil && !IsLoopback(opts.Address) {
+	if opts.TLS == nil && !opts.PrivateNetwork && !IsLoopback(opts.Address) {
 		return nil, errors.Wrapf(ErrPlainOffLoopback, "client of %s", opts.Address)
 	}
 	return &Client{opts: opts.withDefaults()}, nil
--- a/link/server.go
+++ b/link/server.go
@@ -25,6 +25,7 @@
 // ServerOptions configures a Server. Zero values mean the defaults.
 type ServerOptions struct {
 	TLS             *tls.Config // nil means plain, allowed on loopback addresses only
+	PrivateNetwork  bool        // allows plain connections off loopback: only hosts of the fleet reach the network
 	MaxMessageBytes int
 	MaxConnections  int
 	MaxCalls        int           // calls in progress on one connection
@@ -74,7 +75,7 @@
 // Serve accepts connections until Shutdown, and then returns nil. It fails
 // with ErrPlainOffLoopback for a plain server on an address off loopback.
 func (s *Server) Serve(ln net.Listener) error {
-	if s.opts.TLS == nil && !IsLoopback(ln.Addr().String()) {
+	if s.opts.TLS == nil && !s.opts.PrivateNetwork && !IsLoopback(ln.Addr().String()) {
 		return errors.Wrapf(ErrPlainOffLoopback, "serve on %s", ln.Addr())
 	}
 	if !s.addListener(ln) {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -28,9 +28,9 @@
 	if opts.Level == "" {
 		opts.Level = "info"
 	}
-	level, err := log.ParseLevel(opts.Level)
+	level, err := parseLevel(opts.Level)
 	if err != nil {
-		return nil, errors.Newf("log level %q: one of %v", opts.Level, Levels)
+		return nil, err
 	}
 	if opts.Output == nil {
 		opts.Output = os.Stderr
@@ -42,6 +42,14 @@
 	return logger.WithField("process", opts.Process), nil
 }
 
+func parseLevel(name string) (log.Level, error) {
+	level, err := log.ParseLevel(name)
+	if err != nil {
+		return level, errors.Newf("log level %q: one of %v", name, Levels)
+	}
+	return level, nil
+}
+
 func handler(w io.Writer) log.Handler {
 	if isTerminal(w) {
 		return text.New(w)
