Take another router's word on how long the store has been answering

Logs: store_steady_ms 705 on this router, 31531 on another. Ruled out: a lagging watch (the removal was seen 5 ms after it was made). Change: Feed.Steady is the longest that the store has been answering any router that reported within 500 ms; the own figure alone is handed on. Test: TestStoreThatAnsweredOthersWasNotAway, seen failing first.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -39,7 +39,7 @@
 	}
 	h.lapsing.Lock()
 	defer h.lapsing.Unlock()
-	steady := h.upstreams.Stamp().Steady
+	steady := h.upstreams.Steady()
 	merged := h.lapse.Merge(listed, steady)
 	h.gateway.SetCatalog(catalog.New(s.Revision, merged))
 	h.log.WithFields(log.Fields{
@@ -61,7 +61,7 @@
 // expireLapsed drops entries that did not return in time.
 func (h *Host) expireLapsed() {
 	h.lapsing.Lock()
-	due := h.lapse.Kept() > 0 && h.upstreams.Stamp().Steady >= returnWindow
+	due := h.lapse.Kept() > 0 && h.upstreams.Steady() >= returnWindow
 	h.lapsing.Unlock()
 	if due {
 		h.applyUpstreams(h.upstreams.Snapshot())
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -39,9 +39,19 @@
 	Revision uint64        // of the store; 0 if the feed has no content
 	Digest   uint64        // of the content
 	Age      time.Duration // since the store was last known to hold nothing newer
-	Steady   time.Duration // since the store answers without an outage
+	Steady   time.Duration // since the store answers this router without an outage
 }
 
+// peerSteady is the longest time for which the store has been answering another
+// router, by reports of late.
+type peerSteady struct {
+	since time.Time
+	told  time.Time
+}
+
+// peerSteadyAge is how long another router's word on the store counts.
+const peerSteadyAge = 500 * time.Millisecond
+
 // Options sets up a Feed.
 type Options struct {
 	Kind   string
@@ -62,8 +72,9 @@
 	digest    uint64
 	confirmed time.Time // when the store was last known to hold nothing newer
 	answered  time.Time // when the store last answered this router
-	steady    time.Time // since when the store answers without an outage
-	lost      bool      // the loss of the store has been logged
+	steady    time.Time // since when the store answers this router without an outage
+	others    peerSteady
+	lost      bool // the loss of the store has been logged
 	adopted   context.CancelFunc
 	publish   sync.Mutex // orders calls of Changed
 }
@@ -191,14 +202,23 @@
 	return true
 }
 
-// Adopt takes the snapshot of another router if it is newer. age is the age of
-// its confirmation there, steady how long the store has been answering there.
-func (f *Feed) Adopt(s Snapshot, age, steady time.Duration) bool {
-	if !f.replace(s.Records, s.Revision, age) {
-		return false
+// Adopt takes the snapshot of another router if it is newer than the content
+// held, and returns whether it is. stamp is the other router's.
+func (f *Feed) Adopt(s Snapshot, stamp Stamp) bool {
+	f.mu.Lock()
+	f.noteOther(stamp)
+	f.mu.Unlock()
+	return f.replace(s.Records, s.Revision, stamp.Age)
+}
+
+// noteOther records for how long the store has been answering another router.
+// f.mu is held.
+func (f *Feed) noteOther(stamp Stamp) {
+	now := time.Now()
+	since := now.Add(-stamp.Steady)
+	if now.Sub(f.others.told) > peerSteadyAge || !since.After(f.others.since) {
+		f.others = peerSteady{since: since, told: now}
 	}
-	f.trustSteady(steady)
-	return true
 }
 
 // Confirm takes another router's word that the content was the newest some time
@@ -206,6 +226,7 @@
 func (f *Feed) Confirm(peer Stamp) (behind bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteOther(peer)
 	if peer.Digest == f.digest && f.revision != 0 {
 		if at := time.Now().Add(-peer.Age); at.After(f.confirmed) {
 			f.confirmed = at
@@ -215,16 +236,6 @@
 	return peer.Revision > f.revision
 }
 
-// trustSteady takes another router's view of the store while this one gets no
-// answer.
-func (f *Feed) trustSteady(steady time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if time.Since(f.answered) > outageGap {
-		f.steady = time.Now().Add(-steady)
-	}
-}
-
 // Stamp says how new the content is.
 func (f *Feed) Stamp() Stamp {
 	f.mu.Lock()
@@ -302,3 +313,17 @@
 	}
 	return sum ^ uint64(len(records))
 }
+
+// Steady returns how long the store has been answering this router or another
+// one without an outage: a router that was cut off alone missed nothing that
+// the store did not know.
+func (f *Feed) Steady() time.Duration {
+	own := f.Stamp().Steady
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if now.Sub(f.others.told) > peerSteadyAge {
+		return own
+	}
+	return max(own, now.Sub(f.others.since))
+}
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,143 @@
+package feed
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"dandelionrill.example/fleet/store"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+// source is a store whose answers the test gives.
+type source struct {
+	mu       sync.Mutex
+	records  []store.Record
+	revision uint64
+	lists    int
+	watch    func(ctx context.Context, after uint64) ([]store.Change, uint64, error)
+}
+
+func (s *source) ListKind(context.Context, string) ([]store.Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	return s.records, s.revision, nil
+}
+
+func (s *source) WatchKind(ctx context.Context, _ string, after uint64, _ time.Duration) ([]store.Change, uint64, error) {
+	s.mu.Lock()
+	watch := s.watch
+	s.mu.Unlock()
+	return watch(ctx, after)
+}
+
+func (*source) WriteRecord(context.Context, string, string, []byte) error { return io.EOF }
+
+func hang(ctx context.Context, _ uint64) ([]store.Change, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func newFeed(t *testing.T, s *source) (*Feed, chan Snapshot) {
+	t.Helper()
+	changed := make(chan Snapshot, 16)
+	f := New(Options{
+		Kind: "things", Source: s, Wait: time.Second, Log: &log.Logger{Handler: discard.New()},
+		Changed: func(s Snapshot) { changed <- s },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f, changed
+}
+
+func record(name string, revision uint64) store.Record {
+	return store.Record{Name: name, Revision: revision, Value: []byte(name)}
+}
+
+func TestChangesFollowTheList(t *testing.T) {
+	s := &source{records: []store.Record{record("a", 1), record("b", 2)}, revision: 5}
+	s.watch = func(ctx context.Context, after uint64) ([]store.Change, uint64, error) {
+		if after == 5 {
+			return []store.Change{{Record: record("a", 6), Deleted: true}, {Record: record("c", 7)}}, 7, nil
+		}
+		return hang(ctx, after)
+	}
+	f, changed := newFeed(t, s)
+	must.Len(t, 2, (<-changed).Records)
+	after := <-changed
+	must.Eq(t, []store.Record{record("b", 2), record("c", 7)}, after.Records)
+	must.Eq(t, 7, f.Stamp().Revision)
+}
+
+func TestHistoryGoneListsAgain(t *testing.T) {
+	s := &source{records: []store.Record{record("a", 1)}, revision: 5}
+	s.watch = func(ctx context.Context, after uint64) ([]store.Change, uint64, error) {
+		if after == 5 {
+			s.mu.Lock()
+			s.records, s.revision = []store.Record{record("z", 9)}, 9
+			s.mu.Unlock()
+			return nil, 0, errors.Wrap(store.ErrHistoryGone, "watch")
+		}
+		return hang(ctx, after)
+	}
+	_, changed := newFeed(t, s)
+	<-changed
+	must.Eq(t, []store.Record{record("z", 9)}, (<-changed).Records)
+}
+
+func TestNewerSnapshotOfAPeerEndsASilentWatch(t *testing.T) {
+	s := &source{records: []store.Record{record("a", 1)}, revision: 5}
+	watches := make(chan uint64, 16)
+	s.watch = func(ctx context.Context, after uint64) ([]store.Change, uint64, error) {
+		watches <- after
+		return hang(ctx, after)
+	}
+	f, changed := newFeed(t, s)
+	<-changed
+	must.Eq(t, 5, <-watches)
+	must.True(t, f.Adopt(Snapshot{Revision: 8, Records: []store.Record{record("b", 8)}}, Stamp{}))
+	must.Eq(t, []store.Record{record("b", 8)}, (<-changed).Records)
+	must.Eq(t, 8, <-watches)
+	must.False(t, f.Adopt(Snapshot{Revision: 6, Records: []store.Record{record("a", 1)}}, Stamp{}))
+	must.Eq(t, 8, f.Stamp().Revision)
+}
+
+func TestPeerConfirmsTheSameContentWhateverItsRevision(t *testing.T) {
+	s := &source{records: []store.Record{record("a", 1)}, revision: 5, watch: hang}
+	f, changed := newFeed(t, s)
+	<-changed
+	own := f.Stamp()
+	must.False(t, f.Confirm(Stamp{Revision: 9, Digest: own.Digest}))
+	must.True(t, f.Confirm(Stamp{Revision: 9, Digest: own.Digest + 1}))
+	must.False(t, f.Confirm(Stamp{Revision: 4, Digest: own.Digest + 1}))
+}
+
+// A router that was cut off alone must not take removals after its return for
+// entries that expired in an outage: other routers saw the store all the while.
+func TestStoreThatAnsweredOthersWasNotAway(t *testing.T) {
+	s := &source{records: []store.Record{record("a", 1)}, revision: 5, watch: hang}
+	f, changed := newFeed(t, s)
+	<-changed
+	f.mu.Lock()
+	f.answered = time.Now().Add(-time.Minute)
+	f.mu.Unlock()
+	f.noteAnswer()
+	must.Less(t, time.Second, f.Stamp().Steady)
+	f.Confirm(Stamp{Revision: 5, Digest: f.Stamp().Digest, Steady: time.Hour})
+	must.GreaterEq(t, time.Hour, f.Steady())
+	must.Less(t, time.Second, f.Stamp().Steady, must.Sprint("another router's word must not be handed on as our own"))
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -292,7 +292,7 @@
 		m.opts.Log.WithError(err).WithFields(log.Fields{"peer": client.Address(), "kind": kind}).Warn("cannot fetch newer content")
 		return
 	}
-	if m.opts.Feeds[kind].Adopt(content.Snapshot, content.Stamp.Age, content.Stamp.Steady) {
+	if m.opts.Feeds[kind].Adopt(content.Snapshot, content.Stamp) {
 		m.opts.Log.WithFields(log.Fields{
 			"peer": client.Address(), "kind": kind, "revision": content.Snapshot.Revision,
 			"age_ms": content.Stamp.Age.Milliseconds(),
