--- a/decide/place/prompt.go
+++ b/decide/place/prompt.go
@@ -19,6 +19,7 @@
 	Weight float64 // 1 normal, between 0 and 1 while it returns gradually, 0 ejected
 	Holds  bool    // has lately read the shared part of the prompt
 	Tried  bool    // not to be chosen again
+	Leaves bool    // takes no new work, but can be fetched from
 	Local  bool    // in the failure domain of the router
 }
 
@@ -48,7 +49,7 @@
 	var holderScore, openScore uint64
 	for i := range replicas {
 		r := &replicas[i]
-		if r.Tried || r.Weight <= 0 {
+		if r.Tried || r.Leaves || r.Weight <= 0 {
 			continue
 		}
 		if least < 0 || r.Load/r.Weight < replicas[least].Load/replicas[least].Weight {
@@ -104,7 +105,7 @@
 func meanOf(replicas []Replica) float64 {
 	sum, n := 0.0, 0
 	for i := range replicas {
-		if replicas[i].Weight > 0 {
+		if replicas[i].Weight > 0 && !replicas[i].Leaves {
 			sum += replicas[i].Load
 			n++
 		}
@@ -128,7 +129,7 @@
 	i := int(mix(random) >> 32 * uint64(n) >> 32)
 	for range n {
 		r := &replicas[i]
-		if !r.Tried && r.Weight > 0 {
+		if !r.Tried && !r.Leaves && r.Weight > 0 {
 			cost := (r.Load + 1) / r.Weight
 			if !r.Local {
 				cost += remoteLoad
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
 
 	"dandelionrill.example/fleet/internal/netdial"
-	"github.com/cockroachdb/errors"
 )
 
 // Defaults of Options.
@@ -163,7 +163,7 @@
 		if ctx.Err() != nil {
 			return nil, true, ctx.Err()
 		}
-		return nil, true, errors.Mark(err, ErrDial)
+		return nil, true, fmt.Errorf("%w: %w", ErrDial, err)
 	}
 	return newConn(raw), true, nil
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -141,47 +141,40 @@
 // choose returns the upstream for the next send.
 func (g *Gateway) choose(req *request, a *attempts) (target, bool) {
 	list := g.catalog.Load().Service(req.service)
-	ready := make([]*catalog.Upstream, 0, len(list))
 	records := make([]eject.Record, 0, len(list))
 	replicas := make([]place.Replica, 0, len(list))
 	for _, u := range list {
-		if u.State != catalog.StateReady {
-			continue
-		}
 		known := g.board.Known(u.Key())
-		ready = append(ready, u)
 		records = append(records, known.Failures)
 		replicas = append(replicas, place.Replica{
-			Seed:  u.Hash,
-			Load:  float64(known.Load),
-			Tried: a.tried[u.Key()],
-			Local: u.FailureDomain == g.opts.FailureDomain,
+			Seed:   u.Hash,
+			Load:   float64(known.Load),
+			Tried:  a.tried[u.Key()],
+			Local:  u.FailureDomain == g.opts.FailureDomain,
+			Leaves: u.State != catalog.StateReady,
 		})
 	}
-	if len(ready) == 0 {
-		return target{}, false
-	}
 	for i, weight := range eject.Weights(g.opts.Policy.Eject, g.board.now(), records) {
 		replicas[i].Weight = weight
 	}
-	index, source := g.rank(req, ready, replicas)
+	index, source := g.rank(req, list, replicas)
 	if index < 0 {
 		return target{}, false
 	}
-	t := target{upstream: ready[index], load: int(replicas[index].Load)}
+	t := target{upstream: list[index], load: int(replicas[index].Load)}
 	if source >= 0 {
-		t.source = ready[source]
+		t.source = list[source]
 	}
 	return t, true
 }
 
 // rank applies the policy of the route to the candidates.
-func (g *Gateway) rank(req *request, ready []*catalog.Upstream, replicas []place.Replica) (index, source int) {
+func (g *Gateway) rank(req *request, list []*catalog.Upstream, replicas []place.Replica) (index, source int) {
 	if req.part == 0 {
 		return place.ChooseLeast(replicas, g.policy.Load().RemoteLoad, rand.Uint64()), -1
 	}
 	g.prompts.Holders(req.part, func(key catalog.Key) {
-		for i, u := range ready {
+		for i, u := range list {
 			if u.ID == key.ID && u.Born == key.Born {
 				replicas[i].Holds = true
 			}
@@ -197,7 +190,7 @@
 	key := t.upstream.Key()
 	a.tried[key] = true
 	begin := time.Now()
-	record := sendRecord{upstream: t.upstream.ID, load: t.load}
+	record := sendRecord{upstream: t.upstream.ID + "@" + t.upstream.FailureDomain, load: t.load}
 	if t.source != nil {
 		record.fetch = t.source.ID
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,8 @@
 
 	policy   atomic.Pointer[Policy]
 	table    atomic.Pointer[routing.Table]
+	first    chan struct{} // closed once there are a table and a catalog
+	opened   sync.Once     // closes first
 	catalog  atomic.Pointer[catalog.Catalog]
 	routers  atomic.Int64 // that share the budget of repeats
 	draining atomic.Pointer[time.Time]
@@ -65,10 +67,11 @@
 		prompts: NewPrompts(),
 		metrics: newMetrics(),
 		budgets: make(map[string]*retry.Budget),
+		first:   make(chan struct{}),
 	}
 	g.policy.Store(&opts.Policy)
 	g.routers.Store(1)
-	g.catalog.Store(catalog.New(0, nil))
+	g.catalog.Store(noCatalog)
 	g.pool = forward.NewPool(forward.Options{
 		Matches: func(r *forward.Request, a *forward.Response) bool {
 			return opts.Protocol.ReadAnswer(a.Status, a.Header).AttemptID == r.ID
@@ -78,6 +81,16 @@
 	return g
 }
 
+// noCatalog stands in until the first catalog is known.
+var noCatalog = catalog.New(0, nil)
+
+// open lets the requests go on that wait for the first table and catalog.
+func (g *Gateway) open() {
+	if g.table.Load() != nil && g.catalog.Load() != noCatalog {
+		g.opened.Do(func() { close(g.first) })
+	}
+}
+
 // Board returns what the gateway knows of upstreams.
 func (g *Gateway) Board() *Board { return g.board }
 
@@ -93,6 +106,7 @@
 			return false
 		}
 		if g.table.CompareAndSwap(current, t) {
+			g.open()
 			return true
 		}
 	}
@@ -118,6 +132,7 @@
 // SetCatalog replaces the upstreams for the requests that come from now on.
 func (g *Gateway) SetCatalog(c *catalog.Catalog) {
 	g.catalog.Store(c)
+	g.open()
 	listed := func(key catalog.Key) bool {
 		u := c.Find(key.ID)
 		return u != nil && u.Born == key.Born
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -92,8 +92,7 @@
 
 // admit finds the route and the customer, and refuses what cannot be served.
 func (g *Gateway) admit(req *request) (end, bool) {
-	req.table = g.table.Load()
-	if req.table == nil {
+	if req.table = g.awaitTable(req.http.Context()); req.table == nil {
 		return refused("no configuration", retryUnknown), false
 	}
 	meta, err := g.opts.Protocol.ReadRequest(req.http.Header)
@@ -123,6 +122,28 @@
 	return end{}, true
 }
 
+// firstTableWait is how long a request waits for the first configuration and
+// catalog of a router that has just started: reading them takes a few round
+// trips.
+const firstTableWait = 250 * time.Millisecond
+
+// awaitTable returns the configuration in force; nil if there is none yet.
+func (g *Gateway) awaitTable(ctx context.Context) *routing.Table {
+	select {
+	case <-g.first:
+		return g.table.Load()
+	default:
+	}
+	timer := time.NewTimer(firstTableWait)
+	defer timer.Stop()
+	select {
+	case <-g.first:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.table.Load()
+}
+
 // deny answers that the configuration does not allow a request, if it is sure
 // to be the newest; otherwise another router may know better.
 func (g *Gateway) deny(status int, reason string) end {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -157,6 +157,9 @@
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
+	if !strings.HasPrefix(path, "/") {
+		return nil
+	}
 	key := routeKey(host, path)
 	first := len(host)
 	for end := len(key); end > first; end-- {
