--- a/entry/apply.go
+++ b/entry/apply.go
@@ -27,6 +27,7 @@
 		h.idle.setLimit(c.Limits.IdleTimeout)
 		h.log.WithFields(log.Fields{
 			"config": c.Version, "revision": s.Revision, "routes": len(c.Routes), "customers": len(c.Customers),
+			"idle_ms": c.Limits.IdleTimeout.Milliseconds(),
 		}).Info("configuration in force")
 	}
 }
