Let three routers watch the store; the others rest while these confirm

Change: a router that is not among the first three of a common order leaves the store alone while other routers confirm its content (restFor 1.5 s). A watcher tells all peers at once of new content; who is behind asks the store for the changes, and the peer if the store does not answer within 250 ms. An outage is measured from the first failing call, so that rest is no outage. Idle connections of callers: former limits are kept as a list, a margin of 2 s, a connection with unread bytes stays.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -118,7 +118,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			h.idle.closeExpired(now)
+			if n := h.idle.closeExpired(now); n > 0 {
+				h.log.WithField("connections", n).Info("idle connections of callers closed")
+			}
 			h.expireLapsed()
 			h.gateway.Sweep()
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,8 +29,8 @@
 const (
 	// configurationWait and upstreamsWait bound one watch: a connection that
 	// went silent is found when it ends.
-	configurationWait = time.Second
-	upstreamsWait     = time.Second
+	configurationWait = 800 * time.Millisecond
+	upstreamsWait     = 800 * time.Millisecond
 	// routersWait is longer: a router that is not known yet makes itself known
 	// by calling.
 	routersWait = 5 * time.Second
@@ -116,7 +116,14 @@
 }
 
 func (h *Host) feed(kind string, wait time.Duration, changed func(feed.Snapshot)) *feed.Feed {
-	return feed.New(feed.Options{Kind: kind, Source: h.store, Wait: wait, Log: h.log, Changed: changed})
+	return feed.New(feed.Options{
+		Kind: kind, Source: h.store, Wait: wait, Log: h.log,
+		Watcher: func() bool { return h.mesh.Watcher() },
+		Changed: func(s feed.Snapshot) {
+			changed(s)
+			h.mesh.Nudge()
+		},
+	})
 }
 
 // Figures of the policy that the platform's settings do not give.
--- a/entry/idle.go
+++ b/entry/idle.go
@@ -5,17 +5,28 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dandelionrill.example/fleet/internal/netdial"
 )
 
+// idleMargin is kept beyond the limit, for requests that were on their way
+// while this host was short of processor time.
+const idleMargin = 2 * time.Second
+
 // idleConns closes callers' connections that have been idle for longer than the
 // configuration allows. net/http has one limit for all of a server's life. All
 // methods may be called concurrently.
 type idleConns struct {
-	mu       sync.Mutex
-	since    map[net.Conn]time.Time
-	limit    time.Duration // 0 means none
-	previous time.Duration // longer limit that callers may still rely on
-	changed  time.Time
+	mu     sync.Mutex
+	since  map[net.Conn]time.Time // connections without a request
+	limit  time.Duration          // in force; 0 means none
+	former []formerLimit
+}
+
+// formerLimit is a longer limit that callers may still rely on.
+type formerLimit struct {
+	limit time.Duration
+	until time.Time
 }
 
 func newIdleConns() *idleConns {
@@ -34,39 +45,58 @@
 }
 
 // setLimit changes the limit. A caller that became idle under a longer one may
-// count on it until then.
+// count on it until it has passed.
 func (c *idleConns) setLimit(limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if limit == c.limit {
 		return
 	}
-	c.previous, c.limit, c.changed = c.limit, limit, time.Now()
+	if c.limit > limit {
+		c.former = append(c.former, formerLimit{limit: c.limit, until: time.Now().Add(c.limit)})
+	}
+	c.limit = limit
 }
 
-// closeExpired closes the connections that are idle for too long.
-func (c *idleConns) closeExpired(now time.Time) {
-	for _, conn := range c.expired(now) {
+// closeExpired closes the connections that have been idle for too long, and
+// returns how many.
+func (c *idleConns) closeExpired(now time.Time) int {
+	expired := c.expired(now)
+	for _, conn := range expired {
 		_ = conn.Close() // its caller is not there to be told
 	}
+	return len(expired)
 }
 
+// expired takes the connections that have been idle for too long. One whose
+// next request has arrived stays.
 func (c *idleConns) expired(now time.Time) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	limit := c.limit
-	if now.Sub(c.changed) < c.previous {
-		limit = max(limit, c.previous)
-	}
+	limit := c.longest(now)
 	if limit <= 0 {
 		return nil
 	}
 	var out []net.Conn
 	for conn, since := range c.since {
-		if now.Sub(since) > limit {
+		if now.Sub(since) > limit+idleMargin && !netdial.Unread(conn) {
 			out = append(out, conn)
 			delete(c.since, conn)
 		}
 	}
 	return out
 }
+
+// longest returns the longest limit that a caller may rely on. c.mu is held.
+func (c *idleConns) longest(now time.Time) time.Duration {
+	limit := c.limit
+	kept := c.former[:0]
+	for _, f := range c.former {
+		if now.Before(f.until) {
+			limit = max(limit, f.limit)
+			kept = append(kept, f)
+		}
+	}
+	c.former = kept
+	return limit
+}
--- /dev/null
+++ b/entry/idle_test.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestLongestIdleLimitThatCallersRelyOn(t *testing.T) {
+	c := newIdleConns()
+	now := time.Now()
+	must.Eq(t, 0, c.longest(now))
+	// Several changes in quick succession: the longest still counts.
+	for _, limit := range []time.Duration{15 * time.Second, 9 * time.Second, 12 * time.Second, 5 * time.Second} {
+		c.setLimit(limit)
+	}
+	must.Eq(t, 15*time.Second, c.longest(now.Add(14*time.Second)))
+	must.Eq(t, 5*time.Second, c.longest(now.Add(16*time.Second)))
+}
+
+// A request on a kept connection must not be taken for idleness, however long
+// it lasts.
+func TestConnectionInUseIsNotIdle(t *testing.T) {
+	c := newIdleConns()
+	c.setLimit(time.Second)
+	entered, leave := make(chan struct{}), make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(entered)
+			<-leave
+		}
+		_, _ = io.WriteString(w, "ok")
+	}))
+	server.Config.ConnState = c.note
+	server.Start()
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	get := func(path string) {
+		_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		must.NoError(t, err)
+	}
+	get("/")
+	buffer := make([]byte, 4096)
+	_, err = conn.Read(buffer)
+	must.NoError(t, err)
+	for c.idle() == 0 {
+		time.Sleep(time.Millisecond) // until net/http has announced it
+	}
+	get("/long")
+	<-entered
+	must.Eq(t, 0, c.closeExpired(time.Now().Add(time.Hour)))
+	close(leave)
+	n, err := conn.Read(buffer)
+	must.NoError(t, err)
+	must.Positive(t, n)
+	for c.idle() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	must.Eq(t, 0, c.closeExpired(time.Now().Add(time.Second)))
+	must.Eq(t, 1, c.closeExpired(time.Now().Add(time.Hour)))
+}
+
+func (c *idleConns) idle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.since)
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -20,9 +20,15 @@
 	// retryDelay is the mean wait after a failed call. It bounds the calls of
 	// the fleet to a store that is down, and the time until its return is seen.
 	retryDelay = 400 * time.Millisecond
-	// outageGap is the time without an answer of the store that counts as an
-	// outage, during which entries can expire.
-	outageGap = 2500 * time.Millisecond
+	// outageGap is the time of failing calls that counts as an outage of the
+	// store, in which entries can expire. A router that rests notices an outage
+	// up to restFor late.
+	outageGap = time.Second
+	// restFor is the age of a confirmation by other routers up to which a
+	// router that is no watcher leaves the store alone.
+	restFor = 1500 * time.Millisecond
+	// restingDelay is the mean wait of such a router after a failed call.
+	restingDelay = 1200 * time.Millisecond
 	// lostAfter is the time without an answer after which the loss of the store
 	// is logged.
 	lostAfter = 2 * time.Second
@@ -58,6 +64,9 @@
 	Source store.Collections
 	Wait   time.Duration // of one watch; bounds how long a silent one is trusted
 	Log    log.Interface
+	// Watcher tells whether this router watches the store all the time. Others
+	// do so only while nobody confirms their content. Nil means that it does.
+	Watcher func() bool
 	// Changed is called with each new content, one call at a time.
 	Changed func(Snapshot)
 }
@@ -71,7 +80,7 @@
 	revision  uint64 // 0 until there is content
 	digest    uint64
 	confirmed time.Time // when the store was last known to hold nothing newer
-	answered  time.Time // when the store last answered this router
+	failing   time.Time // when the first failing call since the last answer began; zero if none
 	steady    time.Time // since when the store answers this router without an outage
 	others    peerSteady
 	lost      bool // the loss of the store has been logged
@@ -81,14 +90,20 @@
 
 // New returns a feed without content. Run keeps it.
 func New(opts Options) *Feed {
-	now := time.Now()
-	return &Feed{opts: opts, records: make(map[string]store.Record), answered: now, steady: now}
+	if opts.Watcher == nil {
+		opts.Watcher = func() bool { return true }
+	}
+	return &Feed{opts: opts, records: make(map[string]store.Record), steady: time.Now()}
 }
 
 // Run keeps the feed until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	listed := false
 	for ctx.Err() == nil {
+		if listed && f.rest(ctx) {
+			continue
+		}
+		begun := time.Now()
 		var err error
 		if !listed {
 			err = f.list(ctx)
@@ -97,14 +112,69 @@
 			err = f.watch(ctx)
 			listed = !errors.Is(err, store.ErrHistoryGone)
 		}
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || errors.Is(err, store.ErrHistoryGone) {
 			continue
 		}
-		f.noteFailure(err)
-		if !errors.Is(err, store.ErrHistoryGone) {
-			pause(ctx, retryDelay/2+rand.N(retryDelay))
-		}
+		f.noteFailure(begun, err)
+		pause(ctx, f.delay())
+	}
+}
+
+// delay returns the wait after a failed call.
+func (f *Feed) delay() time.Duration {
+	mean := retryDelay
+	if !f.opts.Watcher() {
+		mean = restingDelay
+	}
+	return mean/2 + rand.N(mean)
+}
+
+// readChanges applies the changes that the store has by now.
+func (f *Feed) readChanges(ctx context.Context) error {
+	f.mu.Lock()
+	from := f.revision
+	f.mu.Unlock()
+	if from == 0 {
+		return f.list(ctx)
+	}
+	changes, at, err := f.opts.Source.WatchKind(ctx, f.opts.Kind, from, refreshWait)
+	if err != nil {
+		return err
+	}
+	f.noteAnswer()
+	f.apply(from, changes, at)
+	return nil
+}
+
+// rest waits while other routers confirm the content, and returns whether it
+// has waited.
+func (f *Feed) rest(ctx context.Context) bool {
+	if f.opts.Watcher() {
+		return false
 	}
+	left := restFor - f.Stamp().Age
+	if left <= 0 {
+		return false
+	}
+	pause(ctx, left)
+	return true
+}
+
+// refreshWait is how long the store may wait for a change that another router
+// has told of.
+const refreshWait = 20 * time.Millisecond
+
+// Refresh reads from the store at once what has changed.
+func (f *Feed) Refresh(ctx context.Context) error {
+	begun := time.Now()
+	err := f.readChanges(ctx)
+	if errors.Is(err, store.ErrHistoryGone) {
+		err = f.list(ctx)
+	}
+	if err != nil && ctx.Err() == nil {
+		f.noteFailure(begun, err)
+	}
+	return err
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -245,7 +315,7 @@
 	if f.revision != 0 {
 		s.Age = now.Sub(f.confirmed)
 	}
-	if now.Sub(f.answered) > outageGap && now.Sub(f.confirmed) > outageGap {
+	if !f.failing.IsZero() && now.Sub(f.failing) > outageGap {
 		s.Steady = 0
 	}
 	return s
@@ -276,11 +346,14 @@
 func (f *Feed) noteAnswer() {
 	f.mu.Lock()
 	now := time.Now()
-	gap := now.Sub(f.answered)
+	gap := time.Duration(0)
+	if !f.failing.IsZero() {
+		gap = now.Sub(f.failing)
+	}
 	if gap > outageGap {
 		f.steady = now
 	}
-	f.answered = now
+	f.failing = time.Time{}
 	regained := f.lost
 	f.lost = false
 	f.mu.Unlock()
@@ -289,9 +362,13 @@
 	}
 }
 
-func (f *Feed) noteFailure(err error) {
+// noteFailure records that the call begun then has failed.
+func (f *Feed) noteFailure(begun time.Time, err error) {
 	f.mu.Lock()
-	gap := time.Since(f.answered)
+	if f.failing.IsZero() {
+		f.failing = begun
+	}
+	gap := time.Since(f.failing)
 	tell := !f.lost && gap > lostAfter
 	if tell {
 		f.lost = true
@@ -305,6 +382,13 @@
 	}
 }
 
+// Lost tells whether calls to the store are failing.
+func (f *Feed) Lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.failing.IsZero()
+}
+
 // digest identifies a content whatever the revision at which it was read.
 func digest(records map[string]store.Record) uint64 {
 	var sum uint64
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -8,9 +8,11 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/feed"
 	"dandelionrill.example/fleet/gateway"
 	"dandelionrill.example/fleet/link"
@@ -30,9 +32,19 @@
 	fetchTimeout = 2 * time.Second
 	// silentDelay is the time until a peer that did not answer is called again.
 	silentDelay = time.Second
-	// behindFor is how long a newer content of a peer is left to this router's
-	// own watch before it is fetched from the peer.
+	// behindFor is how long a watcher leaves a newer content of a peer to its own
+	// watch.
 	behindFor = 150 * time.Millisecond
+	// storeFirst is how long a router that is behind waits for the store before
+	// it turns to the peer: hosts have narrow links, the store has not.
+	storeFirst = 250 * time.Millisecond
+	// nudgeSpacing is the time between two calls while peers are told of newer
+	// content.
+	nudgeSpacing = 10 * time.Millisecond
+	// nudgePause is the time between two rounds of telling all peers.
+	nudgePause = 100 * time.Millisecond
+	// watchers is the number of routers that watch the store all the time.
+	watchers = 3
 )
 
 // service is the name of the methods in calls.
@@ -46,9 +58,10 @@
 
 // Report is what a router tells a peer.
 type Report struct {
-	Router string
-	Stamps map[string]feed.Stamp // by kind
-	Loads  []Load
+	Router  string
+	Address string                // of the router's listener for other routers
+	Stamps  map[string]feed.Stamp // by kind
+	Loads   []Load
 	// NewsAfter asks for the peer's placements from this number on.
 	NewsAfter uint64
 	// News are placements of the router itself, up to number NewsNext.
@@ -83,6 +96,9 @@
 	server  *link.Server
 	clients *link.Pool
 
+	watching atomic.Bool
+	nudged   chan struct{}
+
 	mu    sync.Mutex
 	seeds []string
 	peers map[string]*peer // by address
@@ -99,7 +115,8 @@
 
 // New returns a mesh that knows the seeds.
 func New(opts Options) (*Mesh, error) {
-	m := &Mesh{opts: opts, seeds: opts.Seeds, peers: make(map[string]*peer)}
+	m := &Mesh{opts: opts, seeds: opts.Seeds, peers: make(map[string]*peer), nudged: make(chan struct{}, 1)}
+	m.watching.Store(true)
 	m.clients = link.NewPool(link.ClientOptions{
 		PrivateNetwork:    true,
 		DialTimeout:       callTimeout,
@@ -152,11 +169,20 @@
 	ticker := time.NewTicker(callSpacing)
 	defer ticker.Stop()
 	defer m.clients.Close()
+	told := time.Now()
 	for {
+		nudged := m.nudged
+		if time.Since(told) < nudgePause {
+			nudged = nil // until the next tick
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-nudged:
+			m.tellAll(ctx)
+			told = time.Now()
 		case <-ticker.C:
+			m.rank()
 			if address, after, ok := m.next(); ok {
 				go m.exchange(ctx, address, after)
 			}
@@ -164,6 +190,78 @@
 	}
 }
 
+// Nudge makes a watcher tell all peers at once, after new content came.
+func (m *Mesh) Nudge() {
+	if !m.Watcher() {
+		return
+	}
+	select {
+	case m.nudged <- struct{}{}:
+	default: // already under way
+	}
+}
+
+// tellAll calls all peers that answered last time, a moment apart.
+func (m *Mesh) tellAll(ctx context.Context) {
+	m.mu.Lock()
+	for _, p := range m.peers {
+		if !p.silent {
+			p.due = time.Time{}
+		}
+	}
+	m.mu.Unlock()
+	for ctx.Err() == nil {
+		address, after, ok := m.nextNudged()
+		if !ok {
+			return
+		}
+		go m.exchange(ctx, address, after)
+		time.Sleep(nudgeSpacing)
+	}
+}
+
+// nextNudged returns a peer that is still to be told.
+func (m *Mesh) nextNudged() (address string, newsAfter uint64, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for a, p := range m.peers {
+		if !p.calling && p.due.IsZero() && !p.silent {
+			p.begin(time.Now(), len(m.peers))
+			return a, p.newsAfter, true
+		}
+	}
+	return "", 0, false
+}
+
+// begin marks a call to the peer and sets when the next is due. The lock of the
+// mesh is held.
+func (p *peer) begin(now time.Time, peers int) {
+	p.calling = true
+	interval := max(minInterval, time.Duration(peers)*callSpacing)
+	p.due = now.Add(interval*3/4 + rand.N(interval/2))
+}
+
+// Watcher tells whether this router is among those that watch the store all the
+// time: the first few of an order that all routers agree on, silent ones left
+// out.
+func (m *Mesh) Watcher() bool { return m.watching.Load() }
+
+// rank decides whether this router is a watcher.
+func (m *Mesh) rank() {
+	own := place.Key(m.opts.Address)
+	before := 0
+	m.mu.Lock()
+	for address, p := range m.peers {
+		if key := place.Key(address); !p.silent && key < own {
+			before++
+		}
+	}
+	m.mu.Unlock()
+	if watching := before < watchers; m.watching.Swap(watching) != watching {
+		m.opts.Log.WithFields(log.Fields{"watcher": watching, "before": before}).Info("watch of the store changed")
+	}
+}
+
 // next returns the peer whose call has been due for longest.
 func (m *Mesh) next() (address string, newsAfter uint64, ok bool) {
 	now := time.Now()
@@ -178,9 +276,7 @@
 	if chosen == nil {
 		return "", 0, false
 	}
-	chosen.calling = true
-	interval := max(minInterval, time.Duration(len(m.peers))*callSpacing)
-	chosen.due = now.Add(interval*3/4 + rand.N(interval/2))
+	chosen.begin(now, len(m.peers))
 	return address, chosen.newsAfter, true
 }
 
@@ -205,7 +301,7 @@
 		m.opts.Prompts.Learn(p)
 	}
 	for _, kind := range m.behind(address, &reply) {
-		m.fetch(ctx, client, kind)
+		m.catchUp(ctx, client, kind)
 	}
 }
 
@@ -236,7 +332,7 @@
 
 // report returns what this router tells.
 func (m *Mesh) report() Report {
-	r := Report{Router: m.opts.Router, Stamps: make(map[string]feed.Stamp, len(m.opts.Feeds))}
+	r := Report{Router: m.opts.Router, Address: m.opts.Address, Stamps: make(map[string]feed.Stamp, len(m.opts.Feeds))}
 	for kind, f := range m.opts.Feeds {
 		r.Stamps[kind] = f.Stamp()
 	}
@@ -275,7 +371,7 @@
 		if !known {
 			p.behind[kind] = now
 		}
-		if f.Stamp().Revision == 0 || known && now.Sub(since) >= behindFor {
+		if !m.Watcher() || f.Stamp().Revision == 0 || known && now.Sub(since) >= behindFor {
 			kinds = append(kinds, kind)
 			delete(p.behind, kind)
 		}
@@ -283,6 +379,28 @@
 	return kinds
 }
 
+// catchUp brings a kind up to date: from the store, and from the peer if the
+// store does not answer soon.
+func (m *Mesh) catchUp(ctx context.Context, client *link.Client, kind string) {
+	f := m.opts.Feeds[kind]
+	if f.Lost() {
+		m.fetch(ctx, client, kind)
+		return
+	}
+	done := make(chan error, 1)
+	go func() { done <- f.Refresh(ctx) }()
+	timer := time.NewTimer(storeFirst)
+	defer timer.Stop()
+	select {
+	case err := <-done:
+		if err == nil {
+			return
+		}
+	case <-timer.C:
+	}
+	m.fetch(ctx, client, kind)
+}
+
 // fetch takes the content of a kind from a peer.
 func (m *Mesh) fetch(ctx context.Context, client *link.Client, kind string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -307,8 +425,14 @@
 func (r *receiver) Exchange(args *Report, reply *Report) error {
 	m := r.mesh
 	m.take(args)
-	for kind, f := range m.opts.Feeds {
-		f.Confirm(args.Stamps[kind])
+	if kinds := m.behind(args.Address, args); len(kinds) > 0 {
+		if client, err := m.clients.Client(args.Address); err == nil {
+			go func() {
+				for _, kind := range kinds {
+					m.catchUp(context.Background(), client, kind)
+				}
+			}()
+		}
 	}
 	*reply = m.report()
 	reply.News, reply.NewsNext = m.opts.Prompts.News(args.NewsAfter)
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -45,8 +45,9 @@
 	return failed
 }
 
-// Unread tells whether an idle connection has data to read, or has been closed
-// or reset by its peer. It does not block and consumes nothing.
+// Unread tells whether a connection has data to read, or has been closed or
+// reset by its peer. It does not block, consumes nothing, and may be called
+// while another goroutine waits in Read.
 func Unread(conn net.Conn) bool {
 	source, ok := conn.(syscall.Conn)
 	if !ok {
@@ -58,10 +59,9 @@
 	}
 	unread := true
 	var buffer [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		_, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		unread = err != unix.EAGAIN
-		return true
 	})
 	return unread || err != nil
 }
