--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -38,6 +38,11 @@
 	Born int64
 }
 
+// Sum returns a short hash of the identity, for messages between routers.
+func (k Key) Sum() uint32 {
+	return uint32(xxhash.Sum64String(k.ID) ^ uint64(k.Born)*0x9e3779b97f4a7c15>>32)
+}
+
 // Key returns the identity of this start of the upstream.
 func (u *Upstream) Key() Key { return Key{ID: u.ID, Born: u.Born} }
 
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -11,8 +11,8 @@
 	"github.com/shoenig/test/must"
 
 	"dandelionrill.example/fleet/claims"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/store"
-	"dandelionrill.example/fleet/store/httpapi"
 	standin "dandelionrill.example/standin/platform"
 )
 
@@ -20,7 +20,7 @@
 	server := standin.New(standin.Options{})
 	web := httptest.NewServer(server)
 	t.Cleanup(web.Close)
-	store, err := httpapi.New(httpapi.Options{BaseURL: web.URL, Timeout: time.Second})
+	store, err := platform.NewClient(platform.ClientOptions{BaseURL: web.URL, Timeout: time.Second})
 	must.NoError(t, err)
 	return server, store
 }
--- a/claims/sweep_test.go
+++ b/claims/sweep_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/shoenig/test/must"
 
-	"dandelionrill.example/fleet/store/httpapi"
+	"dandelionrill.example/fleet/platform"
 	standin "dandelionrill.example/standin/platform"
 )
 
 func TestSweepDeletesClaimsOlderThanAllMarks(t *testing.T) {
 	web := httptest.NewServer(standin.New(standin.Options{}))
 	t.Cleanup(web.Close)
-	store, err := httpapi.New(httpapi.Options{BaseURL: web.URL, Timeout: time.Second})
+	store, err := platform.NewClient(platform.ClientOptions{BaseURL: web.URL, Timeout: time.Second})
 	must.NoError(t, err)
 	ctx := context.Background()
 	b := New(Options{Store: store})
--- a/cli/config.go
+++ b/cli/config.go
@@ -9,9 +9,9 @@
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/operator"
 	"dandelionrill.example/fleet/peers"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/settings"
-	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/fleet/wire"
 
 	"github.com/cockroachdb/errors"
@@ -78,7 +78,7 @@
 	if c.Platform == "" {
 		return opts, func() {}, nil
 	}
-	api, err := httpapi.New(httpapi.Options{BaseURL: c.Platform})
+	api, err := platform.NewClient(platform.ClientOptions{BaseURL: c.Platform})
 	if err != nil {
 		return opts, nil, err
 	}
--- a/cli/process.go
+++ b/cli/process.go
@@ -13,10 +13,10 @@
 	"dandelionrill.example/fleet/health"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/logging"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/settings"
 	"dandelionrill.example/fleet/store"
-	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
 
@@ -38,7 +38,7 @@
 	timeline *timeline.Timeline
 	health   *health.Health
 	signer   *ticket.Signer
-	api      *httpapi.Client
+	api      *platform.Client
 	pool     *link.Pool
 
 	configuration *configuration.Controller // set by newConfiguration
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	api, err := httpapi.New(httpapi.Options{BaseURL: c.Platform})
+	api, err := platform.NewClient(platform.ClientOptions{BaseURL: c.Platform})
 	if err != nil {
 		return nil, err
 	}
--- a/cli/timeline.go
+++ b/cli/timeline.go
@@ -11,8 +11,8 @@
 
 	"dandelionrill.example/fleet/admin"
 	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/settings"
-	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/fleet/timeline"
 
 	"github.com/cockroachdb/errors"
@@ -73,7 +73,7 @@
 // linkSources asks the processes of the platform's host list over the links of
 // the fleet.
 func linkSources(ctx context.Context, o *settings.Operator) ([]eventSource, func(), error) {
-	api, err := httpapi.New(httpapi.Options{BaseURL: o.Platform})
+	api, err := platform.NewClient(platform.ClientOptions{BaseURL: o.Platform})
 	if err != nil {
 		return nil, nil, err
 	}
--- a/e2e/versions_test.go
+++ b/e2e/versions_test.go
@@ -12,9 +12,9 @@
 	"github.com/shoenig/test/must"
 
 	"dandelionrill.example/fleet/admin"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/revision"
-	"dandelionrill.example/fleet/store/httpapi"
-	"dandelionrill.example/standin/platform"
+	standin "dandelionrill.example/standin/platform"
 )
 
 var observed = []string{"router-1", "router-2", "agent-engine-1", "agent-engine-2", "agent-engine-3", "agent-ledger-1", "agent-ledger-2"}
@@ -55,7 +55,7 @@
 // process is ever seen with an earlier version than before.
 func TestVersionsNeverGoBack(t *testing.T) {
 	ctx := limited(t)
-	api, err := httpapi.New(httpapi.Options{BaseURL: "http://" + fleet.Address("platform")})
+	api, err := platform.NewClient(platform.ClientOptions{BaseURL: "http://" + fleet.Address("platform")})
 	must.NoError(t, err)
 	store := revision.New(revision.Options{Platform: api})
 	watching, stop := context.WithCancel(ctx)
@@ -90,9 +90,9 @@
 	awaitVersion(ctx, t, missed, observed...)
 	last := change(9)
 	awaitVersion(ctx, t, last, "router-1")
-	must.NoError(t, fleet.SetFaults(ctx, platform.Faults{Outage: platform.OutageRefuse}, "platform"))
+	must.NoError(t, fleet.SetFaults(ctx, standin.Faults{Outage: standin.OutageRefuse}, "platform"))
 	awaitVersion(ctx, t, last, observed...)
-	must.NoError(t, fleet.SetFaults(ctx, platform.Faults{}, "platform"))
+	must.NoError(t, fleet.SetFaults(ctx, standin.Faults{}, "platform"))
 	stop()
 	observers.Wait()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,9 @@
 	// went silent is found when it ends.
 	configurationWait = 800 * time.Millisecond
 	upstreamsWait     = 800 * time.Millisecond
+	// storeTimeout bounds one call beyond its wait: the store answers in
+	// milliseconds, and a connection that went silent must be given up.
+	storeTimeout = 900 * time.Millisecond
 	// routersWait is longer: a router that is not known yet makes itself known
 	// by calling.
 	routersWait = 5 * time.Second
@@ -80,10 +83,14 @@
 // New returns an entry host that is not running.
 func New(opts Options) (*Host, error) {
 	s := &opts.Settings
+	client, err := platform.NewClient(platform.ClientOptions{BaseURL: "http://" + s.StoreAddress, Timeout: storeTimeout})
+	if err != nil {
+		return nil, errors.Wrap(err, "entry host")
+	}
 	h := &Host{
 		opts:  opts,
 		log:   opts.Log,
-		store: platform.NewClient(platform.ClientOptions{Address: s.StoreAddress}),
+		store: client,
 		lapse: catalog.Lapse{Return: returnWindow},
 		idle:  newIdleConns(),
 	}
@@ -98,16 +105,11 @@
 	h.configuration = h.feed(platform.KindConfiguration, configurationWait, h.applyConfiguration)
 	h.upstreams = h.feed(platform.KindUpstreams, upstreamsWait, h.applyUpstreams)
 	h.routers = h.feed(platform.KindRouters, routersWait, h.applyRouters)
-	var err error
 	h.mesh, err = gossip.New(gossip.Options{
 		Router:  s.Host,
 		Address: s.PeersAddress,
 		Seeds:   s.SeedAddresses,
-		Feeds: map[string]*feed.Feed{
-			platform.KindConfiguration: h.configuration,
-			platform.KindUpstreams:     h.upstreams,
-			platform.KindRouters:       h.routers,
-		},
+		Feeds:   []*feed.Feed{h.configuration, h.upstreams, h.routers},
 		Board:   h.gateway.Board(),
 		Prompts: h.gateway.Prompts(),
 		Log:     opts.Log,
--- a/experiment/spread/measure.go
+++ b/experiment/spread/measure.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/revision"
-	"dandelionrill.example/fleet/store/httpapi"
 	standin "dandelionrill.example/standin/platform"
 	"github.com/cockroachdb/errors"
 )
@@ -36,7 +36,7 @@
 
 // publish makes a version whose customer 0 has that weight.
 func (f *Fleet) publish(size Size, weight int) (uint64, error) {
-	api, err := httpapi.New(httpapi.Options{BaseURL: f.http.URL})
+	api, err := platform.NewClient(platform.ClientOptions{BaseURL: f.http.URL})
 	if err != nil {
 		return 0, err
 	}
--- a/experiment/spread/node.go
+++ b/experiment/spread/node.go
@@ -17,8 +17,8 @@
 	"dandelionrill.example/fleet/controllers/membership"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/store"
-	"dandelionrill.example/fleet/store/httpapi"
 	"dandelionrill.example/fleet/wire"
 	standin "dandelionrill.example/standin/platform"
 	"github.com/apex/log"
@@ -86,7 +86,7 @@
 }
 
 func (f *Fleet) start(ctx context.Context, row standin.Host, ln net.Listener) error {
-	api, err := httpapi.New(httpapi.Options{BaseURL: f.http.URL})
+	api, err := platform.NewClient(platform.ClientOptions{BaseURL: f.http.URL})
 	if err != nil {
 		return err
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -306,6 +306,9 @@
 	return peer.Revision > f.revision
 }
 
+// Kind returns the kind of objects that the feed keeps.
+func (f *Feed) Kind() string { return f.opts.Kind }
+
 // Stamp says how new the content is.
 func (f *Feed) Stamp() Stamp {
 	f.mu.Lock()
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -12,8 +12,8 @@
 const boardShards = 16
 
 // peerLoadAge is how long another router's word on its requests in progress
-// counts. Routers exchange several times as often.
-const peerLoadAge = 1500 * time.Millisecond
+// counts: twice the time between two exchanges of a pair in a fleet of 30.
+const peerLoadAge = 3 * time.Second
 
 // Board is what a router knows of each upstream beyond the catalog: requests in
 // progress here and at other routers, and failures. All methods may be called
@@ -22,6 +22,7 @@
 	start  time.Time
 	eject  eject.Options
 	shards [boardShards]boardShard
+	peers  peerLoads
 }
 
 type boardShard struct {
@@ -31,23 +32,17 @@
 
 // upstreamState is guarded by the lock of its shard.
 type upstreamState struct {
-	own      int                  // requests in progress sent by this router
-	peers    map[string]peerCount // by router
+	own      int // requests in progress sent by this router
 	failures eject.Record
-	heldAt   time.Duration // of the last failure, for reports to other routers
 	progress time.Duration // when a byte of an answer last came
 	waiting  time.Duration // since when requests are in progress without a pause
-	seen     time.Duration // last use, for forgetting
-}
-
-type peerCount struct {
-	requests int
-	at       time.Duration
 }
 
 // NewBoard returns an empty board.
 func NewBoard(opts eject.Options) *Board {
 	b := &Board{start: time.Now(), eject: opts}
+	b.peers.reports = make(map[string]peerReport)
+	b.peers.total = make(map[uint32]int)
 	for i := range b.shards {
 		b.shards[i].upstreams = make(map[catalog.Key]*upstreamState)
 	}
@@ -73,10 +68,9 @@
 	defer s.mu.Unlock()
 	u := s.upstreams[key]
 	if u == nil {
-		u = &upstreamState{peers: make(map[string]peerCount)}
+		u = &upstreamState{}
 		s.upstreams[key] = u
 	}
-	u.seen = now
 	f(u, now)
 }
 
@@ -104,7 +98,6 @@
 func (b *Board) Failed(key catalog.Key) {
 	b.update(key, func(u *upstreamState, now time.Duration) {
 		u.failures.Failure(b.eject, now)
-		u.heldAt = now
 	})
 }
 
@@ -113,24 +106,20 @@
 	b.update(key, func(u *upstreamState, now time.Duration) { u.failures = u.failures.HeldUntil(now + d) })
 }
 
-// SetPeerLoads records the requests in progress that another router told.
-func (b *Board) SetPeerLoads(router string, loads map[catalog.Key]int) {
-	for key, n := range loads {
-		b.update(key, func(u *upstreamState, now time.Duration) {
-			u.peers[router] = peerCount{requests: n, at: now}
-		})
-	}
-}
+// Loads are requests in progress by the short hash of the upstream's key. An
+// upstream without any is left out.
+type Loads map[uint32]int
 
-// OwnLoads returns this router's requests in progress, upstreams that had some
-// lately included.
-func (b *Board) OwnLoads() map[catalog.Key]int {
-	out := make(map[catalog.Key]int)
+// OwnLoads returns this router's requests in progress.
+func (b *Board) OwnLoads() Loads {
+	out := make(Loads)
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
 		for key, u := range s.upstreams {
-			out[key] = u.own
+			if u.own > 0 {
+				out[key.Sum()] = u.own
+			}
 		}
 		s.mu.Unlock()
 	}
@@ -151,16 +140,13 @@
 	s := b.shard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	k := Known{Load: b.peers.of(key)}
 	u := s.upstreams[key]
 	if u == nil {
-		return Known{}
-	}
-	k := Known{Load: u.own, Own: u.own, Failures: u.failures}
-	for _, p := range u.peers {
-		if now-p.at < peerLoadAge {
-			k.Load += p.requests
-		}
+		return k
 	}
+	k.Load += u.own
+	k.Own, k.Failures = u.own, u.failures
 	if u.own > 0 {
 		k.Silent = now - max(u.waiting, u.progress)
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"dandelionrill.example/fleet/catalog"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/feed"
 	"dandelionrill.example/fleet/gateway"
@@ -37,7 +36,7 @@
 	behindFor = 150 * time.Millisecond
 	// storeFirst is how long a router that is behind waits for the store before
 	// it turns to the peer: hosts have narrow links, the store has not.
-	storeFirst = 250 * time.Millisecond
+	storeFirst = 600 * time.Millisecond
 	// nudgeSpacing is the time between two calls while peers are told of newer
 	// content.
 	nudgeSpacing = 10 * time.Millisecond
@@ -50,18 +49,16 @@
 // service is the name of the methods in calls.
 const service = "Gossip"
 
-// Load is the requests that a router has in progress at an upstream.
-type Load struct {
-	At       catalog.Key
-	Requests int
-}
-
-// Report is what a router tells a peer.
+// Report is what a router tells a peer. It is sent many times a second, so
+// that its size counts.
 type Report struct {
 	Router  string
-	Address string                // of the router's listener for other routers
-	Stamps  map[string]feed.Stamp // by kind
-	Loads   []Load
+	Address string       // of the router's listener for other routers
+	Stamps  []feed.Stamp // in the order of Options.Feeds
+	// Upstreams and Requests are the requests in progress, by the short hash of
+	// the upstream's key.
+	Upstreams []uint32
+	Requests  []uint
 	// NewsAfter asks for the peer's placements from this number on.
 	NewsAfter uint64
 	// News are placements of the router itself, up to number NewsNext.
@@ -70,7 +67,7 @@
 }
 
 // FetchArgs asks for the content of a kind.
-type FetchArgs struct{ Kind string }
+type FetchArgs struct{ Kind int } // index in Options.Feeds
 
 // Content is the content of a kind.
 type Content struct {
@@ -83,7 +80,7 @@
 	Router  string // name of this router
 	Address string // of this router's listener, not to be called
 	Seeds   []string
-	Feeds   map[string]*feed.Feed // by kind
+	Feeds   []*feed.Feed // in the same order at all routers
 	Board   *gateway.Board
 	Prompts *gateway.Prompts
 	Log     log.Interface
@@ -97,6 +94,7 @@
 	clients *link.Pool
 
 	watching atomic.Bool
+	catching []atomic.Bool // by kind: whether it is being brought up to date
 	nudged   chan struct{}
 
 	mu    sync.Mutex
@@ -110,12 +108,13 @@
 	calling   bool
 	silent    bool
 	newsAfter uint64
-	behind    map[string]time.Time // kinds of which the peer holds newer content, since when
+	behind    map[int]time.Time // kinds of which the peer holds newer content, since when
 }
 
 // New returns a mesh that knows the seeds.
 func New(opts Options) (*Mesh, error) {
 	m := &Mesh{opts: opts, seeds: opts.Seeds, peers: make(map[string]*peer), nudged: make(chan struct{}, 1)}
+	m.catching = make([]atomic.Bool, len(opts.Feeds))
 	m.watching.Store(true)
 	m.clients = link.NewPool(link.ClientOptions{
 		PrivateNetwork:    true,
@@ -159,7 +158,7 @@
 	}
 	for address, other := range wanted {
 		if other && m.peers[address] == nil {
-			m.peers[address] = &peer{behind: make(map[string]time.Time)}
+			m.peers[address] = &peer{behind: make(map[int]time.Time)}
 		}
 	}
 }
@@ -183,6 +182,7 @@
 			told = time.Now()
 		case <-ticker.C:
 			m.rank()
+			m.opts.Board.ExpirePeers()
 			if address, after, ok := m.next(); ok {
 				go m.exchange(ctx, address, after)
 			}
@@ -332,28 +332,33 @@
 
 // report returns what this router tells.
 func (m *Mesh) report() Report {
-	r := Report{Router: m.opts.Router, Address: m.opts.Address, Stamps: make(map[string]feed.Stamp, len(m.opts.Feeds))}
-	for kind, f := range m.opts.Feeds {
-		r.Stamps[kind] = f.Stamp()
+	r := Report{Router: m.opts.Router, Address: m.opts.Address, Stamps: make([]feed.Stamp, len(m.opts.Feeds))}
+	for i, f := range m.opts.Feeds {
+		r.Stamps[i] = f.Stamp()
 	}
-	for key, n := range m.opts.Board.OwnLoads() {
-		r.Loads = append(r.Loads, Load{At: key, Requests: n})
+	for sum, n := range m.opts.Board.OwnLoads() {
+		r.Upstreams = append(r.Upstreams, sum)
+		r.Requests = append(r.Requests, uint(n))
 	}
 	return r
 }
 
 // take learns from a report what needs no further call.
 func (m *Mesh) take(r *Report) {
-	loads := make(map[catalog.Key]int, len(r.Loads))
-	for _, l := range r.Loads {
-		loads[l.At] = l.Requests
+	loads := make(gateway.Loads, len(r.Upstreams))
+	for i, sum := range r.Upstreams[:min(len(r.Upstreams), len(r.Requests))] {
+		loads[sum] = int(min(r.Requests[i], maxRequests))
 	}
 	m.opts.Board.SetPeerLoads(r.Router, loads)
 }
 
+// maxRequests is the most requests in progress at one upstream that a router is
+// believed to have.
+const maxRequests = 1 << 16
+
 // behind returns the kinds of which the peer has held newer content for some
 // time.
-func (m *Mesh) behind(address string, r *Report) []string {
+func (m *Mesh) behind(address string, r *Report) []int {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -361,8 +366,8 @@
 	if p == nil {
 		return nil
 	}
-	var kinds []string
-	for kind, f := range m.opts.Feeds {
+	var kinds []int
+	for kind, f := range m.opts.Feeds[:min(len(m.opts.Feeds), len(r.Stamps))] {
 		if !f.Confirm(r.Stamps[kind]) {
 			delete(p.behind, kind)
 			continue
@@ -380,8 +385,12 @@
 }
 
 // catchUp brings a kind up to date: from the store, and from the peer if the
-// store does not answer soon.
-func (m *Mesh) catchUp(ctx context.Context, client *link.Client, kind string) {
+// store does not answer soon. Only one call at a time does so for a kind.
+func (m *Mesh) catchUp(ctx context.Context, client *link.Client, kind int) {
+	if !m.catching[kind].CompareAndSwap(false, true) {
+		return
+	}
+	defer m.catching[kind].Store(false)
 	f := m.opts.Feeds[kind]
 	if f.Lost() {
 		m.fetch(ctx, client, kind)
@@ -402,19 +411,19 @@
 }
 
 // fetch takes the content of a kind from a peer.
-func (m *Mesh) fetch(ctx context.Context, client *link.Client, kind string) {
+func (m *Mesh) fetch(ctx context.Context, client *link.Client, kind int) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	f := m.opts.Feeds[kind]
+	fields := log.Fields{"peer": client.Address(), "kind": f.Kind()}
 	var content Content
 	if err := client.Call(ctx, service+".Fetch", &FetchArgs{Kind: kind}, &content); err != nil {
-		m.opts.Log.WithError(err).WithFields(log.Fields{"peer": client.Address(), "kind": kind}).Warn("cannot fetch newer content")
+		m.opts.Log.WithError(err).WithFields(fields).Warn("cannot fetch newer content")
 		return
 	}
-	if m.opts.Feeds[kind].Adopt(content.Snapshot, content.Stamp) {
-		m.opts.Log.WithFields(log.Fields{
-			"peer": client.Address(), "kind": kind, "revision": content.Snapshot.Revision,
-			"age_ms": content.Stamp.Age.Milliseconds(),
-		}).Info("newer content adopted from another router")
+	if f.Adopt(content.Snapshot, content.Stamp) {
+		fields["revision"], fields["age_ms"] = content.Snapshot.Revision, content.Stamp.Age.Milliseconds()
+		m.opts.Log.WithFields(fields).Info("newer content adopted from another router")
 	}
 }
 
@@ -441,10 +450,10 @@
 
 // Fetch returns the content of a kind.
 func (r *receiver) Fetch(args *FetchArgs, reply *Content) error {
-	f := r.mesh.opts.Feeds[args.Kind]
-	if f == nil {
-		return errors.Newf("gossip: unknown kind %q", args.Kind)
+	if args.Kind < 0 || args.Kind >= len(r.mesh.opts.Feeds) {
+		return errors.Newf("gossip: unknown kind %d", args.Kind)
 	}
+	f := r.mesh.opts.Feeds[args.Kind]
 	reply.Stamp = f.Stamp()
 	reply.Snapshot = f.Snapshot()
 	return nil
--- a/router/claims_fault_test.go
+++ b/router/claims_fault_test.go
@@ -17,7 +17,7 @@
 	"dandelionrill.example/fleet/agent"
 	"dandelionrill.example/fleet/fleettest"
 	"dandelionrill.example/fleet/router"
-	"dandelionrill.example/standin/platform"
+	standin "dandelionrill.example/standin/platform"
 	"dandelionrill.example/standin/service"
 )
 
@@ -27,7 +27,7 @@
 
 func TestLostClaimAnswerRunsOnce(t *testing.T) {
 	store, services, routers := newKeyedPair(t)
-	store.SetFaults(platform.Faults{LoseAnswers: 1})
+	store.SetFaults(standin.Faults{LoseAnswers: 1})
 	for _, r := range routers {
 		a := r.Do(t, "POST", transfers, `{"operation":"t"}`, keyed("k"))
 		must.Eq(t, 200, a.Status, must.Sprint(a.Body))
@@ -46,11 +46,11 @@
 	faults := 0
 	for i := range operations {
 		op := fmt.Sprint("op", i)
-		fault := platform.Faults{LoseAnswers: plan.IntN(4)}
+		fault := standin.Faults{LoseAnswers: plan.IntN(4)}
 		if plan.IntN(5) == 0 {
-			fault = platform.Faults{Outage: platform.OutageRefuse}
+			fault = standin.Faults{Outage: standin.OutageRefuse}
 		}
-		if fault != (platform.Faults{}) {
+		if fault != (standin.Faults{}) {
 			faults++
 		}
 		store.SetFaults(fault)
@@ -63,7 +63,7 @@
 		for _, a := range answers {
 			c.add(a, services[0].Runs()[op]+services[1].Runs()[op])
 		}
-		store.SetFaults(platform.Faults{})
+		store.SetFaults(standin.Faults{})
 		last := routers[plan.IntN(2)].Do(t, "POST", transfers, `{"operation":"`+op+`"}`, keyed(op))
 		must.Eq(t, 200, last.Status, must.Sprint(last.Body))
 		must.Eq(t, 1, services[0].Runs()[op]+services[1].Runs()[op])
@@ -110,7 +110,7 @@
 	for _, way := range []string{"ticket", "claim"} {
 		b.Run(way, func(b *testing.B) {
 			store, _, routers := newKeyedPair(b)
-			store.SetFaults(platform.Faults{DelayMillis: 2})
+			store.SetFaults(standin.Faults{DelayMillis: 2})
 			n := 0
 			for b.Loop() {
 				n++
--- a/router/keyed_test.go
+++ b/router/keyed_test.go
@@ -11,19 +11,19 @@
 
 	"dandelionrill.example/fleet/claims"
 	"dandelionrill.example/fleet/fleettest"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/router"
-	"dandelionrill.example/fleet/store/httpapi"
-	"dandelionrill.example/standin/platform"
+	standin "dandelionrill.example/standin/platform"
 	"dandelionrill.example/standin/service"
 )
 
 // newKeyedPair starts two routers that know different replicas, so that only
 // the claim can bring a key's calls together.
-func newKeyedPair(t testing.TB) (*platform.Server, [2]*service.Server, [2]*fleettest.Router) {
-	store := platform.New(platform.Options{})
+func newKeyedPair(t testing.TB) (*standin.Server, [2]*service.Server, [2]*fleettest.Router) {
+	store := standin.New(standin.Options{})
 	web := httptest.NewServer(store)
 	t.Cleanup(web.Close)
-	client, err := httpapi.New(httpapi.Options{BaseURL: web.URL, Timeout: time.Second})
+	client, err := platform.NewClient(platform.ClientOptions{BaseURL: web.URL, Timeout: time.Second})
 	must.NoError(t, err)
 	var services [2]*service.Server
 	var routers [2]*fleettest.Router
@@ -68,7 +68,7 @@
 
 func TestKeyInPlatformOutage(t *testing.T) {
 	store, services, routers := newKeyedPair(t)
-	store.SetFaults(platform.Faults{Outage: platform.OutageRefuse})
+	store.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
 	key := map[string]string{router.HeaderIdempotencyKey: "k"}
 	body := `{"operation":"t"}`
 	refused := routers[0].Do(t, "POST", "/v1/services/share-ledger/transfers", body, key)
@@ -76,7 +76,7 @@
 	must.StrContains(t, refused.Body, `"code":"platform-unavailable"`)
 	must.NotEq(t, "", refused.Header.Get("Retry-After"))
 	must.MapEmpty(t, services[0].Runs())
-	store.SetFaults(platform.Faults{})
+	store.SetFaults(standin.Faults{})
 	must.Eq(t, 200, routers[1].Do(t, "POST", "/v1/services/share-ledger/transfers", body, key).Status)
 	must.Eq(t, 200, routers[0].Do(t, "POST", "/v1/services/share-ledger/transfers", body, key).Status)
 	must.Eq(t, 1, services[0].Runs()["t"]+services[1].Runs()["t"])
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -1,10 +1,12 @@
 package platform
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -12,59 +14,119 @@
 	"dandelionrill.example/standin/internal/control"
 )
 
-// maxWait is the longest that a watch waits.
-const maxWait = 5 * time.Minute
+const (
+	// maxWait is the longest that a watch waits.
+	maxWait = 30 * time.Second
+	// pageEntries is the most objects in one answer to a list.
+	pageEntries = 500
+	// maxCallBytes bounds the body of a call: a value and its metadata.
+	maxCallBytes = MaxValueBytes + 64<<10
+)
 
-var errPrecondition = errors.New("platform: bad or missing precondition")
+// metadata is what the store keeps of an object beside its values.
+type metadata struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"` // of the last change
+	Created    uint64   `json:"created"`
+	Finalizers []string `json:"finalizerList"`
+	Deleting   bool     `json:"deletionPending"`
+}
 
-func (s *Server) getOrWatch(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Has("watch") {
+// object is one object of a kind, as it is on the wire.
+type object struct {
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+// event is one change of a kind.
+type event struct {
+	kind     string
+	revision uint64
+	Deleted  bool   `json:"deleted"`
+	Object   object `json:"object"`
+}
+
+type page struct {
+	Entries []object `json:"entries"`
+	More    bool     `json:"more"`
+	At      uint64   `json:"at"`
+}
+
+type changes struct {
+	Events []event `json:"events"`
+	At     uint64  `json:"at"`
+}
+
+func (s *Server) listOrWatch(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Query().Has("subscription"):
 		s.call(countWatch, s.watch)(w, r)
-		return
+	case r.PathValue("kind") == KindHosts:
+		s.call(countHosts, s.list)(w, r)
+	default:
+		s.call(countList, s.list)(w, r)
 	}
-	s.call(countGet, s.get)(w, r)
 }
 
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+// list answers with a page of a kind, by name.
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	after := r.URL.Query().Get("after")
 	s.mu.Lock()
-	o := s.objects[r.PathValue("key")]
+	answer := page{Entries: []object{}, At: s.revision}
+	for _, o := range s.kind(r.PathValue("kind")) {
+		if o.Metadata.Name > after {
+			answer.Entries = append(answer.Entries, o)
+		}
+	}
 	s.mu.Unlock()
-	writeObject(w, o)
+	slices.SortFunc(answer.Entries, func(a, b object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
+	if len(answer.Entries) > pageEntries {
+		answer.Entries, answer.More = answer.Entries[:pageEntries], true
+	}
+	control.WriteJSON(w, http.StatusOK, answer)
 }
 
-func writeObject(w http.ResponseWriter, o object) {
-	if o.version == 0 {
-		http.Error(w, "no such object", http.StatusNotFound)
-		return
+// kind returns the objects of a kind as shown. The caller holds mu.
+func (s *Server) kind(kind string) map[string]object {
+	if kind == KindHosts {
+		return s.hostObjects()
 	}
-	w.Header().Set("ETag", etag(o.version))
-	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(o.value)
+	return s.objects[kind]
 }
 
-func etag(version uint64) string {
-	return strconv.Quote(strconv.FormatUint(version, 10))
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	o, ok := s.kind(r.PathValue("kind"))[r.PathValue("name")]
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	control.WriteJSON(w, http.StatusOK, o)
 }
 
-// watch answers once the object's version exceeds the one given, or as it
-// stands when the wait ends.
+// watch answers with the changes after a revision once there is one, or with
+// none when the wait ends.
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	after, err := strconv.ParseUint(r.URL.Query().Get("subscription"), 10, 64)
 	if err != nil {
-		http.Error(w, "bad watch version", http.StatusBadRequest)
+		http.Error(w, "bad subscription", http.StatusBadRequest)
 		return
 	}
-	seconds, err := strconv.ParseFloat(r.URL.Query().Get("wait"), 64)
-	if err != nil || seconds < 0 {
-		http.Error(w, "bad wait", http.StatusBadRequest)
+	millis, err := strconv.ParseUint(r.URL.Query().Get("waitMs"), 10, 32)
+	if err != nil {
+		http.Error(w, "bad waitMs", http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(min(maxWait, time.Duration(seconds*float64(time.Second))))
+	timer := time.NewTimer(min(maxWait, time.Duration(millis)*time.Millisecond))
 	defer timer.Stop()
 	ended := false
 	for {
 		s.mu.Lock()
-		o, changed, outage := s.objects[r.PathValue("key")], s.changed, s.faults.Outage
+		answer := changes{Events: s.eventsAfter(r.PathValue("kind"), after), At: s.revision}
+		gone := after < s.forgotten
+		changed, outage := s.changed, s.faults.Outage
 		s.mu.Unlock()
 		switch {
 		case outage == OutageRefuse:
@@ -73,8 +135,11 @@
 		case outage == OutageHang:
 			s.hangDuringOutage(r)
 			control.Cut()
-		case o.version > after || ended:
-			writeObject(w, o)
+		case gone:
+			http.Error(w, "history is gone", http.StatusGone)
+			return
+		case len(answer.Events) > 0 || ended:
+			control.WriteJSON(w, http.StatusOK, answer)
 			return
 		}
 		select {
@@ -87,107 +152,150 @@
 	}
 }
 
-func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	expected, err := precondition(r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusPreconditionRequired)
-		return
+// eventsAfter returns the changes of a kind after a revision. The caller holds
+// mu.
+func (s *Server) eventsAfter(kind string, after uint64) []event {
+	events := []event{}
+	for _, e := range s.history {
+		if e.kind == kind && e.revision > after {
+			events = append(events, e)
+		}
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+	return events
+}
+
+var errTooLarge = errors.New("platform: object too large")
+
+// readObject decodes the object of a create or replace.
+func readObject(w http.ResponseWriter, r *http.Request) (object, error) {
+	var o object
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
+		return o, errTooLarge
 	}
-	s.mu.Lock()
-	key := r.PathValue("key")
-	if current := s.objects[key].version; current != expected {
-		s.mu.Unlock()
-		http.Error(w, "version conflict", http.StatusPreconditionFailed)
-		return
+	if err := json.Unmarshal(body, &o); err != nil {
+		return o, err
 	}
-	version := s.store(key, value)
-	lost := s.loseAnswer()
-	s.mu.Unlock()
-	if lost {
-		control.Cut()
+	if len(o.Spec) > MaxValueBytes {
+		return o, errTooLarge
 	}
-	w.Header().Set("ETag", etag(version))
-	w.WriteHeader(http.StatusOK)
+	return o, nil
 }
 
-// precondition returns the version that the request expects; 0 means that the
-// object must not exist.
-func precondition(r *http.Request) (uint64, error) {
-	if r.Header.Get("If-None-Match") == "*" {
-		return 0, nil
+func refuseObject(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	if errors.Is(err, errTooLarge) {
+		status = http.StatusRequestEntityTooLarge
 	}
-	version, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
-	if err != nil || version == 0 {
-		return 0, errPrecondition
-	}
-	return version, nil
+	http.Error(w, err.Error(), status)
 }
 
-func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
-	expected, err := precondition(r)
-	if err != nil || expected == 0 {
-		http.Error(w, errPrecondition.Error(), http.StatusPreconditionRequired)
+// create makes an object that does not exist.
+func (s *Server) create(w http.ResponseWriter, r *http.Request) {
+	o, err := readObject(w, r)
+	if err != nil || o.Metadata.Name == "" {
+		refuseObject(w, errors.Join(err, errors.New("platform: create")))
 		return
 	}
+	kind := r.PathValue("kind")
 	s.mu.Lock()
-	key := r.PathValue("key")
-	status := http.StatusNoContent
-	switch current := s.objects[key].version; {
-	case current == 0:
-		status = http.StatusNotFound
-	case current != expected:
-		status = http.StatusPreconditionFailed
-	default:
-		delete(s.objects, key)
-		s.broadcast()
+	held, exists := s.objects[kind][o.Metadata.Name]
+	lost := false
+	if !exists {
+		held = s.store(kind, o)
+		lost = s.loseAnswer()
 	}
-	lost := status == http.StatusNoContent && s.loseAnswer()
 	s.mu.Unlock()
-	if lost {
-		control.Cut()
-	}
-	w.WriteHeader(status)
+	answerWrite(w, held, exists, lost)
 }
 
-// listed is one row of a list answer.
-type listed struct {
-	Key     string `json:"key"`
-	Version uint64 `json:"version"`
+// replace changes spec and finalizers of an object.
+func (s *Server) replace(w http.ResponseWriter, r *http.Request) {
+	o, err := readObject(w, r)
+	if err != nil {
+		refuseObject(w, err)
+		return
+	}
+	s.update(w, r, o.Metadata.Revision, func(held *object) {
+		held.Spec, held.Metadata.Finalizers = o.Spec, o.Metadata.Finalizers
+	})
 }
 
-func (s *Server) list(w http.ResponseWriter, r *http.Request) {
-	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
-	if err != nil || limit < 0 {
-		http.Error(w, "bad limit", http.StatusBadRequest)
+// replaceStatus changes the status of an object.
+func (s *Server) replaceStatus(w http.ResponseWriter, r *http.Request) {
+	o, err := readObject(w, r)
+	if err != nil {
+		refuseObject(w, err)
 		return
 	}
-	prefix := r.URL.Query().Get("prefix")
-	rows := make([]listed, 0)
+	s.update(w, r, o.Metadata.Revision, func(held *object) { held.Status = o.Status })
+}
+
+// update applies a change if the object is at the revision given; 0 means any.
+func (s *Server) update(w http.ResponseWriter, r *http.Request, revision uint64, change func(*object)) {
+	kind, name := r.PathValue("kind"), r.PathValue("name")
 	s.mu.Lock()
-	for key, o := range s.objects {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, listed{Key: key, Version: o.version})
+	held, exists := s.objects[kind][name]
+	if !exists {
+		s.mu.Unlock()
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	conflict := revision != 0 && revision != held.Metadata.Revision
+	lost := false
+	if !conflict {
+		before := held
+		change(&held)
+		switch {
+		case held.Metadata.Deleting && len(held.Metadata.Finalizers) == 0:
+			held = s.unstore(kind, held)
+		case !same(before, held):
+			held = s.store(kind, held)
 		}
+		lost = s.loseAnswer()
 	}
 	s.mu.Unlock()
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	control.WriteJSON(w, http.StatusOK, rows[:min(limit, len(rows))])
+	answerWrite(w, held, conflict, lost)
 }
 
-func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
+// same tells whether a write changed nothing.
+func same(a, b object) bool {
+	return bytes.Equal(a.Spec, b.Spec) && bytes.Equal(a.Status, b.Status) &&
+		slices.Equal(a.Metadata.Finalizers, b.Metadata.Finalizers)
+}
+
+// remove deletes an object, or marks it until its finalizers are gone.
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	kind, name := r.PathValue("kind"), r.PathValue("name")
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil && r.URL.Query().Has("revision") {
+		http.Error(w, "bad revision", http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
-	hosts := s.hosts
-	if time.Now().Before(s.showAt) {
-		hosts = s.shown
+	held, exists := s.objects[kind][name]
+	if !exists {
+		s.mu.Unlock()
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	conflict := revision != 0 && revision != held.Metadata.Revision
+	lost := false
+	if !conflict {
+		held = s.unstore(kind, held)
+		lost = s.loseAnswer()
 	}
 	s.mu.Unlock()
-	if hosts == nil {
-		hosts = []Host{}
+	answerWrite(w, held, conflict, lost)
+}
+
+func answerWrite(w http.ResponseWriter, o object, conflict, lost bool) {
+	switch {
+	case lost:
+		control.Cut()
+	case conflict:
+		control.WriteJSON(w, http.StatusConflict, o)
+	default:
+		control.WriteJSON(w, http.StatusOK, o)
 	}
-	control.WriteJSON(w, http.StatusOK, hosts)
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,9 +1,15 @@
-// Package platform is a stand-in for the platform's object API and host list.
-// It keeps everything in memory, counts every call and can be told to fail.
+// Package platform is a stand-in for the platform's object store: objects by
+// kind and name with revisions, conditional writes, lists and watches. The host
+// list is one of its kinds. It keeps everything in memory, counts every call
+// and can be told to fail.
 package platform
 
 import (
+	"encoding/base64"
+	"encoding/json"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -66,18 +72,24 @@
 	Faults Faults
 }
 
-type object struct {
-	version uint64
-	value   []byte
-}
+// Kinds with a meaning for the stand-in or its helpers.
+const (
+	KindHosts  = "hosts"               // the host list, which lags
+	KindValues = "dandelionrill-store" // the values that Put and Get reach by key
+)
+
+// maxHistory is the number of changes that are kept for watches.
+const maxHistory = 10_000
 
 // Server is the stand-in. Its methods may be called concurrently.
 type Server struct {
 	mux *http.ServeMux
 
 	mu        sync.Mutex
-	objects   map[string]object
-	version   uint64
+	objects   map[string]map[string]object // by kind and name
+	revision  uint64
+	history   []event
+	forgotten uint64        // changes up to this revision are no longer known
 	changed   chan struct{} // closed and replaced at each change of objects or faults
 	faults    Faults
 	counts    Counts
@@ -94,20 +106,26 @@
 func New(options Options) *Server {
 	s := &Server{
 		mux:     http.NewServeMux(),
-		objects: make(map[string]object),
+		objects: make(map[string]map[string]object),
 		changed: make(chan struct{}),
 		faults:  options.Faults,
 		hosts:   options.Hosts,
 	}
-	s.mux.HandleFunc("GET /objects", s.call(countList, s.list))
-	s.mux.HandleFunc("GET /objects/{key...}", s.getOrWatch)
-	s.mux.HandleFunc("PUT /objects/{key...}", s.call(countPut, s.put))
-	s.mux.HandleFunc("DELETE /objects/{key...}", s.call(countDelete, s.delete))
-	s.mux.HandleFunc("GET /hosts", s.call(countHosts, s.listHosts))
+	const kind = "/dandelionrill/objects/{kind}"
+	s.mux.HandleFunc("GET "+kind, s.listOrWatch)
+	s.mux.HandleFunc("POST "+kind, s.call(countPut, s.create))
+	s.mux.HandleFunc("GET "+kind+"/{name}", s.call(countGet, s.get))
+	s.mux.HandleFunc("PUT "+kind+"/{name}", s.call(countPut, s.replace))
+	s.mux.HandleFunc("PUT "+kind+"/{name}/status", s.call(countPut, s.replaceStatus))
+	s.mux.HandleFunc("DELETE "+kind+"/{name}", s.call(countDelete, s.remove))
 	control.Get(s.mux, "/control/counts", s.Counts)
 	control.Get(s.mux, "/control/faults", s.Faults)
 	control.Put(s.mux, "/control/faults", s.SetFaults)
 	control.Put(s.mux, "/control/hosts", s.SetHosts)
+	s.mux.HandleFunc("PUT /control/history", func(w http.ResponseWriter, _ *http.Request) {
+		s.DropHistory()
+		w.WriteHeader(http.StatusNoContent)
+	})
 	return s
 }
 
@@ -150,29 +168,113 @@
 	s.showAt = now.Add(time.Duration(s.faults.HostLagMillis) * time.Millisecond)
 }
 
-// Put stores value whatever the object's version, without counting a call, and
-// returns the new version.
-func (s *Server) Put(key string, value []byte) uint64 {
+// DropHistory makes watches from before fail.
+func (s *Server) DropHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.store(key, value)
+	s.history, s.forgotten = nil, s.revision
+	s.broadcast()
 }
 
-// Get returns the object's value and version, without counting a call; version
-// 0 means that there is none.
+// SetObject stores an object whatever its revision, without counting a call,
+// and returns the new revision.
+func (s *Server) SetObject(kind, name string, spec []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.objects[kind][name]
+	o.Metadata.Name, o.Spec = name, spec
+	return s.store(kind, o).Metadata.Revision
+}
+
+// RemoveObject removes an object without counting a call.
+func (s *Server) RemoveObject(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.objects[kind][name]; ok {
+		s.unstore(kind, o)
+	}
+}
+
+// valueName is the name of the object that holds the value of a key.
+func valueName(key string) string { return strings.ReplaceAll(key, "/", ":") }
+
+// Put stores value whatever the object's revision, without counting a call, and
+// returns the new revision.
+func (s *Server) Put(key string, value []byte) uint64 {
+	spec := strconv.Quote(base64.StdEncoding.EncodeToString(value))
+	return s.SetObject(KindValues, valueName(key), []byte(spec))
+}
+
+// Get returns the object's value and revision, without counting a call;
+// revision 0 means that there is none.
 func (s *Server) Get(key string) ([]byte, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := s.objects[key]
-	return o.value, o.version
+	o, ok := s.objects[KindValues][valueName(key)]
+	if !ok {
+		return nil, 0
+	}
+	var value []byte
+	if err := json.Unmarshal(o.Spec, &value); err != nil {
+		return nil, 0 // not stored by a client of values
+	}
+	return value, o.Metadata.Revision
+}
+
+// hostObjects returns the host list as shown. The caller holds mu.
+func (s *Server) hostObjects() map[string]object {
+	hosts := s.hosts
+	if time.Now().Before(s.showAt) {
+		hosts = s.shown
+	}
+	objects := make(map[string]object, len(hosts))
+	for _, h := range hosts {
+		spec, err := json.Marshal(h)
+		if err != nil {
+			continue // a struct of strings always encodes
+		}
+		objects[h.Name] = object{Metadata: metadata{Name: h.Name, Revision: 1}, Spec: spec}
+	}
+	return objects
 }
 
-// store updates an object. The caller holds mu.
-func (s *Server) store(key string, value []byte) uint64 {
-	s.version++
-	s.objects[key] = object{version: s.version, value: value}
+// store makes an object's change and returns the object. The caller holds mu.
+func (s *Server) store(kind string, o object) object {
+	s.revision++
+	if o.Metadata.Created == 0 {
+		o.Metadata.Created = s.revision
+	}
+	o.Metadata.Revision = s.revision
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]object)
+	}
+	s.objects[kind][o.Metadata.Name] = o
+	s.note(event{kind: kind, revision: s.revision, Object: o})
+	return o
+}
+
+// unstore removes an object, or marks it until its finalizers are gone. The
+// caller holds mu.
+func (s *Server) unstore(kind string, o object) object {
+	if len(o.Metadata.Finalizers) > 0 {
+		o.Metadata.Deleting = true
+		return s.store(kind, o)
+	}
+	s.revision++
+	delete(s.objects[kind], o.Metadata.Name)
+	o.Metadata.Revision = s.revision
+	s.note(event{kind: kind, revision: s.revision, Deleted: true, Object: o})
+	return o
+}
+
+// note keeps a change for watches. The caller holds mu.
+func (s *Server) note(e event) {
+	s.history = append(s.history, e)
+	if over := len(s.history) - maxHistory; over > 0 {
+		s.forgotten = s.history[over-1].revision
+		s.history = append([]event(nil), s.history[over:]...)
+	}
 	s.broadcast()
-	return s.version
 }
 
 // broadcast wakes all waiting calls. The caller holds mu.
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,8 @@
 	"github.com/shoenig/test/must"
 )
 
+const objectsPath = "/dandelionrill/objects/"
+
 func start(t *testing.T, options Options) (*Server, string) {
 	s := New(options)
 	web := httptest.NewServer(s)
@@ -21,105 +24,158 @@
 	return s, web.URL
 }
 
-// do sends a call; precondition is a version, "*" or nothing.
-func do(t *testing.T, method, url, precondition, body string) (status int, version uint64, answer string) {
+// do sends a call and returns the answer; status 0 means that there was none.
+func do(t *testing.T, method, url, body string) (status int, answer string) {
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	must.NoError(t, err)
-	switch precondition {
-	case "":
-	case "*":
-		r.Header.Set("If-None-Match", "*")
-	default:
-		r.Header.Set("If-Match", strconv.Quote(precondition))
-	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0, 0, ""
+		return 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	read, err := io.ReadAll(response.Body)
 	must.NoError(t, err)
-	version, _ = strconv.ParseUint(strings.Trim(response.Header.Get("ETag"), `"`), 10, 64)
-	return response.StatusCode, version, strings.TrimSpace(string(read))
+	return response.StatusCode, strings.TrimSpace(string(read))
+}
+
+// objectJSON is an object as the stand-in answers it.
+func objectJSON(name string, revision, created int, spec string) string {
+	return fmt.Sprintf(`{"metadata":{"name":%q,"revision":%d,"created":%d,"finalizerList":null,"deletionPending":false},"spec":%s,"status":null}`,
+		name, revision, created, spec)
+}
+
+// sent is an object as a caller sends it; revision 0 means any.
+func sent(name string, revision int, spec string) string {
+	return fmt.Sprintf(`{"metadata":{"name":%q,"revision":%d},"spec":%s}`, name, revision, spec)
 }
 
 func TestObjectProtocol(t *testing.T) {
 	s, url := start(t, Options{})
+	url += objectsPath
 	for i, step := range []struct {
-		method, path, precondition, body string
-		status                           int
-		version                          uint64
-		answer                           string
+		method, path, body string
+		status             int
+		answer             string
 	}{
-		{"GET", "/objects/a/b", "", "", 404, 0, "no such object"},
-		{"PUT", "/objects/a/b", "", "x", 428, 0, errPrecondition.Error()},
-		{"PUT", "/objects/a/b", "*", "x", 200, 1, ""},
-		{"PUT", "/objects/a/b", "*", "y", 412, 0, "version conflict"},
-		{"PUT", "/objects/a/b", "7", "y", 412, 0, "version conflict"},
-		{"PUT", "/objects/a/b", "1", "y", 200, 2, ""},
-		{"GET", "/objects/a/b", "", "", 200, 2, "y"},
-		{"DELETE", "/objects/a/b", "", "", 428, 0, errPrecondition.Error()},
-		{"DELETE", "/objects/a/b", "1", "", 412, 0, ""},
-		{"DELETE", "/objects/a/b", "2", "", 204, 0, ""},
-		{"DELETE", "/objects/a/b", "2", "", 404, 0, ""},
-		{"PUT", "/objects/a/b", "*", "z", 200, 3, ""},
-		{"PUT", "/objects/a/big", "*", strings.Repeat("v", MaxValueBytes+1), 413, 0, "http: request body too large"},
-		{"PUT", "/objects/c", "*", "c", 200, 4, ""},
-		{"GET", "/objects?prefix=a/&limit=9", "", "", 200, 0, `[{"key":"a/b","version":3}]`},
-		{"GET", "/objects?prefix=&limit=1", "", "", 200, 0, `[{"key":"a/b","version":3}]`},
-		{"GET", "/objects/c?watch=0&wait=20", "", "", 200, 4, "c"},
-		{"GET", "/objects/c?watch=4&wait=0.01", "", "", 200, 4, "c"},
-		{"GET", "/objects/d?watch=0&wait=0.01", "", "", 404, 0, "no such object"},
-		{"GET", "/hosts", "", "", 200, 0, "[]"},
+		{"GET", "a/b", "", 404, "no such object"},
+		{"PUT", "a/b", sent("b", 0, "1"), 404, "no such object"},
+		{"POST", "a", sent("b", 0, "1"), 200, objectJSON("b", 1, 1, "1")},
+		{"POST", "a", sent("b", 0, "2"), 409, objectJSON("b", 1, 1, "1")},
+		{"PUT", "a/b", sent("b", 7, "2"), 409, objectJSON("b", 1, 1, "1")},
+		{"PUT", "a/b", sent("b", 1, "2"), 200, objectJSON("b", 2, 1, "2")},
+		{"PUT", "a/b", sent("b", 0, "2"), 200, objectJSON("b", 2, 1, "2")}, // changes nothing
+		{"PUT", "a/b", sent("b", 0, "3"), 200, objectJSON("b", 3, 1, "3")},
+		{"GET", "a/b", "", 200, objectJSON("b", 3, 1, "3")},
+		{"DELETE", "a/b?revision=1", "", 409, objectJSON("b", 3, 1, "3")},
+		{"DELETE", "a/b?revision=3", "", 200, objectJSON("b", 4, 1, "3")},
+		{"DELETE", "a/b", "", 404, "no such object"},
+		{"POST", "a", sent("c", 0, "4"), 200, objectJSON("c", 5, 5, "4")},
+		{"POST", "a", "not json", 400, ""},
+		{"POST", "a", sent("big", 0, strconv.Quote(strings.Repeat("v", MaxValueBytes))), 413, ""},
+		{"GET", "a", "", 200, `{"entries":[` + objectJSON("c", 5, 5, "4") + `],"more":false,"at":5}`},
+		{"GET", "a?after=c", "", 200, `{"entries":[],"more":false,"at":5}`},
+		{"GET", "a?subscription=4&waitMs=20000", "", 200, `{"events":[{"deleted":false,"object":` + objectJSON("c", 5, 5, "4") + `}],"at":5}`},
+		{"GET", "a?subscription=5&waitMs=1", "", 200, `{"events":[],"at":5}`},
+		{"GET", "other?subscription=0&waitMs=1", "", 200, `{"events":[],"at":5}`},
+		{"GET", "a?subscription=x&waitMs=1", "", 400, "bad subscription"},
+		{"GET", "hosts", "", 200, `{"entries":[],"more":false,"at":5}`},
 	} {
-		status, version, answer := do(t, step.method, url+step.path, step.precondition, step.body)
+		status, answer := do(t, step.method, url+step.path, step.body)
 		must.Eq(t, step.status, status, must.Sprintf("step %d: %s", i, answer))
-		must.Eq(t, step.version, version, must.Sprintf("step %d", i))
-		must.Eq(t, step.answer, answer, must.Sprintf("step %d", i))
+		if step.answer != "" {
+			must.Eq(t, step.answer, answer, must.Sprintf("step %d", i))
+		}
+	}
+	must.Eq(t, Counts{Get: 2, Put: 10, Delete: 3, Watch: 4, List: 2, Hosts: 1}, s.Counts())
+}
+
+func TestFinalizersHoldADeletion(t *testing.T) {
+	_, url := start(t, Options{})
+	url += objectsPath
+	held := `{"metadata":{"name":"b","finalizerList":["f"]},"spec":1}`
+	status, _ := do(t, "POST", url+"a", held)
+	must.Eq(t, 200, status)
+	_, answer := do(t, "DELETE", url+"a/b", "")
+	must.StrContains(t, answer, `"deletionPending":true`)
+	status, _ = do(t, "GET", url+"a/b", "")
+	must.Eq(t, 200, status)
+	status, _ = do(t, "PUT", url+"a/b", `{"metadata":{"name":"b"},"spec":1}`)
+	must.Eq(t, 200, status)
+	status, _ = do(t, "GET", url+"a/b", "")
+	must.Eq(t, 404, status)
+}
+
+func TestStatusIsReplacedAlone(t *testing.T) {
+	_, url := start(t, Options{})
+	url += objectsPath
+	do(t, "POST", url+"a", sent("b", 0, "1"))
+	do(t, "PUT", url+"a/b/status", `{"metadata":{"name":"b"},"status":{"x":1}}`)
+	_, answer := do(t, "GET", url+"a/b", "")
+	must.StrContains(t, answer, `"spec":1,"status":{"x":1}`)
+}
+
+func TestListIsCutIntoPages(t *testing.T) {
+	s, url := start(t, Options{})
+	for i := range pageEntries + 1 {
+		s.SetObject("a", fmt.Sprintf("%04d", i), []byte("1"))
 	}
-	must.Eq(t, Counts{Get: 2, Put: 8, Delete: 4, Watch: 3, List: 2, Hosts: 1}, s.Counts())
+	_, answer := do(t, "GET", url+objectsPath+"a", "")
+	must.StrContains(t, answer, `"more":true`)
+	_, answer = do(t, "GET", url+objectsPath+fmt.Sprintf("a?after=%04d", pageEntries-1), "")
+	must.StrContains(t, answer, `"more":false`)
+	must.StrContains(t, answer, fmt.Sprintf("%04d", pageEntries))
 }
 
 func TestWatchWakes(t *testing.T) {
 	s, url := start(t, Options{})
-	first := s.Put("k", []byte("1"))
+	first := s.SetObject("a", "k", []byte("1"))
 	got := make(chan string)
 	go func() {
-		_, _, answer := do(t, "GET", url+"/objects/k?watch="+strconv.FormatUint(first, 10)+"&wait=20", "", "")
+		_, answer := do(t, "GET", fmt.Sprintf("%s%sa?subscription=%d&waitMs=20000", url, objectsPath, first), "")
 		got <- answer
 	}()
 	for s.Counts().Watch == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	s.Put("k", []byte("2"))
-	must.Eq(t, "2", <-got)
+	s.RemoveObject("a", "k")
+	must.StrContains(t, <-got, `"deleted":true`)
+}
+
+func TestForgottenHistory(t *testing.T) {
+	s, url := start(t, Options{})
+	at := s.SetObject("a", "k", []byte("1"))
+	s.SetObject("a", "k", []byte("2"))
+	s.DropHistory()
+	status, _ := do(t, "GET", fmt.Sprintf("%s%sa?subscription=%d&waitMs=1", url, objectsPath, at), "")
+	must.Eq(t, 410, status)
+	status, _ = do(t, "GET", fmt.Sprintf("%s%sa?subscription=%d&waitMs=1", url, objectsPath, at+1), "")
+	must.Eq(t, 200, status)
 }
 
 func TestFaults(t *testing.T) {
 	s, url := start(t, Options{Faults: Faults{LoseAnswers: 1, HostLagMillis: 3_600_000}})
-	status, _, _ := do(t, "PUT", url+"/objects/k", "*", "v")
+	status, _ := do(t, "POST", url+objectsPath+"a", sent("k", 0, "1"))
 	must.Eq(t, 0, status)
-	value, version := s.Get("k")
-	must.Eq(t, "v", string(value))
-	must.Eq(t, 1, version)
-	status, _, _ = do(t, "PUT", url+"/objects/k", "1", "w")
+	status, _ = do(t, "GET", url+objectsPath+"a/k", "")
+	must.Eq(t, 200, status) // it took effect
+	status, _ = do(t, "PUT", url+objectsPath+"a/k", sent("k", 1, "2"))
 	must.Eq(t, 200, status)
 
 	s.SetHosts([]Host{{Name: "bkk-a-1", Role: "agent"}})
-	_, _, answer := do(t, "GET", url+"/hosts", "", "")
-	must.Eq(t, "[]", answer)
+	_, answer := do(t, "GET", url+objectsPath+"hosts", "")
+	must.StrContains(t, answer, `"entries":[]`)
 
 	s.SetFaults(Faults{Outage: OutageRefuse})
-	status, _, _ = do(t, "GET", url+"/objects/k", "", "")
+	status, _ = do(t, "GET", url+objectsPath+"a/k", "")
 	must.Eq(t, 503, status)
 
 	encoded, err := json.Marshal(Faults{CallsPerSecond: 1e-9})
 	must.NoError(t, err)
-	status, _, _ = do(t, "PUT", url+"/control/faults", "", string(encoded))
+	status, _ = do(t, "PUT", url+"/control/faults", string(encoded))
 	must.Eq(t, 204, status)
-	status, _, _ = do(t, "GET", url+"/objects/k", "", "")
+	status, _ = do(t, "GET", url+objectsPath+"a/k", "")
 	must.Eq(t, 429, status)
 	must.Eq(t, 2, s.Counts().Refused)
 }
@@ -129,7 +185,7 @@
 		s, url := start(t, Options{})
 		got := make(chan int)
 		go func() {
-			status, _, _ := do(t, "GET", url+"/objects/k?watch=0&wait=20", "", "")
+			status, _ := do(t, "GET", url+objectsPath+"a?subscription=0&waitMs=20000", "")
 			got <- status
 		}()
 		for s.Counts().Watch == 0 {
@@ -138,9 +194,19 @@
 		s.SetFaults(Faults{Outage: outage})
 		if outage == OutageHang {
 			s.SetFaults(Faults{})
-			s.Put("k", []byte("1"))
+			s.SetObject("a", "k", []byte("1"))
 		}
 		status := <-got
 		must.True(t, status == want || (outage == OutageHang && status == 200))
 	}
 }
+
+func TestValuesByKey(t *testing.T) {
+	s, _ := start(t, Options{})
+	revision := s.Put("claims/a/b", []byte("\x00x"))
+	value, at := s.Get("claims/a/b")
+	must.Eq(t, "\x00x", string(value))
+	must.Eq(t, revision, at)
+	_, at = s.Get("claims/none")
+	must.Eq(t, 0, at)
+}
