Fetch the longest shared beginning of a prompt that any upstream holds

Ruled out: evictions (memory holds all documents), routers that disagree (one hash order). Change: placements are kept for each shared prefix; a send names a source for the longest prefix that the chosen upstream lacks and another one holds. Tests: TestSharedBeginningIsFetched; patterns of hot and moved prompts and promises of the choice in decide/place without a network.

--- a/decide/place/prompt.go
+++ b/decide/place/prompt.go
@@ -23,12 +23,10 @@
 	Local  bool    // in the failure domain of the router
 }
 
-// PromptChoice is the replica for a request, and where the shared part of its
-// prompt can be fetched from.
+// PromptChoice is the replica for a request.
 type PromptChoice struct {
-	Index  int // -1 if no replica can be chosen
-	Source int // a replica that holds the part while the chosen one does not; -1 if none
-	Full   bool
+	Index int  // -1 if no replica can be chosen
+	Full  bool // all replicas are full; this one is the least loaded
 }
 
 // full returns the load from which a replica takes no further request.
@@ -68,13 +66,11 @@
 	}
 	switch {
 	case holder >= 0:
-		return PromptChoice{Index: holder, Source: -1}
+		return PromptChoice{Index: holder}
 	case open >= 0:
-		return PromptChoice{Index: open, Source: sourceFor(replicas, open)}
-	case least >= 0:
-		return PromptChoice{Index: least, Source: sourceFor(replicas, least), Full: true}
+		return PromptChoice{Index: open}
 	}
-	return PromptChoice{Index: -1, Source: -1}
+	return PromptChoice{Index: least, Full: least >= 0}
 }
 
 // takesShare tells whether a replica that returns gradually takes the key. The
@@ -83,12 +79,10 @@
 	return r.Weight >= 1 || mix(key+r.Seed) < keyShare(r.Weight)
 }
 
-// sourceFor returns the least loaded replica that holds the part, for one that
-// does not; -1 if there is none. A tried replica may still be read from.
-func sourceFor(replicas []Replica, chosen int) int {
-	if replicas[chosen].Holds {
-		return -1
-	}
+// Source returns the least loaded replica from which the chosen one can fetch
+// what it does not hold itself; -1 if there is none. One that was tried or
+// leaves may still be read from.
+func Source(replicas []Replica, chosen int) int {
 	source := -1
 	for i := range replicas {
 		if i == chosen || !replicas[i].Holds || replicas[i].Weight <= 0 {
--- /dev/null
+++ b/decide/place/prompt_test.go
@@ -0,0 +1,139 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func replicasWith(loads ...float64) []Replica {
+	out := make([]Replica, len(loads))
+	for i, load := range loads {
+		out[i] = Replica{Seed: Key(fmt.Sprint("replica-", i)), Load: load, Weight: 1, Local: true}
+	}
+	return out
+}
+
+var bound = PromptOptions{Multiple: 1.6, Slack: 4, Ceiling: 2, CeilingSlack: 2}
+
+// Pattern: a document that many callers ask for at once. It stays at the
+// replica that has read it until that one is full, then goes on to the next of
+// its hash order.
+func TestHotPromptSpillsToTheNextOfItsOrder(t *testing.T) {
+	replicas := replicasWith(0, 0, 0, 0, 0, 0)
+	key := Key("document")
+	home := ChoosePrompt(bound, key, replicas).Index
+	replicas[home].Holds = true
+	must.Eq(t, home, ChoosePrompt(bound, key, replicas).Index)
+	used := map[int]int{}
+	for range 40 { // nothing ends meanwhile
+		choice := ChoosePrompt(bound, key, replicas)
+		replicas[choice.Index].Holds = true
+		replicas[choice.Index].Load++
+		used[choice.Index]++
+	}
+	total := 0.0
+	for _, r := range replicas {
+		total += r.Load
+	}
+	mean := total / float64(len(replicas))
+	for i, r := range replicas {
+		must.LessEq(t, bound.Ceiling*mean+3, r.Load, must.Sprintf("replica %d", i))
+	}
+	must.Greater(t, 1, len(used))
+	must.Greater(t, 1, used[home])
+}
+
+// Pattern: a replica is replaced. Only the prompts whose home it was move.
+func TestReplacedReplicaMovesOnlyItsPrompts(t *testing.T) {
+	before := replicasWith(0, 0, 0, 0, 0, 0, 0, 0)
+	after := replicasWith(0, 0, 0, 0, 0, 0, 0, 0)
+	const replaced = 3
+	after[replaced].Leaves = true
+	moved := 0
+	for i := range 200 {
+		key := Key(fmt.Sprint("document-", i))
+		was, is := ChoosePrompt(bound, key, before).Index, ChoosePrompt(bound, key, after).Index
+		must.NotEq(t, replaced, is)
+		if was != is {
+			must.Eq(t, replaced, was)
+			moved++
+		}
+	}
+	must.Between(t, 10, moved, 40)
+}
+
+func TestSourceOfAFetch(t *testing.T) {
+	replicas := replicasWith(5, 3, 4, 1)
+	must.Eq(t, -1, Source(replicas, 0))
+	replicas[1].Holds, replicas[2].Holds, replicas[0].Holds = true, true, true
+	must.Eq(t, 1, Source(replicas, 0))
+	replicas[1].Leaves = true // can still be read from
+	must.Eq(t, 1, Source(replicas, 0))
+	replicas[1].Weight = 0 // out of reach
+	must.Eq(t, 2, Source(replicas, 0))
+}
+
+func TestChoosePromptHoldsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "replicas")
+		replicas := replicasWith(make([]float64, n)...)
+		usable := 0
+		for i := range replicas {
+			r := &replicas[i]
+			r.Load = float64(rapid.IntRange(0, 40).Draw(t, "load"))
+			r.Weight = rapid.SampledFrom([]float64{0, 0.1, 1, 1, 1}).Draw(t, "weight")
+			r.Tried = rapid.Bool().Draw(t, "tried")
+			r.Leaves = rapid.IntRange(0, 4).Draw(t, "leaves") == 0
+			r.Holds = rapid.Bool().Draw(t, "holds")
+			if r.Weight > 0 && !r.Tried && !r.Leaves {
+				usable++
+			}
+		}
+		choice := ChoosePrompt(bound, rapid.Uint64().Draw(t, "key"), replicas)
+		if usable == 0 {
+			must.Eq(t, -1, choice.Index)
+			return
+		}
+		chosen := replicas[choice.Index]
+		must.True(t, chosen.Weight > 0 && !chosen.Tried && !chosen.Leaves)
+		limit := bound.full(meanOf(replicas))
+		if !choice.Full {
+			must.Less(t, limit, chosen.Load)
+		}
+		for _, r := range replicas {
+			if r.Holds && r.Weight >= 1 && !r.Tried && !r.Leaves && r.Load < limit {
+				must.True(t, chosen.Holds, must.Sprint("a replica that holds the prompt had room"))
+			}
+		}
+	})
+}
+
+func TestChooseLeast(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func([]Replica)
+		want   int
+	}{
+		{"least loaded", func([]Replica) {}, 2},
+		{"tried", func(r []Replica) { r[2].Tried = true }, 1},
+		{"leaves", func(r []Replica) { r[2].Leaves = true }, 1},
+		{"ejected", func(r []Replica) { r[2].Weight = 0 }, 1},
+		{"remote", func(r []Replica) { r[2].Local = false }, 1},
+		{"returning", func(r []Replica) { r[2].Weight = 0.1 }, 1},
+		{"none", func(r []Replica) {
+			for i := range r {
+				r[i].Tried = true
+			}
+		}, -1},
+	} {
+		replicas := replicasWith(3, 1, 0)
+		c.change(replicas)
+		for random := range uint64(20) {
+			must.Eq(t, c.want, ChooseLeast(replicas, 2, random), must.Sprint(c.name))
+		}
+	}
+	must.Eq(t, -1, ChooseLeast(nil, 2, 0))
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -27,18 +27,21 @@
 	holdWrong = 10 * time.Second
 )
 
-// sharedPart returns the key of the prompt up to its last shared part; the last
-// part belongs to the request itself. 0 means that nothing is shared.
-func sharedPart(m *Meta) uint64 {
+// sharedPrefixes returns the keys of the prompt up to each of its shared parts;
+// the last part belongs to the request itself. None means that nothing is
+// shared.
+func sharedPrefixes(m *Meta) []uint64 {
 	if len(m.Parts) < 2 {
-		return 0
+		return nil
 	}
+	keys := make([]uint64, 0, len(m.Parts)-1)
 	h := xxhash.New()
 	_, _ = h.WriteString(m.Model) // cannot fail
 	for _, part := range m.Parts[:len(m.Parts)-1] {
 		_, _ = h.WriteString("\x00" + part.ID)
+		keys = append(keys, h.Sum64())
 	}
-	return max(1, h.Sum64())
+	return keys
 }
 
 // attempts is the state of a request over its sends.
@@ -168,20 +171,43 @@
 	return t, true
 }
 
-// rank applies the policy of the route to the candidates.
+// rank applies the policy of the route to the candidates. source is the one to
+// fetch the prompt from; -1 if none is needed or known.
 func (g *Gateway) rank(req *request, list []*catalog.Upstream, replicas []place.Replica) (index, source int) {
-	if req.part == 0 {
+	n := len(req.prefixes)
+	if n == 0 {
 		return place.ChooseLeast(replicas, g.policy.Load().RemoteLoad, rand.Uint64()), -1
 	}
-	g.prompts.Holders(req.part, func(key catalog.Key) {
+	g.markHolders(req.prefixes[n-1], list, replicas)
+	index = place.ChoosePrompt(g.policy.Load().Prompt, req.prefixes[n-1], replicas).Index
+	if index < 0 {
+		return -1, -1
+	}
+	for i := n - 1; i >= 0; i-- {
+		g.markHolders(req.prefixes[i], list, replicas)
+		if replicas[index].Holds {
+			return index, -1
+		}
+		if source = place.Source(replicas, index); source >= 0 {
+			return index, source
+		}
+	}
+	return index, -1
+}
+
+// markHolders marks the candidates that have lately read the prompt up to a
+// shared part.
+func (g *Gateway) markHolders(prefix uint64, list []*catalog.Upstream, replicas []place.Replica) {
+	for i := range replicas {
+		replicas[i].Holds = false
+	}
+	g.prompts.Holders(prefix, func(key catalog.Key) {
 		for i, u := range list {
 			if u.ID == key.ID && u.Born == key.Born {
 				replicas[i].Holds = true
 			}
 		}
 	})
-	choice := place.ChoosePrompt(g.policy.Load().Prompt, req.part, replicas)
-	return choice.Index, choice.Source
 }
 
 // attempt sends the request to one upstream and delivers its answer. failure is
@@ -221,8 +247,8 @@
 func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, req *request, t target) (end, retry.Failure, string) {
 	key := t.upstream.Key()
 	out := g.upstreamRequest(req, t)
-	if req.part != 0 {
-		g.prompts.Placed(Placement{Part: req.part, At: key})
+	for _, prefix := range req.prefixes {
+		g.prompts.Placed(Placement{Part: prefix, At: key})
 	}
 	response, err := g.pool.Send(ctx, t.upstream.Address, out)
 	if err != nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -562,3 +562,42 @@
 	}
 	t.Fatal("no other upstream was used")
 }
+
+// Two documents share their first part. The upstream that gets the second one
+// fetches the first part from where it was read.
+func TestSharedBeginningIsFetched(t *testing.T) {
+	var replicas []*replica
+	for i := range 4 {
+		replicas = append(replicas, newReplica(t, fmt.Sprint("i-", i), answering("ok")))
+	}
+	f := newFixture(t, replicas...)
+	send := func(document string) (used *replica, fetched string) {
+		before := make([]int64, len(replicas))
+		for i, up := range replicas {
+			before[i] = up.runs.Load()
+		}
+		r := f.request(t, http.MethodPost, "/once/", "{}")
+		r.Header.Set(parts, "aa:300,"+document+":5000,cc:10")
+		f.do(t, r)
+		for i, up := range replicas {
+			if up.runs.Load() > before[i] {
+				seen := up.requests()
+				return up, seen[len(seen)-1].Header.Get("Kv-Fetch")
+			}
+		}
+		return nil, ""
+	}
+	first, fetched := send("d0")
+	must.Eq(t, "", fetched)
+	for i := 1; ; i++ {
+		used, fetched := send(fmt.Sprint("d", i))
+		if used == first {
+			must.Eq(t, "", fetched) // it holds the part itself
+			continue
+		}
+		must.Eq(t, first.server.Listener.Addr().String(), fetched)
+		_, fetched = send(fmt.Sprint("d", i))
+		must.Eq(t, "", fetched)
+		return
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -39,7 +39,7 @@
 	service  string
 	deadline time.Time // of the caller or the route, whichever is first
 	body     []byte
-	part     uint64 // of the last shared prompt part; 0 if none
+	prefixes []uint64 // of the prompt up to each shared part, the shortest first
 
 	// What became of it.
 	sends    []sendRecord
@@ -115,7 +115,7 @@
 	}
 	req.service = req.route.Service(req.AttemptID)
 	req.deadline = req.arrived.Add(patience(req.Meta.Deadline, req.route.Timeout))
-	req.part = sharedPart(&req.Meta)
+	req.prefixes = sharedPrefixes(&req.Meta)
 	if reason, stop := g.stopping(req.route); stop {
 		return refused(reason, retrySoon), false
 	}
--- a/store/store.go
+++ b/store/store.go
@@ -1,5 +1,5 @@
-// Package platform defines what the fleet needs of the platform's object API
-// and host list. Adapters live in subpackages; nothing else knows the protocol.
+// Package store defines what the fleet needs of the platform's object store and
+// host list. The adapter is in package platform; nothing else knows the protocol.
 package store
 
 import (
