Refuse during a planned stop only what cannot end before it

Change: decide/admit.FitsStop weighs the longest answer, the route's timeout and the time left; the gateway learns when the process ends.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -56,11 +56,12 @@
 // drain stops being ready, serves until the callers have gone, and returns when
 // the process may end.
 func (h *Host) drain() {
+	limit := h.stop.limitOr(h.opts.Settings.Bounds.Stop) - stopMargin
 	h.stop.begin()
-	h.gateway.Drain()
+	h.gateway.Drain(limit)
 	h.announce("draining")
 	begun := time.Now()
-	end := begun.Add(h.stop.limitOr(h.opts.Settings.Bounds.Stop) - stopMargin)
+	end := begun.Add(limit)
 	busy := begun
 	for now := begun; now.Before(end); now = time.Now() {
 		if h.gateway.Active() > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,10 +50,10 @@
 	first    chan struct{} // closed once there are a table and a catalog
 	opened   sync.Once     // closes first
 	catalog  atomic.Pointer[catalog.Catalog]
-	routers  atomic.Int64 // that share the budget of repeats
-	draining atomic.Pointer[time.Time]
-	active   atomic.Int64 // requests being served
-	bodies   atomic.Int64 // bytes of request bodies held
+	routers  atomic.Int64                // that share the budget of repeats
+	draining atomic.Pointer[plannedStop] // nil unless one has begun
+	active   atomic.Int64                // requests being served
+	bodies   atomic.Int64                // bytes of request bodies held
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service
@@ -148,11 +148,16 @@
 // SetRouters sets how many routers share the budget of repeats.
 func (g *Gateway) SetRouters(n int) { g.routers.Store(int64(max(1, n))) }
 
+// plannedStop is a stop that has begun.
+type plannedStop struct {
+	begun time.Time
+	limit time.Duration // until the process ends
+}
+
 // Drain makes the gateway ask callers to close their connections, and refuse
-// what could not end before the process does.
-func (g *Gateway) Drain() {
-	now := time.Now()
-	g.draining.CompareAndSwap(nil, &now)
+// what could not end before the process does, at limit from now.
+func (g *Gateway) Drain(limit time.Duration) {
+	g.draining.CompareAndSwap(nil, &plannedStop{begun: time.Now(), limit: limit})
 }
 
 // Active returns the number of requests being served.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -481,7 +481,7 @@
 	f := newFixture(t, up)
 	response, _ := f.do(t, f.request(t, http.MethodGet, "/safe/", ""))
 	must.False(t, response.Close)
-	f.gateway.Drain()
+	f.gateway.Drain(time.Minute)
 	response, _ = f.do(t, f.request(t, http.MethodGet, "/safe/", ""))
 	must.Eq(t, 200, response.StatusCode)
 	must.True(t, response.Close)
@@ -601,3 +601,17 @@
 		return
 	}
 }
+
+// A router that is about to end refuses at once what could not end before it.
+func TestDrainRefusesWhatCannotEnd(t *testing.T) {
+	up := newReplica(t, "i-1", answering("ok"))
+	f := newFixture(t, up)
+	f.gateway.Drain(2 * time.Second)
+	response, _ := f.do(t, f.request(t, http.MethodPost, "/stream/", "{}"))
+	must.Eq(t, 503, response.StatusCode)
+	must.NotEq(t, "", response.Header.Get("Retry-After"))
+	must.True(t, response.Close)
+	must.Eq(t, 0, up.runs.Load())
+	response, _ = f.do(t, f.request(t, http.MethodGet, "/safe/", ""))
+	must.Eq(t, 200, response.StatusCode)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"dandelionrill.example/fleet/decide/admit"
 	"dandelionrill.example/fleet/routing"
 	"github.com/cockroachdb/errors"
 )
@@ -20,12 +21,6 @@
 	retryUnknown = 500 * time.Millisecond
 	// defaultTimeout bounds a request whose route and caller name no time.
 	defaultTimeout = 30 * time.Second
-	// drainStream is how long after the beginning of a planned stop streams are
-	// still begun: the rest of the grace period is for them to end.
-	drainStream = 3 * time.Second
-	// drainAny is how long after the beginning of a planned stop other requests
-	// are still begun.
-	drainAny = 6 * time.Second
 )
 
 // request is a caller's request on its way.
@@ -116,8 +111,8 @@
 	req.service = req.route.Service(req.AttemptID)
 	req.deadline = req.arrived.Add(patience(req.Meta.Deadline, req.route.Timeout))
 	req.prefixes = sharedPrefixes(&req.Meta)
-	if reason, stop := g.stopping(req.route); stop {
-		return refused(reason, retrySoon), false
+	if g.stopping(req) {
+		return refused("router is stopping", retrySoon), false
 	}
 	return end{}, true
 }
@@ -166,18 +161,16 @@
 	return min(caller, route)
 }
 
-// stopping tells whether a planned stop leaves too little time for a request of
-// the route.
-func (g *Gateway) stopping(route *routing.Route) (string, bool) {
-	begun := g.draining.Load()
-	if begun == nil {
-		return "", false
+// stopping tells whether a planned stop leaves too little time for the request.
+func (g *Gateway) stopping(req *request) bool {
+	stop := g.draining.Load()
+	if stop == nil {
+		return false
 	}
-	limit := drainAny
-	if route.Streams() {
-		limit = drainStream
+	work := admit.Work{
+		Stream: req.route.Streams(), OutputTokens: req.MaxOutputTokens, Timeout: time.Until(req.deadline),
 	}
-	return "router is stopping", time.Since(*begun) > limit
+	return !admit.FitsStop(work, time.Since(stop.begun), stop.limit)
 }
 
 func headerBytes(r *http.Request) int {
