--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// stopLimit is the time between SIGTERM and SIGKILL that the settings name.
+const stopLimit = 6 * time.Second
+
+// router is one real router process, started again whenever it ends.
+type router struct {
+	name     string
+	binary   string
+	dir      string
+	callers  string
+	settings string
+	store    *Proxy // between this router and the store
+
+	mu          sync.Mutex
+	process     *os.Process
+	incarnation int
+	ended       chan struct{} // closed when the process has ended
+	closing     bool
+}
+
+// newRouter writes the settings of a router and starts it.
+func newRouter(name, binary, dir, store string, seeds []string, own [3]string) (*router, error) {
+	proxy, err := NewProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	r := &router{
+		name: name, binary: binary, dir: dir, callers: own[0], store: proxy,
+		settings: filepath.Join(dir, name+".toml"),
+	}
+	text := fmt.Sprintf(`nodeName = %q
+zone = "a"
+seedNodes = [%s]
+heartbeatMs = 300
+[listen]
+frontend = %q
+ready = %q
+controlPlane = %q
+[limits]
+memoryMb = 256
+maxFds = 4096
+[bounds]
+graceS = %v
+configApplyMs = 3000
+retryRatio = 0.2
+retryExtra = 60
+retryWindowS = 10
+capFactor = 2
+contactMs = 3000
+[platform]
+address = %q
+`, name, quoted(seeds), own[0], own[1], own[2], stopLimit.Seconds(), proxy.Address())
+	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
+		return nil, errors.Wrap(err, "soak: settings")
+	}
+	return r, r.start()
+}
+
+func quoted(list []string) string {
+	out := ""
+	for i, s := range list {
+		if i > 0 {
+			out += ", "
+		}
+		out += fmt.Sprintf("%q", s)
+	}
+	return out
+}
+
+// start runs the process; it is started again when it ends.
+func (r *router) start() error {
+	output, err := os.OpenFile(filepath.Join(r.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "soak: log")
+	}
+	cmd := exec.Command(r.binary, "gateway", "--config", r.settings)
+	cmd.Stdout, cmd.Stderr = output, output
+	if err := cmd.Start(); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "soak: start"), output.Close())
+	}
+	r.mu.Lock()
+	r.process, r.ended = cmd.Process, make(chan struct{})
+	r.incarnation++
+	ended := r.ended
+	r.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // killed processes end with an error
+		_ = output.Close()
+		close(ended)
+		r.mu.Lock()
+		closing := r.closing
+		r.mu.Unlock()
+		if !closing {
+			if err := r.start(); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+			}
+		}
+	}()
+	return nil
+}
+
+// signal sends a signal to the process.
+func (r *router) signal(s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.process.Signal(s) // one that has just ended is started again
+}
+
+// terminate stops the process as the platform does.
+func (r *router) terminate() {
+	r.mu.Lock()
+	process, ended := r.process, r.ended
+	r.mu.Unlock()
+	_ = process.Signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(stopLimit):
+		_ = process.Kill()
+	}
+}
+
+func (r *router) close() {
+	r.mu.Lock()
+	r.closing = true
+	process, ended := r.process, r.ended
+	r.mu.Unlock()
+	_ = process.Signal(syscall.SIGCONT)
+	_ = process.Kill()
+	<-ended
+	r.store.Close()
+}
+
+// freeAddresses returns n addresses on loopback that nobody listens on.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	var held []net.Listener
+	defer func() {
+		for _, l := range held {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "soak: ports")
+		}
+		held = append(held, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
