Log ages of what decided a request, and upstreams taken out of placement

Change: config_age_ms and catalog_age_ms in the line of a request; a line when an upstream is taken out, with cause and time.

--- a/decide/eject/eject.go
+++ b/decide/eject/eject.go
@@ -50,17 +50,19 @@
 	until   time.Duration // end of the time out
 }
 
-// Failure records a failure at now. Those within a time out count once: they
-// are requests that were on their way.
-func (r *Record) Failure(opts Options, now time.Duration) {
+// Failure records a failure at now and returns for how long the host is taken
+// out by it. Those within a time out count once, and return 0: they are requests
+// that were on their way.
+func (r *Record) Failure(opts Options, now time.Duration) time.Duration {
 	opts = opts.withDefaults()
 	if now < r.until {
-		return
+		return 0
 	}
 	r.penalty = r.left(opts, now) + 1
 	r.at = now
 	out := float64(opts.Base) * math.Exp2(r.penalty-1)
 	r.until = now + time.Duration(math.Min(out, float64(opts.Max)))
+	return r.until - now
 }
 
 // HeldUntil returns the record with the host out until then, for a reason that
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,9 +37,6 @@
 	// routersWait is longer: a router that is not known yet makes itself known
 	// by calling.
 	routersWait = 5 * time.Second
-	// sureFor is the age of the newest confirmation up to which a request may
-	// be denied by the configuration in force.
-	sureFor = 2500 * time.Millisecond
 	// returnWindow is how long after the store's return expired entries may be
 	// back.
 	returnWindow = 2200 * time.Millisecond
@@ -100,7 +97,9 @@
 		FailureDomain: s.FailureDomain,
 		Policy:        policy(s),
 		BodyBytes:     int64(float64(s.MemoryBytes) * bodyShare),
-		Sure:          func() bool { return h.configuration.Stamp().Age < sureFor },
+		Ages: func() (configuration, upstreams time.Duration) {
+			return h.configuration.Stamp().Age, h.upstreams.Stamp().Age
+		},
 	})
 	h.configuration = h.feed(platform.KindConfiguration, configurationWait, h.applyConfiguration)
 	h.upstreams = h.feed(platform.KindUpstreams, upstreamsWait, h.applyUpstreams)
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -94,11 +94,11 @@
 	b.update(key, func(u *upstreamState, now time.Duration) { u.progress = now })
 }
 
-// Failed records a failure that speaks against the upstream.
-func (b *Board) Failed(key catalog.Key) {
-	b.update(key, func(u *upstreamState, now time.Duration) {
-		u.failures.Failure(b.eject, now)
-	})
+// Failed records a failure that speaks against the upstream, and returns for
+// how long it is taken out of placement by it; 0 if it was already.
+func (b *Board) Failed(key catalog.Key) (out time.Duration) {
+	b.update(key, func(u *upstreamState, now time.Duration) { out = u.failures.Failure(b.eject, now) })
+	return out
 }
 
 // Hold keeps the upstream out of placement for a time, without a penalty.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -11,6 +11,7 @@
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/decide/retry"
 	"dandelionrill.example/fleet/forward"
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
@@ -262,6 +263,7 @@
 		response.Close(drained)
 		if answer.WrongHost {
 			g.board.Hold(key, holdWrong)
+			g.logHold(key, holdWrong, "another upstream has its address")
 		} else {
 			g.board.Hold(key, holdFull)
 		}
@@ -279,6 +281,20 @@
 	return g.deliver(ctx, w, req, key, response)
 }
 
+// holdBack records a failure that speaks against an upstream.
+func (g *Gateway) holdBack(key catalog.Key, cause error) {
+	if out := g.board.Failed(key); out > 0 {
+		g.logHold(key, out, cause.Error())
+	}
+}
+
+// logHold tells that an upstream is taken out of placement for a time.
+func (g *Gateway) logHold(key catalog.Key, out time.Duration, cause string) {
+	g.opts.Log.WithFields(log.Fields{
+		"upstream": key.ID, "out_ms": out.Milliseconds(), "cause": cause, "catalog": g.catalog.Load().Revision,
+	}).Info("upstream taken out of placement")
+}
+
 // spare tells whether an upstream's failure need not be the answer, since
 // another upstream may be tried.
 func (g *Gateway) spare(req *request) bool {
@@ -301,7 +317,7 @@
 		return failed(http.StatusBadGateway, err.Error()), retry.FailureMayHaveRun, err.Error()
 	}
 	if ctx.Err() == nil && !errors.Is(err, forward.ErrConnectionLimit) {
-		g.board.Failed(key)
+		g.holdBack(key, err)
 	}
 	if failure.Outcome == forward.NotSent {
 		return refused(err.Error(), retrySoon), retry.FailureNotSent, failure.Outcome.String()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,9 +22,9 @@
 	Policy        Policy
 	// BodyBytes bounds the request bodies held at once.
 	BodyBytes int64
-	// Sure tells whether the configuration in force is confirmed to be the
-	// newest, so that a request may be denied by it.
-	Sure func() bool
+	// Ages tells how long ago the configuration and the upstreams were last
+	// confirmed to be the newest; nil means just now.
+	Ages func() (configuration, upstreams time.Duration)
 }
 
 // Policy holds the figures by which a gateway decides.
@@ -61,6 +61,9 @@
 
 // New returns a gateway without configuration: it refuses all requests.
 func New(opts Options) *Gateway {
+	if opts.Ages == nil {
+		opts.Ages = func() (configuration, upstreams time.Duration) { return 0, 0 }
+	}
 	g := &Gateway{
 		opts:    opts,
 		board:   NewBoard(opts.Policy.Eject),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -102,7 +102,7 @@
 type fixture struct {
 	gateway *gateway.Gateway
 	server  *httptest.Server
-	sure    atomic.Bool
+	age     atomic.Int64 // of the configuration
 }
 
 func defaultRoutes() []routing.Route {
@@ -128,10 +128,9 @@
 func newFixture(t *testing.T, replicas ...*replica) *fixture {
 	t.Helper()
 	f := &fixture{}
-	f.sure.Store(true)
 	f.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Log: &log.Logger{Handler: discard.New()}, FailureDomain: "a", BodyBytes: 1 << 20,
-		Sure: f.sure.Load,
+		Ages: func() (time.Duration, time.Duration) { return time.Duration(f.age.Load()), 0 },
 		Policy: gateway.Policy{
 			Prompt: place.PromptOptions{Multiple: 2, Slack: 4}, RemoteLoad: 1, RepeatShare: 0.1, RepeatExtra: 20,
 			Eject: eject.Options{Base: time.Millisecond, Ceiling: 0.5},
@@ -214,7 +213,7 @@
 		{"unknown key", func(_ *fixture, r *http.Request) { r.Header.Set("Authorization", "Bearer no") }, 401, false},
 		{"no key", func(_ *fixture, r *http.Request) { r.Header.Del("Authorization") }, 401, false},
 		{"unknown key, old configuration", func(f *fixture, r *http.Request) {
-			f.sure.Store(false)
+			f.age.Store(int64(time.Minute))
 			r.Header.Set("Authorization", "Bearer no")
 		}, 503, true},
 		{"no attempt id", func(_ *fixture, r *http.Request) { r.Header.Del(attemptID) }, 400, false},
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -99,5 +99,7 @@
 		g.metrics.first.Record(req.first)
 		g.metrics.whole.Record(took)
 	}
-	g.opts.Log.WithFields(requestFields{req: req, end: e, took: took, catalog: g.catalog.Load().Revision}).Info("request")
+	fields := requestFields{req: req, end: e, took: took, catalog: g.catalog.Load().Revision}
+	fields.tableAge, fields.catalogAge = g.opts.Ages()
+	g.opts.Log.WithFields(fields).Info("request")
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -14,6 +14,8 @@
 	end     end
 	took    time.Duration
 	catalog uint64 // revision of the upstreams in force at the end
+	// How long ago configuration and upstreams were confirmed, at the end.
+	tableAge, catalogAge time.Duration
 }
 
 // Fields implements log.Fielder.
@@ -23,6 +25,9 @@
 		"end":     endNames[f.end.kind],
 		"ms":      f.took.Milliseconds(),
 		"catalog": f.catalog,
+
+		"config_age_ms":  f.tableAge.Milliseconds(),
+		"catalog_age_ms": f.catalogAge.Milliseconds(),
 	}
 	if f.req.table != nil {
 		fields["config"] = f.req.table.Version
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -87,7 +87,7 @@
 	case ctx.Err() != nil:
 		return failed(http.StatusGatewayTimeout, "timeout"), 0, "timeout"
 	}
-	g.board.Failed(key)
+	g.holdBack(key, err)
 	e := failed(http.StatusBadGateway, "upstream's answer broke off: "+err.Error())
 	if req.begun {
 		return e, retry.FailureCut, resultCut
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -139,10 +139,14 @@
 	return g.table.Load()
 }
 
+// sureFor is the age of the newest confirmation up to which a request may be
+// denied by the configuration in force.
+const sureFor = 2500 * time.Millisecond
+
 // deny answers that the configuration does not allow a request, if it is sure
 // to be the newest; otherwise another router may know better.
 func (g *Gateway) deny(status int, reason string) end {
-	if g.opts.Sure != nil && !g.opts.Sure() {
+	if age, _ := g.opts.Ages(); age > sureFor {
 		return refused(reason+" in a configuration that is not confirmed", retrySoon)
 	}
 	return denied(status, reason)
