--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 MODULES := . ./experiment ./standin
+# Seeds of the short soak in CI; by hand: make soak SOAK="--seed 1 --count 50 --parallel 6".
+SOAK    ?= --seed 1 --count 3 --parallel 3 --rounds 1
 GO      := go
 
-.PHONY: check build fmt vet lint test spec spec-large known-red setup demo clean \
+.PHONY: check build boundary fmt vet lint test soak spec spec-large known-red setup demo clean \
 	bench bench-capacity bench-loadunit bench-mean bench-overload bench-placement capacity
 
-check: setup fmt vet lint build test spec known-red
+check: setup fmt vet lint boundary build test soak spec known-red
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -25,6 +27,12 @@
 test:
 	@for m in $(MODULES); do (cd $$m && $(GO) test -race ./...) || exit 1; done
 
+boundary:
+	scripts/check-boundary
+
+soak:
+	$(GO) run ./soak/cmd/soak $(SOAK)
+
 spec:
 	spec/check
 
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dandelionrill.example/standin/replica"
+	"dandelionrill.example/standin/wire"
 )
 
 // kinds are the paths of the constant routes.
@@ -75,8 +76,8 @@
 		_, o.err = io.Copy(io.Discard, response.Body)
 		return
 	}
-	if !strings.HasSuffix(response.Header.Get("Dandelionrill-Replica-Signature"), "."+o.attempt) {
-		c.soak.violation("MIXED", o.attempt, "success with the signature %q", response.Header.Get("Dandelionrill-Replica-Signature"))
+	if signature := response.Header.Get(wire.HeaderSignature); !strings.HasSuffix(signature, "."+o.attempt) {
+		c.soak.violation("MIXED", o.attempt, "success with the signature %q", signature)
 	}
 	if o.kind == "/stream/" || o.kind == "/resume/" {
 		o.err = c.readStream(o, response.Body)
@@ -96,9 +97,7 @@
 	}
 	r.GetBody = nil // keeps net/http from sending it again by itself
 	r.Host = host
-	r.Header.Set("Dandelionrill-Attempt-Id", attempt)
-	r.Header.Set("Dandelionrill-Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
-	r.Header.Set("Authorization", "Bearer "+apiKey)
+	wire.SetCaller(r.Header, attempt, apiKey, callerDeadline)
 	return c.client.Do(r)
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -4,7 +4,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +14,7 @@
 
 	"dandelionrill.example/standin/platform"
 	"dandelionrill.example/standin/replica"
+	"dandelionrill.example/standin/wire"
 	"github.com/cockroachdb/errors"
 )
 
@@ -45,7 +45,6 @@
 	mu        sync.Mutex
 	upstreams []*upstream // those that left included
 	version   uint64
-	accepted  time.Time // of the newest version
 }
 
 // newFleet starts routers and upstreams.
@@ -96,18 +95,17 @@
 		return errors.Wrap(err, "soak: upstream")
 	}
 	f.upstreams = append(f.upstreams, u)
-	f.list(u, "ready")
+	f.list(u, false)
 	return nil
 }
 
-func (f *fleet) list(u *upstream, state string) {
-	f.store.SetObject("servers", u.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"a","state":%q,"slots":16,"born":1}`, service, u.proxy.Address(), state))
+func (f *fleet) list(u *upstream, leaving bool) {
+	f.store.SetObject(wire.KindUpstreams, u.id, wire.Upstream(service, u.proxy.Address(), leaving))
 }
 
 // leave makes an upstream say that it leaves; it goes on serving.
 func (f *fleet) leave(u *upstream) {
-	f.list(u, "draining")
+	f.list(u, true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u.left = time.Now()
@@ -126,60 +124,28 @@
 	return out
 }
 
-type wireRoute struct {
-	Name        string `json:"name"`
-	Host        string `json:"host"`
-	PathPrefix  string `json:"pathPrefix"`
-	RouteKind   string `json:"routeKind"`
-	TimeoutMs   int    `json:"timeoutMs"`
-	Service     string `json:"service"`
-	MaxAttempts int    `json:"maxAttempts"`
-	Resumable   bool   `json:"resumable"`
-}
-
 // publish makes a new version of the configuration: the constant routes, and
 // one of its own and of the version before.
 func (f *fleet) publish() uint64 {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.version++
-	version := f.version
-	f.mu.Unlock()
-	route := func(prefix, kind string, attempts int, resumable bool) wireRoute {
-		return wireRoute{
-			Name: prefix, Host: host, PathPrefix: prefix, RouteKind: kind, TimeoutMs: 4000,
-			Service: service, MaxAttempts: attempts, Resumable: resumable,
-		}
-	}
-	spec, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []wireRoute{
-			route("/once/", "non_idempotent", 2, false), route("/safe/", "idempotent", 2, false),
-			route("/stream/", "streaming", 2, false), route("/resume/", "streaming", 2, true),
-			route(versionPath(version), "idempotent", 2, false), route(versionPath(version-1), "idempotent", 2, false),
+	c := wire.Configuration{
+		Version: f.version, Host: host, Service: service, Key: apiKey, Timeout: 4 * time.Second, Attempts: 2,
+		Routes: []wire.Route{
+			{Prefix: "/once/", Repeat: wire.RepeatNever}, {Prefix: "/safe/", Repeat: wire.RepeatSafe},
+			{Prefix: "/stream/", Repeat: wire.RepeatStream},
+			{Prefix: "/resume/", Repeat: wire.RepeatStream, Resumable: true},
+			{Prefix: versionPath(f.version), Repeat: wire.RepeatSafe},
+			{Prefix: versionPath(f.version - 1), Repeat: wire.RepeatSafe},
 		},
-		"services": []map[string]any{{"name": service, "maxConns": 500}},
-		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
-		"tenants":  []map[string]any{{"name": "desk", "apiKeys": []string{apiKey}}},
-	})
-	if err != nil {
-		panic(err) // constant types always encode
 	}
-	f.store.SetObject("config", "main", spec)
-	f.mu.Lock()
-	f.accepted = time.Now()
-	f.mu.Unlock()
-	return version
+	f.store.SetObject(wire.KindConfiguration, wire.NameConfiguration, c.Spec())
+	return f.version
 }
 
 func versionPath(version uint64) string { return fmt.Sprintf("/v%d/", version) }
 
-// newest returns the newest version and when it was accepted.
-func (f *fleet) newest() (uint64, time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.version, f.accepted
-}
-
 // close ends what the fleet started.
 func (f *fleet) close() error {
 	for _, r := range f.routers {
--- a/soak/process.go
+++ b/soak/process.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"dandelionrill.example/standin/wire"
 	"github.com/cockroachdb/errors"
 )
 
@@ -42,45 +43,15 @@
 		name: name, binary: binary, dir: dir, callers: own[0], store: proxy,
 		settings: filepath.Join(dir, name+".toml"),
 	}
-	text := fmt.Sprintf(`nodeName = %q
-zone = "a"
-seedNodes = [%s]
-heartbeatMs = 300
-[listen]
-frontend = %q
-ready = %q
-controlPlane = %q
-[limits]
-memoryMb = 256
-maxFds = 4096
-[bounds]
-graceS = %v
-configApplyMs = 3000
-retryRatio = 0.2
-retryExtra = 60
-retryWindowS = 10
-capFactor = 2
-contactMs = 3000
-[platform]
-address = %q
-`, name, quoted(seeds), own[0], own[1], own[2], stopLimit.Seconds(), proxy.Address())
-	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
+	settings := wire.Settings{
+		Host: name, Seeds: seeds, Callers: own[0], Ready: own[1], Peers: own[2], Store: proxy.Address(), Stop: stopLimit,
+	}
+	if err := os.WriteFile(r.settings, []byte(settings.Text()), 0o600); err != nil {
 		return nil, errors.Wrap(err, "soak: settings")
 	}
 	return r, r.start()
 }
 
-func quoted(list []string) string {
-	out := ""
-	for i, s := range list {
-		if i > 0 {
-			out += ", "
-		}
-		out += fmt.Sprintf("%q", s)
-	}
-	return out
-}
-
 // start runs the process; it is started again when it ends.
 func (r *router) start() error {
 	output, err := os.OpenFile(filepath.Join(r.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -11,16 +11,8 @@
 	"strconv"
 	"sync"
 	"time"
-)
 
-// Headers of the users' platform.
-const (
-	headerAttempt   = "Dandelionrill-Attempt-Id"
-	headerSignature = "Dandelionrill-Replica-Signature"
-	headerExpected  = "Dandelionrill-Expected-Replica"
-	headerID        = "Dandelionrill-Replica-Id"
-	headerNotRun    = "Dandelionrill-Not-Executed"
-	headerLastEvent = "Last-Event-Id"
+	"dandelionrill.example/standin/wire"
 )
 
 // Options sets up a Replica.
@@ -76,24 +68,24 @@
 // ServeHTTP runs a request: a path below /stream/ or /resume/ gets events, all
 // others a plain answer.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	attempt := req.Header.Get(headerAttempt)
-	w.Header().Set(headerAttempt, attempt)
-	w.Header().Set(headerID, r.opts.ID)
-	if expected := req.Header.Get(headerExpected); expected != "" && expected != r.opts.ID {
+	attempt := req.Header.Get(wire.HeaderAttempt)
+	w.Header().Set(wire.HeaderAttempt, attempt)
+	w.Header().Set(wire.HeaderReplica, r.opts.ID)
+	if expected := req.Header.Get(wire.HeaderExpected); expected != "" && expected != r.opts.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
-	last, _ := strconv.Atoi(req.Header.Get(headerLastEvent)) // none means 0
+	last, _ := strconv.Atoi(req.Header.Get(wire.HeaderLastEvent)) // none means 0
 	if !r.begin(Run{Attempt: attempt, At: time.Now(), Resumed: last > 0}) {
-		w.Header().Set(headerNotRun, "1")
+		w.Header().Set(wire.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer r.end()
-	w.Header().Set(headerSignature, r.opts.ID+"."+attempt)
+	w.Header().Set(wire.HeaderSignature, r.opts.ID+"."+attempt)
 	if len(req.URL.Path) > 8 && (req.URL.Path[:8] == "/stream/" || req.URL.Path[:8] == "/resume/") {
 		r.stream(w, req, attempt, last)
 		return
--- /dev/null
+++ b/standin/wire/wire.go
@@ -0,0 +1,150 @@
+// Package wire holds the names of the users' platform for the stand-ins, and
+// builds what its operators, replicas and callers write.
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderAttempt   = "Dandelionrill-Attempt-Id"
+	HeaderSignature = "Dandelionrill-Replica-Signature"
+	HeaderExpected  = "Dandelionrill-Expected-Replica"
+	HeaderReplica   = "Dandelionrill-Replica-Id"
+	HeaderNotRun    = "Dandelionrill-Not-Executed"
+	HeaderLastEvent = "Last-Event-Id"
+	headerDeadline  = "Dandelionrill-Deadline-Ms"
+)
+
+// Kinds of objects, and the name of the configuration.
+const (
+	KindConfiguration = "config"
+	NameConfiguration = "main"
+	KindUpstreams     = "servers"
+)
+
+// SetCaller sets the headers of a caller's request.
+func SetCaller(h http.Header, attempt, key string, deadline time.Duration) {
+	h.Set(HeaderAttempt, attempt)
+	h.Set(headerDeadline, fmt.Sprint(deadline.Milliseconds()))
+	h.Set("Authorization", "Bearer "+key)
+}
+
+// Repeat says what may be repeated of a route.
+type Repeat string
+
+// The kinds of routes.
+const (
+	RepeatNever  Repeat = "non_idempotent"
+	RepeatSafe   Repeat = "idempotent"
+	RepeatStream Repeat = "streaming"
+)
+
+// Route is one route of a configuration.
+type Route struct {
+	Prefix    string
+	Repeat    Repeat
+	Resumable bool
+}
+
+type wireRoute struct {
+	Name        string `json:"name"`
+	Host        string `json:"host"`
+	PathPrefix  string `json:"pathPrefix"`
+	RouteKind   Repeat `json:"routeKind"`
+	TimeoutMs   int64  `json:"timeoutMs"`
+	Service     string `json:"service"`
+	MaxAttempts int    `json:"maxAttempts"`
+	Resumable   bool   `json:"resumable"`
+}
+
+// Configuration describes a version of the configuration with one host, one
+// service and one customer.
+type Configuration struct {
+	Version  uint64
+	Host     string
+	Service  string
+	Key      string
+	Timeout  time.Duration
+	Attempts int
+	Routes   []Route
+}
+
+// Spec returns the object's value.
+func (c *Configuration) Spec() []byte {
+	routes := make([]wireRoute, 0, len(c.Routes))
+	for _, r := range c.Routes {
+		routes = append(routes, wireRoute{
+			Name: r.Prefix, Host: c.Host, PathPrefix: r.Prefix, RouteKind: r.Repeat, TimeoutMs: c.Timeout.Milliseconds(),
+			Service: c.Service, MaxAttempts: c.Attempts, Resumable: r.Resumable,
+		})
+	}
+	return encode(map[string]any{
+		"version":  c.Version,
+		"routes":   routes,
+		"services": []map[string]any{{"name": c.Service, "maxConns": 500}},
+		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
+		"tenants":  []map[string]any{{"name": "desk", "apiKeys": []string{c.Key}}},
+	})
+}
+
+// Upstream returns the value of a replica's entry.
+func Upstream(service, address string, leaving bool) []byte {
+	state := "ready"
+	if leaving {
+		state = "draining"
+	}
+	return encode(map[string]any{
+		"service": service, "address": address, "zone": "a", "state": state, "slots": 16, "born": 1,
+	})
+}
+
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // values of constant types always encode
+	}
+	return data
+}
+
+// Settings describes the settings file of a router.
+type Settings struct {
+	Host    string
+	Seeds   []string
+	Callers string
+	Ready   string
+	Peers   string
+	Store   string
+	Stop    time.Duration
+}
+
+// Text returns the settings file.
+func (s *Settings) Text() string {
+	seeds := string(encode(s.Seeds)) // a JSON list of plain strings is TOML, too
+	return fmt.Sprintf(`nodeName = %q
+zone = "a"
+seedNodes = %s
+heartbeatMs = 300
+[listen]
+frontend = %q
+ready = %q
+controlPlane = %q
+[limits]
+memoryMb = 256
+maxFds = 4096
+[bounds]
+graceS = %v
+configApplyMs = 3000
+retryRatio = 0.2
+retryExtra = 60
+retryWindowS = 10
+capFactor = 2
+contactMs = 3000
+[platform]
+address = %q
+`, s.Host, seeds, s.Callers, s.Ready, s.Peers, s.Stop.Seconds(), s.Store)
+}
