Reset the connection of a request that is given up

Ruled out: a late list (the router knew of the departure after 20 ms). Change: a connection whose exchange did not end whole is reset. Test: TestGivenUpRequestResetsItsConnection, seen failing first.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -372,3 +373,26 @@
 	_, again := send(t, p, u, request("3"))
 	again.Close(true)
 }
+
+// A request that is given up must not reach its upstream later, out of the
+// buffers of a path that was cut: the connection is reset, not closed in order.
+func TestGivenUpRequestResetsItsConnection(t *testing.T) {
+	seen := make(chan error, 1)
+	u := serve(t, func(_ *upstream, _ net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err == nil {
+			_, err := reader.ReadByte()
+			seen <- err
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for u.accepted.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(10 * time.Millisecond)
+		cancel()
+	}()
+	_, err := newPool().Send(ctx, u.listener.Addr().String(), request("1"))
+	must.Eq(t, MayHaveRun, outcomeOf(t, err))
+	must.ErrorIs(t, <-seen, syscall.ECONNRESET)
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -177,12 +177,22 @@
 	h.idle = append(h.idle, c)
 }
 
-// discard closes a connection and gives its place back.
+// discard closes an idle connection and gives its place back.
 func (p *Pool) discard(address string, c *conn) {
-	_ = c.net.Close()
+	_ = c.net.Close() // nothing is on its way
 	p.release(address)
 }
 
+// abort resets a connection and gives its place back. What was sent and has not
+// arrived is dropped: after an ordinary close it would still arrive when a path
+// that was cut heals, and would run long after the request was given up.
+func (p *Pool) abort(address string, c *conn) {
+	if t, ok := c.net.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // on failure the close is an ordinary one
+	}
+	p.discard(address, c)
+}
+
 func (p *Pool) release(address string) {
 	s := p.shard(address)
 	s.mu.Lock()
--- a/forward/send.go
+++ b/forward/send.go
@@ -157,7 +157,7 @@
 			ex.pool.put(ex.address, ex.conn)
 			return
 		}
-		ex.pool.discard(ex.address, ex.conn)
+		ex.pool.abort(ex.address, ex.conn)
 	})
 }
 
