--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,174 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/decide/eject"
+	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/gateway"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/routing"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/shoenig/test/must"
+)
+
+// Headers as the platform names them.
+const (
+	attemptID = "Dandelionrill-Attempt-Id"
+	signature = "Dandelionrill-Replica-Signature"
+	notRun    = "Dandelionrill-Not-Executed"
+	deadline  = "Dandelionrill-Deadline-Ms"
+	parts     = "Dandelionrill-Prompt-Prefix"
+)
+
+// replica is an upstream whose answers a test gives.
+type replica struct {
+	id     string
+	server *httptest.Server
+	runs   atomic.Int64
+	mu     sync.Mutex
+	seen   []*http.Request
+}
+
+func newReplica(t *testing.T, id string, handle http.HandlerFunc) *replica {
+	t.Helper()
+	r := &replica{id: id}
+	r.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.runs.Add(1)
+		r.mu.Lock()
+		r.seen = append(r.seen, req)
+		r.mu.Unlock()
+		w.Header().Set(attemptID, req.Header.Get(attemptID))
+		handle(w, req)
+	}))
+	t.Cleanup(r.server.Close)
+	return r
+}
+
+func (r *replica) requests() []*http.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*http.Request(nil), r.seen...)
+}
+
+func (r *replica) entry() catalog.Upstream {
+	return catalog.Upstream{
+		ID: r.id, Service: "s", Address: r.server.Listener.Addr().String(), FailureDomain: "a", State: catalog.StateReady,
+	}
+}
+
+func answering(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(signature, "sig")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func refusing(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(notRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func resetting(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// events writes whole events with the given identifiers, then returns.
+func events(w http.ResponseWriter, from, to int) {
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		w.(http.Flusher).Flush()
+	}
+}
+
+// fixture is a gateway behind an HTTP server.
+type fixture struct {
+	gateway *gateway.Gateway
+	server  *httptest.Server
+	age     atomic.Int64 // of the configuration
+}
+
+func defaultRoutes() []routing.Route {
+	shares := []routing.Share{{Service: "s", Weight: 1}}
+	base := routing.Route{Host: "h.example", Shares: shares, Timeout: 5 * time.Second, MaxAttempts: 2}
+	with := func(prefix string, change func(*routing.Route)) routing.Route {
+		r := base
+		r.Name, r.PathPrefix = prefix, prefix
+		change(&r)
+		return r
+	}
+	return []routing.Route{
+		with("/safe/", func(r *routing.Route) { r.Repeat = routing.RepeatSafe }),
+		with("/once/", func(r *routing.Route) { r.Repeat = routing.RepeatNever }),
+		with("/stream/", func(r *routing.Route) { r.Repeat = routing.RepeatStream }),
+		with("/resume/", func(r *routing.Route) { r.Repeat, r.Resumable = routing.RepeatStream, true }),
+		with("/short/", func(r *routing.Route) { r.Repeat, r.Timeout = routing.RepeatSafe, 100*time.Millisecond }),
+		with("/shortstream/", func(r *routing.Route) { r.Repeat, r.Timeout = routing.RepeatStream, 100*time.Millisecond }),
+		with("/public/", func(r *routing.Route) { r.Repeat, r.Public = routing.RepeatSafe, true }),
+	}
+}
+
+func newFixture(t *testing.T, replicas ...*replica) *fixture {
+	t.Helper()
+	f := &fixture{}
+	f.gateway = gateway.New(gateway.Options{
+		Protocol: platform.Protocol{}, Log: &log.Logger{Handler: discard.New()}, FailureDomain: "a", BodyBytes: 1 << 20,
+		Ages: func() (time.Duration, time.Duration) { return time.Duration(f.age.Load()), 0 },
+		Policy: gateway.Policy{
+			Prompt: place.PromptOptions{Multiple: 2, Slack: 4}, RemoteLoad: 1, RepeatShare: 0.1, RepeatExtra: 20,
+			Eject: eject.Options{Base: time.Millisecond, Ceiling: 0.5},
+		},
+	})
+	f.gateway.SetTable(routing.NewTable(&routing.Configuration{
+		Version: 1, Routes: defaultRoutes(),
+		Limits:    routing.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
+		Customers: []routing.Customer{{Name: "c1", Keys: []string{"key"}}},
+	}))
+	f.list(replicas...)
+	f.server = httptest.NewServer(f.gateway)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fixture) list(replicas ...*replica) {
+	var upstreams []catalog.Upstream
+	for _, r := range replicas {
+		upstreams = append(upstreams, r.entry())
+	}
+	f.gateway.SetCatalog(catalog.New(1, upstreams))
+}
+
+func (f *fixture) request(t *testing.T, method, path, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, f.server.URL+path, strings.NewReader(body))
+	must.NoError(t, err)
+	r.Host = "h.example"
+	r.Header.Set(attemptID, "attempt-1")
+	r.Header.Set("Authorization", "Bearer key")
+	return r
+}
+
+func (f *fixture) do(t *testing.T, r *http.Request) (*http.Response, string) {
+	t.Helper()
+	response, err := f.server.Client().Do(r)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	return response, string(body)
+}
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,93 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestStreamIsPassedOnEventByEvent(t *testing.T) {
+	next := make(chan struct{})
+	up := newReplica(t, "i-1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(signature, "sig")
+		w.Header().Set("Content-Type", "text/event-stream")
+		events(w, 1, 1)
+		<-next
+		events(w, 2, 3)
+	})
+	f := newFixture(t, up)
+	response, err := f.server.Client().Do(f.request(t, http.MethodPost, "/stream/", "{}"))
+	must.NoError(t, err)
+	defer response.Body.Close()
+	reader := bufio.NewReader(response.Body)
+	line, err := reader.ReadString('\n')
+	must.NoError(t, err)
+	must.Eq(t, "id: 1\n", line) // came before the second was made
+	close(next)
+	rest, err := io.ReadAll(reader)
+	must.NoError(t, err)
+	must.Eq(t, "data: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n", string(rest))
+}
+
+func TestCutStreamDoesNotLookComplete(t *testing.T) {
+	up := newReplica(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(signature, "sig")
+		events(w, 1, 2)
+		_, _ = io.WriteString(w, "id: 3\nda")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	f := newFixture(t, up)
+	response, err := f.server.Client().Do(f.request(t, http.MethodPost, "/stream/", "{}"))
+	must.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	must.Eq(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", string(body))
+	must.Eq(t, 1, up.runs.Load())
+}
+
+func TestResumableStreamGoesOnElsewhere(t *testing.T) {
+	var first atomic.Bool
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			w.Header().Set(signature, "first")
+			events(w, 1, 2)
+			_, _ = io.WriteString(w, "id: 3\nda") // in the middle of an event
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(signature, "second")
+		if r.Header.Get("Last-Event-Id") != "2" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		events(w, 3, 4)
+	}
+	f := newFixture(t, newReplica(t, "i-1", handle), newReplica(t, "i-2", handle))
+	response, body := f.do(t, f.request(t, http.MethodPost, "/resume/", "{}"))
+	must.Eq(t, "first", response.Header.Get(signature))
+	must.Eq(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", body)
+}
+
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	ended := make(chan struct{})
+	up := newReplica(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(signature, "sig")
+		events(w, 1, 1)
+		<-r.Context().Done()
+		close(ended)
+	})
+	f := newFixture(t, up)
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := f.server.Client().Do(f.request(t, http.MethodPost, "/stream/", "{}").WithContext(ctx))
+	must.NoError(t, err)
+	cancel()
+	<-ended
+	_ = response.Body.Close()
+}
