Hand on changes between routers instead of reading them from the store

Change: a feed keeps its last 512 changes; a router that is behind asks the peer that is ahead for them, and turns to the store only if they are gone or over 32 KB. Tests: TestChangesAreHandedOn, TestRecentChangesAreBounded.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -76,6 +76,7 @@
 	mu        sync.Mutex
 	records   map[string]store.Record
 	revision  uint64 // 0 until there is content
+	recent    recent
 	digest    uint64
 	confirmed time.Time // when the store was last known to hold nothing newer
 	failing   time.Time // when the first failing call since the last answer began; zero if none
@@ -111,6 +112,7 @@
 		f.records[r.Name] = r
 	}
 	f.revision = revision
+	f.recent = recent{base: revision}
 	f.confirmed = time.Now().Add(-age)
 	f.digest = digest(f.records)
 	if f.adopted != nil {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -189,3 +189,42 @@
 	must.NoError(t, f.Refresh(context.Background()))
 	must.Eq(t, []store.Record{record("b", 9)}, (<-changed).Records)
 }
+
+func TestChangesAreHandedOn(t *testing.T) {
+	one := New(Options{Kind: "things", Log: &log.Logger{Handler: discard.New()}, Changed: func(Snapshot) {}})
+	two := New(Options{Kind: "things", Log: &log.Logger{Handler: discard.New()}, Changed: func(Snapshot) {}})
+	start := Snapshot{Revision: 5, Records: []store.Record{record("a", 1), record("b", 2)}}
+	must.True(t, one.Adopt(start, Stamp{}))
+	must.True(t, two.Adopt(start, Stamp{}))
+	must.True(t, one.apply(5, []store.Change{{Record: record("a", 1), Deleted: true}}, 7, 0))
+	must.True(t, one.apply(7, []store.Change{{Record: record("a", 8)}, {Record: record("c", 9)}}, 9, 0))
+
+	changes, at, ok := one.Changes(5)
+	must.True(t, ok)
+	must.Eq(t, 9, at)
+	must.True(t, two.AdoptChanges(5, changes, at, Stamp{}))
+	must.Eq(t, one.Snapshot(), two.Snapshot())
+	must.Eq(t, one.Stamp().Digest, two.Stamp().Digest)
+	must.False(t, two.AdoptChanges(5, changes, at, Stamp{})) // no longer at that revision
+
+	_, _, ok = one.Changes(4) // before what is kept
+	must.False(t, ok)
+	big := store.Record{Name: "big", Revision: 10, Value: make([]byte, maxHandedOn+1)}
+	must.True(t, one.apply(9, []store.Change{{Record: big}}, 10, 0))
+	_, _, ok = one.Changes(9)
+	must.False(t, ok)
+}
+
+func TestRecentChangesAreBounded(t *testing.T) {
+	f := New(Options{Kind: "things", Log: &log.Logger{Handler: discard.New()}, Changed: func(Snapshot) {}})
+	must.True(t, f.Adopt(Snapshot{Revision: 1}, Stamp{}))
+	for i := uint64(1); i <= 2*maxRecent; i++ {
+		must.True(t, f.apply(i, []store.Change{{Record: record("a", i+1)}}, i+1, 0))
+	}
+	must.Len(t, maxRecent, f.recent.changes)
+	_, _, ok := f.Changes(f.revision - maxRecent - 1)
+	must.False(t, ok)
+	changes, _, ok := f.Changes(f.revision - maxRecent)
+	must.True(t, ok)
+	must.Len(t, maxRecent, changes)
+}
--- a/feed/run.go
+++ b/feed/run.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	f.noteAnswer()
-	f.apply(from, changes, at)
+	f.apply(from, changes, at, 0)
 	return nil
 }
 
@@ -128,18 +128,19 @@
 		return err
 	}
 	f.noteAnswer()
-	f.apply(from, changes, at)
+	f.apply(from, changes, at, 0)
 	return nil
 }
 
-// apply makes the changes after revision from.
-func (f *Feed) apply(from uint64, changes []store.Change, at uint64) {
+// apply makes the changes after revision from, and returns whether the content
+// was at that revision. age is how long ago the store confirmed them.
+func (f *Feed) apply(from uint64, changes []store.Change, at uint64, age time.Duration) bool {
 	f.publish.Lock()
 	defer f.publish.Unlock()
 	f.mu.Lock()
 	if f.revision != from {
 		f.mu.Unlock()
-		return // a newer snapshot was adopted meanwhile
+		return false // a newer content was adopted meanwhile
 	}
 	for _, c := range changes {
 		if c.Deleted {
@@ -148,14 +149,18 @@
 			f.records[c.Record.Name] = c.Record
 		}
 	}
-	f.revision = at
-	f.confirmed = time.Now()
+	f.revision = max(from, at)
+	f.recent.add(changes, f.revision)
+	if confirmed := time.Now().Add(-age); confirmed.After(f.confirmed) {
+		f.confirmed = confirmed
+	}
 	f.digest = digest(f.records)
 	s := f.snapshot()
 	f.mu.Unlock()
 	if len(changes) > 0 {
 		f.opts.Changed(s)
 	}
+	return true
 }
 
 func (f *Feed) noteAnswer() {
--- a/gossip/catchup.go
+++ b/gossip/catchup.go
@@ -36,14 +36,18 @@
 	return kinds
 }
 
-// catchUp brings a kind up to date: from the store, and from the peer if the
-// store does not answer soon. Only one call at a time does so for a kind.
+// catchUp brings a kind up to date: by the peer's changes if they are small, else
+// from the store, and by the peer's whole content if the store does not answer
+// soon. Only one call at a time does so for a kind.
 func (m *Mesh) catchUp(ctx context.Context, client *link.Client, kind int) {
 	if !m.catching[kind].CompareAndSwap(false, true) {
 		return
 	}
 	defer m.catching[kind].Store(false)
 	f := m.opts.Feeds[kind]
+	if m.fetchChanges(ctx, client, kind) {
+		return
+	}
 	if f.Lost() {
 		m.fetch(ctx, client, kind)
 		return
@@ -62,6 +66,30 @@
 	m.fetch(ctx, client, kind)
 }
 
+// fetchChanges takes the changes of a kind from a peer, and returns whether the
+// content is up to date by them.
+func (m *Mesh) fetchChanges(ctx context.Context, client *link.Client, kind int) bool {
+	f := m.opts.Feeds[kind]
+	from := f.Stamp().Revision
+	if from == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply Changes
+	err := client.Call(ctx, service+".Changes", &ChangesArgs{Kind: kind, After: from}, &reply)
+	if err != nil || !reply.Known {
+		return false // the store or the whole content will do
+	}
+	if f.AdoptChanges(from, reply.Changes, reply.At, reply.Stamp) {
+		m.opts.Log.WithFields(log.Fields{
+			"peer": client.Address(), "kind": f.Kind(), "revision": reply.At, "changes": len(reply.Changes),
+			"age_ms": reply.Stamp.Age.Milliseconds(),
+		}).Info("changes adopted from another router")
+	}
+	return true
+}
+
 // fetch takes the content of a kind from a peer.
 func (m *Mesh) fetch(ctx context.Context, client *link.Client, kind int) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"dandelionrill.example/fleet/feed"
 	"dandelionrill.example/fleet/gateway"
 	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/store"
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 )
@@ -68,6 +69,20 @@
 // FetchArgs asks for the content of a kind.
 type FetchArgs struct{ Kind int } // index in Options.Feeds
 
+// ChangesArgs asks for the changes of a kind after a revision.
+type ChangesArgs struct {
+	Kind  int // index in Options.Feeds
+	After uint64
+}
+
+// Changes are the changes of a kind.
+type Changes struct {
+	Known   bool // false if they are not kept any more, or are large
+	Changes []store.Change
+	At      uint64 // revision that they lead to
+	Stamp   feed.Stamp
+}
+
 // Content is the content of a kind.
 type Content struct {
 	Snapshot feed.Snapshot
@@ -227,12 +242,34 @@
 	return nil
 }
 
+// Changes returns the changes of a kind after a revision.
+func (r *receiver) Changes(args *ChangesArgs, reply *Changes) error {
+	f, err := r.feed(args.Kind)
+	if err != nil {
+		return err
+	}
+	reply.Stamp = f.Stamp()
+	reply.Changes, reply.At, reply.Known = f.Changes(args.After)
+	if !reply.Known {
+		reply.Changes = nil
+	}
+	return nil
+}
+
+// feed returns the feed of a kind.
+func (r *receiver) feed(kind int) (*feed.Feed, error) {
+	if kind < 0 || kind >= len(r.mesh.opts.Feeds) {
+		return nil, errors.Newf("gossip: unknown kind %d", kind)
+	}
+	return r.mesh.opts.Feeds[kind], nil
+}
+
 // Fetch returns the content of a kind.
 func (r *receiver) Fetch(args *FetchArgs, reply *Content) error {
-	if args.Kind < 0 || args.Kind >= len(r.mesh.opts.Feeds) {
-		return errors.Newf("gossip: unknown kind %d", args.Kind)
+	f, err := r.feed(args.Kind)
+	if err != nil {
+		return err
 	}
-	f := r.mesh.opts.Feeds[args.Kind]
 	reply.Stamp = f.Stamp()
 	reply.Snapshot = f.Snapshot()
 	return nil
