--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -119,8 +119,8 @@
 
 // firstTableWait is how long a request waits for the first configuration and
 // catalog of a router that has just started: reading them takes a few round
-// trips.
-const firstTableWait = 250 * time.Millisecond
+// trips, and on a narrow link the transfer of a large configuration.
+const firstTableWait = 500 * time.Millisecond
 
 // awaitTable returns the configuration in force; nil if there is none yet.
 func (g *Gateway) awaitTable(ctx context.Context) *routing.Table {
