Give soaks ports of their own, and attempts a name of their seed

Cause: a run of a broken build showed 240 TWICE, 2 REFUSED and 2 CONFIG beside the ORDER that was broken on purpose. Ports of routers were taken from the range of outgoing connections and freed again; beside other soaks and a bench, another process had them when a router was started again, and attempts of two soaks had the same names. Ruled out: a fault of the routers (the same seed holds alone). Change: ports below that range, given out once by a process; the seed is part of each attempt.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,7 +80,12 @@
 // New returns an entry host that is not running.
 func New(opts Options) (*Host, error) {
 	s := &opts.Settings
-	client, err := platform.NewClient(platform.ClientOptions{BaseURL: "http://" + s.StoreAddress, Timeout: storeTimeout})
+	client, err := platform.NewClient(platform.ClientOptions{
+		BaseURL: "http://" + s.StoreAddress, Timeout: storeTimeout,
+		Malformed: func(kind string, err error) {
+			opts.Log.WithError(err).WithField("kind", kind).Warn("object of the store left out")
+		},
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "entry host")
 	}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -50,7 +50,7 @@
 		case <-time.After(time.Duration(c.random.IntN(60)) * time.Millisecond):
 		}
 		o := outcome{
-			attempt: fmt.Sprintf("c%d-%d", c.number, n),
+			attempt: fmt.Sprintf("s%d-c%d-%d", c.soak.opts.Seed, c.number, n),
 			kind:    kinds[c.random.IntN(len(kinds))],
 			router:  (c.number + c.random.IntN(2)) % len(c.soak.fleet.routers),
 		}
--- a/soak/process.go
+++ b/soak/process.go
@@ -115,22 +115,43 @@
 	r.store.Close()
 }
 
-// freeAddresses returns n addresses on loopback that nobody listens on.
+// Ports of routers lie below the range that the kernel gives to outgoing
+// connections and to listeners without a port: what is free stays so until the
+// router listens, and again while it is restarted.
+const (
+	firstPort = 21000
+	lastPort  = 31000
+	// portBlock is the distance between the first ports of two processes.
+	portBlock = 500
+)
+
+var (
+	portLock sync.Mutex
+	nextPort = firstPort + os.Getpid()%((lastPort-firstPort)/portBlock)*portBlock
+)
+
+// freeAddresses returns n addresses on loopback that nobody listens on. None is
+// given out twice by this process.
 func freeAddresses(n int) ([]string, error) {
+	portLock.Lock()
+	defer portLock.Unlock()
 	var out []string
-	var held []net.Listener
-	defer func() {
-		for _, l := range held {
-			_ = l.Close()
+	for range lastPort - firstPort {
+		if len(out) == n {
+			return out, nil
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if nextPort++; nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", address)
 		if err != nil {
+			continue // somebody has it
+		}
+		if err := l.Close(); err != nil {
 			return nil, errors.Wrap(err, "soak: ports")
 		}
-		held = append(held, l)
-		out = append(out, l.Addr().String())
+		out = append(out, address)
 	}
-	return out, nil
+	return nil, errors.New("soak: no free ports")
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -132,7 +132,7 @@
 // probe asks a router for the route of a version and returns the status; 0 if
 // there was no answer.
 func (s *Soak) probe(c *caller, router int, version uint64) int {
-	response, err := c.request(router, versionPath(version)+"x", fmt.Sprintf("probe-%d-%d-%d", router, version, time.Now().UnixNano()))
+	response, err := c.request(router, versionPath(version)+"x", fmt.Sprintf("s%d-probe-%d-%d-%d", s.opts.Seed, router, version, time.Now().UnixNano()))
 	if err != nil {
 		return 0
 	}
