Deliver an upstream's own failure when the budget of repeats is used up

Change: the repeat is taken from the budget before the answer is discarded. Taken out: the board's record of progress, which no decision read. Test: TestFailureOfTheUpstreamIsDeliveredWithoutABudget, seen failing (502) with the budget ignored.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -34,8 +34,6 @@
 type upstreamState struct {
 	own      int // requests in progress sent by this router
 	failures eject.Record
-	progress time.Duration // when a byte of an answer last came
-	waiting  time.Duration // since when requests are in progress without a pause
 }
 
 // NewBoard returns an empty board.
@@ -76,12 +74,7 @@
 
 // Begin records that a request is sent to the upstream.
 func (b *Board) Begin(key catalog.Key) {
-	b.update(key, func(u *upstreamState, now time.Duration) {
-		if u.own == 0 {
-			u.waiting = now
-		}
-		u.own++
-	})
+	b.update(key, func(u *upstreamState, _ time.Duration) { u.own++ })
 }
 
 // End records that a request at the upstream has ended.
@@ -89,11 +82,6 @@
 	b.update(key, func(u *upstreamState, _ time.Duration) { u.own = max(0, u.own-1) })
 }
 
-// Progress records that a byte of an answer has come from the upstream.
-func (b *Board) Progress(key catalog.Key) {
-	b.update(key, func(u *upstreamState, now time.Duration) { u.progress = now })
-}
-
 // Failed records a failure that speaks against the upstream, and returns for
 // how long it is taken out of placement by it; 0 if it was already.
 func (b *Board) Failed(key catalog.Key) (out time.Duration) {
@@ -130,13 +118,11 @@
 type Known struct {
 	Load     int // requests in progress of all routers, as far as known
 	Own      int
-	Silent   time.Duration // since a request waits here without any byte from the upstream
 	Failures eject.Record
 }
 
 // Known returns what is known of an upstream.
 func (b *Board) Known(key catalog.Key) Known {
-	now := b.now()
 	s := b.shard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,9 +133,6 @@
 	}
 	k.Load += u.own
 	k.Own, k.Failures = u.own, u.failures
-	if u.own > 0 {
-		k.Silent = now - max(u.waiting, u.progress)
-	}
 	return k
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -27,6 +27,8 @@
 	tried map[catalog.Key]bool
 	made  int // sends that reached an upstream
 	dials int // upstreams that could not be reached
+	// reserved tells that the next repeat is already taken from the budget.
+	reserved bool
 }
 
 // dispatch sends a request to upstreams until it has an end.
@@ -91,7 +93,11 @@
 	if decision != retry.DecisionRetry {
 		return false
 	}
-	return failure == retry.FailureNotSent && a.made == 0 || g.withdraw(req.service)
+	if a.reserved || failure == retry.FailureNotSent && a.made == 0 {
+		a.reserved = false
+		return true
+	}
+	return g.withdraw(req.service)
 }
 
 // giveUp is the end of a request that is not sent again.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -10,6 +9,7 @@
 	"dandelionrill.example/fleet/decide/retry"
 	"dandelionrill.example/fleet/forward"
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 )
 
 // attempt sends the request to one upstream and delivers its answer. failure is
@@ -23,7 +23,7 @@
 		record.fetch = t.source.ID
 	}
 	g.board.Begin(key)
-	e, failure, result := g.exchange(ctx, w, req, t)
+	e, failure, result := g.exchange(ctx, w, req, t, a)
 	g.board.End(key)
 	if failure == retry.FailureNotSent {
 		a.dials++
@@ -46,7 +46,7 @@
 )
 
 // exchange sends the request and handles the head of the answer.
-func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, req *request, t target) (end, retry.Failure, string) {
+func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, req *request, t target, a *attempts) (end, retry.Failure, string) {
 	key := t.upstream.Key()
 	out := g.upstreamRequest(req, t)
 	for _, prefix := range req.prefixes {
@@ -56,7 +56,6 @@
 	if err != nil {
 		return g.sendFailed(ctx, req, key, err)
 	}
-	g.board.Progress(key)
 	answer := g.opts.Protocol.ReadAnswer(response.Status, response.Header)
 	switch {
 	case answer.NotRun:
@@ -72,7 +71,7 @@
 	case answer.Encoded, !answer.Signed && (response.Status < 300 || promisesNotRun(response.Status)):
 		response.Close(false)
 		return failed(http.StatusBadGateway, "upstream's answer is not usable"), retry.FailureMayHaveRun, resultSpoiled
-	case response.Status >= http.StatusInternalServerError && !req.begun && g.spare(req):
+	case response.Status >= http.StatusInternalServerError && !req.begun && g.spare(req, a):
 		response.Close(drainBody(response))
 		return failed(http.StatusBadGateway, "upstream failed"), retry.FailureMayHaveRun, resultFailure
 	case req.begun && response.Status >= 300:
@@ -97,9 +96,13 @@
 }
 
 // spare tells whether an upstream's failure need not be the answer, since
-// another upstream may be tried.
-func (g *Gateway) spare(req *request) bool {
-	return req.route.Repeatable() && len(req.sends)+1 < req.route.MaxAttempts
+// another upstream will be tried. It takes the repeat from the budget.
+func (g *Gateway) spare(req *request, a *attempts) bool {
+	if !req.route.Repeatable() || a.made+1 >= req.route.MaxAttempts {
+		return false
+	}
+	a.reserved = g.withdraw(req.service)
+	return a.reserved
 }
 
 // promisesNotRun tells whether the status says that a request has not run.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -283,3 +283,15 @@
 	response, _ = f.do(t, f.request(t, http.MethodGet, "/short/", "")) // has a timeout of 100 ms
 	must.Eq(t, 200, response.StatusCode)
 }
+
+// An upstream's own failure is the answer once the budget of repeats is used up:
+// it must not be replaced by a failure of the router's.
+func TestFailureOfTheUpstreamIsDeliveredWithoutABudget(t *testing.T) {
+	one, two := newReplica(t, "i-1", failing(500)), newReplica(t, "i-2", failing(500))
+	f := newFixture(t, one, two)
+	for range 100 {
+		response, _ := f.do(t, f.request(t, http.MethodGet, "/safe/", ""))
+		must.Eq(t, 500, response.StatusCode)
+		must.Eq(t, "sig", response.Header.Get(signature))
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -107,7 +107,6 @@
 	for {
 		n, err := r.Read(chunk)
 		if n > 0 {
-			g.board.Progress(key)
 			now := time.Now()
 			if req.begun {
 				req.pauseMax = max(req.pauseMax, now.Sub(last))
@@ -143,7 +142,6 @@
 		req.first = time.Since(req.arrived)
 	}
 	_, _ = w.Write(ready) // a caller that left is found by the context
-	req.bytesOut += int64(len(ready))
 }
 
 // eventBuffer splits a stream at the ends of its events.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -40,7 +40,6 @@
 	sends    []sendRecord
 	begun    bool // something of an answer was delivered
 	lastID   string
-	bytesOut int64
 	pauseMax time.Duration // longest pause between events
 	first    time.Duration // until the first byte of the answer
 }
