--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -17,6 +17,7 @@
 	ModeSilence      // connections stay open, and nothing passes
 	ModeOneWay       // what is sent arrives, and no answer comes back
 	ModeReset        // connections are reset, old and new ones
+	ModeLose         // what is sent arrives, and the connection is reset when an answer comes
 )
 
 // proxyDelay is how late bytes are in ModeDelay.
@@ -124,6 +125,11 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		if mode, _ := p.state(); n > 0 && back && mode == ModeLose {
+			reset(to)
+			reset(from)
+			return
+		}
 		if n > 0 {
 			p.hold(back)
 			if _, failed := to.Write(buffer[:n]); failed != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -190,7 +190,8 @@
 }
 
 func (s *Soak) proxyFault(p *Proxy) func() {
-	mode := []Mode{ModeDelay, ModeSilence, ModeOneWay, ModeReset}[s.random.IntN(4)]
+	modes := []Mode{ModeDelay, ModeSilence, ModeOneWay, ModeReset, ModeLose}
+	mode := modes[s.random.IntN(len(modes))]
 	s.logf("proxy mode %d", mode)
 	p.Set(mode)
 	return func() { p.Set(ModePass) }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -65,11 +65,13 @@
 		p.Set(ModePass) // what was held arrives
 		must.NoError(t, hear(time.Minute))
 	}
-	p.Set(ModeReset)
+	p.Set(ModeLose)
+	must.NoError(t, say())
 	must.Error(t, hear(time.Minute))
 	c2, err := net.Dial("tcp", p.Address())
 	must.NoError(t, err)
 	defer c2.Close()
+	p.Set(ModeReset)
 	_, err = c2.Read(make([]byte, 1))
 	must.Error(t, err)
 }
