Let scripts/fleet speak to the stand-in store as it is now

Cause: e2e failed in the run of all tests: the script asked for /hosts and wrote to /objects, which the stand-in no longer has.

--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -122,6 +123,7 @@
 	control.Get(s.mux, "/control/faults", s.Faults)
 	control.Put(s.mux, "/control/faults", s.SetFaults)
 	control.Put(s.mux, "/control/hosts", s.SetHosts)
+	s.mux.HandleFunc("PUT /control/values/{key...}", s.setValue)
 	s.mux.HandleFunc("PUT /control/history", func(w http.ResponseWriter, _ *http.Request) {
 		s.DropHistory()
 		w.WriteHeader(http.StatusNoContent)
@@ -205,6 +207,17 @@
 	return s.SetObject(KindValues, valueName(key), []byte(spec))
 }
 
+// setValue stores the body under a key, for scripts.
+func (s *Server) setValue(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.Put(r.PathValue("key"), value)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // Get returns the object's value and revision, without counting a call;
 // revision 0 means that there is none.
 func (s *Server) Get(key string) ([]byte, uint64) {
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -210,3 +210,11 @@
 	_, at = s.Get("claims/none")
 	must.Eq(t, 0, at)
 }
+
+func TestValueByControl(t *testing.T) {
+	s, url := start(t, Options{})
+	status, _ := do(t, "PUT", url+"/control/values/config/current", "x")
+	must.Eq(t, 204, status)
+	value, _ := s.Get("config/current")
+	must.Eq(t, "x", string(value))
+}
