Tell at most 32 peers at once, and be no watcher before the first rank

Each router that starts took itself for a watcher and called 299 peers within 3 s for each kind. Change: at most 32 peers are told at once; the first rank decides who watches. The soak harms upstream paths more often.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -42,6 +42,9 @@
 	nudgeSpacing = 10 * time.Millisecond
 	// nudgePause is the time between two rounds of telling all peers.
 	nudgePause = 100 * time.Millisecond
+	// nudgePeers is the most peers that are told at once; the others learn of it
+	// by their own calls.
+	nudgePeers = 32
 	// watchers is the number of routers that watch the store all the time.
 	watchers = 3
 )
@@ -129,7 +132,6 @@
 func New(opts Options) (*Mesh, error) {
 	m := &Mesh{opts: opts, seeds: opts.Seeds, peers: make(map[string]*peer), nudged: make(chan struct{}, 1)}
 	m.catching = make([]atomic.Bool, len(opts.Feeds))
-	m.watching.Store(true)
 	m.clients = link.NewPool(link.ClientOptions{
 		PrivateNetwork:    true,
 		DialTimeout:       callTimeout,
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -79,12 +79,15 @@
 	}
 }
 
-// tellAll calls all peers that answered last time, a moment apart.
+// tellAll calls peers that answered last time, a moment apart: all of them in a
+// small fleet, some in a large one.
 func (m *Mesh) tellAll(ctx context.Context) {
 	m.mu.Lock()
-	for _, p := range m.peers {
-		if !p.silent {
+	told := 0
+	for _, p := range m.peers { // in no order
+		if !p.silent && told < nudgePeers {
 			p.due = time.Time{}
+			told++
 		}
 	}
 	m.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -175,6 +175,8 @@
 	{"store path", func(s *Soak) func() { return s.proxyFault(s.anyRouter().store) }},
 	{"upstream path", func(s *Soak) func() { return s.proxyFault(s.anyUpstream().proxy) }},
 	{"upstream path", func(s *Soak) func() { return s.proxyFault(s.anyUpstream().proxy) }},
+	{"upstream path", func(s *Soak) func() { return s.proxyFault(s.anyUpstream().proxy) }},
+	{"upstream path", func(s *Soak) func() { return s.proxyFault(s.anyUpstream().proxy) }},
 	{"configuration", func(s *Soak) func() { s.fleet.publish(); return nothing }},
 	{"upstream added", func(s *Soak) func() {
 		if err := s.fleet.addUpstream(); err != nil {
