Share an upstream's connections among the routers; library hashes; unused settings out

Change: a router opens at most its part (4 at least) to an upstream; beyond it another upstream is tried without a dial. Test: TestConnectionLimit by request, as strict as before.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -364,13 +364,18 @@
 
 func TestConnectionLimit(t *testing.T) {
 	u := serve(t, each(func(int64, *http.Request) string { return answer("1", "ok") }))
-	p := NewPool(Options{MaxConnections: 1})
-	_, held := send(t, p, u, request("1"))
-	_, err := p.Send(context.Background(), u.listener.Addr().String(), request("2"))
+	p := NewPool(Options{})
+	limited := func(id string) *Request {
+		r := request(id)
+		r.MaxConnections = 1
+		return r
+	}
+	_, held := send(t, p, u, limited("1"))
+	_, err := p.Send(context.Background(), u.listener.Addr().String(), limited("2"))
 	must.Eq(t, NotSent, outcomeOf(t, err))
 	must.ErrorIs(t, err, ErrConnectionLimit)
 	held.Close(true)
-	_, again := send(t, p, u, request("3"))
+	_, again := send(t, p, u, limited("3"))
 	again.Close(true)
 }
 
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/maphash"
 	"net"
 	"sync"
 	"time"
@@ -29,12 +30,11 @@
 
 // Options configures a Pool. Zero values mean the defaults.
 type Options struct {
-	DialTimeout    time.Duration
-	Silence        time.Duration
-	Idle           time.Duration
-	IdleOnce       time.Duration
-	CloseMargin    time.Duration
-	MaxConnections int // to one upstream; 0 means no limit
+	DialTimeout time.Duration
+	Silence     time.Duration
+	Idle        time.Duration
+	IdleOnce    time.Duration
+	CloseMargin time.Duration
 	// Matches tells whether the answer belongs to the request; nil accepts all.
 	Matches func(*Request, *Response) bool
 	// Dialed is called after each new connection; nil means nothing.
@@ -73,6 +73,7 @@
 type Pool struct {
 	opts   Options
 	dialer *net.Dialer
+	seed   maphash.Seed
 	shards [poolShards]shard
 }
 
@@ -89,7 +90,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(opts Options) *Pool {
-	p := &Pool{opts: opts.withDefaults()}
+	p := &Pool{opts: opts.withDefaults(), seed: maphash.MakeSeed()}
 	p.dialer = netdial.Dialer(p.opts.Silence)
 	p.dialer.Timeout = p.opts.DialTimeout
 	for i := range p.shards {
@@ -99,11 +100,7 @@
 }
 
 func (p *Pool) shard(address string) *shard {
-	h := uint32(2166136261)
-	for i := range len(address) {
-		h = (h ^ uint32(address[i])) * 16777619
-	}
-	return &p.shards[h%poolShards]
+	return &p.shards[maphash.String(p.seed, address)%poolShards]
 }
 
 // host returns the connections to an address. s.mu is held.
@@ -119,10 +116,14 @@
 // take returns an idle connection that is usable, the one used last first, and
 // nil if there is none. A nil connection without an error reserves a place for
 // a new one.
-func (p *Pool) take(address string, longest time.Duration) (*conn, error) {
+func (p *Pool) take(address string, r *Request) (*conn, error) {
+	longest := p.opts.Idle
+	if r.Once {
+		longest = p.opts.IdleOnce
+	}
 	s := p.shard(address)
 	for {
-		c, err := s.pop(address, p.opts.MaxConnections)
+		c, err := s.pop(address, r.MaxConnections)
 		if c == nil || err != nil {
 			return nil, err
 		}
@@ -150,8 +151,8 @@
 }
 
 // connect returns a connection to the address, and whether it is a new one.
-func (p *Pool) connect(ctx context.Context, address string, longest time.Duration) (*conn, bool, error) {
-	c, err := p.take(address, longest)
+func (p *Pool) connect(ctx context.Context, address string, r *Request) (*conn, bool, error) {
+	c, err := p.take(address, r)
 	if c != nil || err != nil {
 		return c, false, err
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -21,6 +21,9 @@
 	Body   []byte
 	ID     string // to tell its answer from others
 	Once   bool   // must not run more than once: only fresh connections will do
+	// MaxConnections is the most connections of this pool to the upstream; 0
+	// means no limit.
+	MaxConnections int
 }
 
 // Response is the answer of an upstream. Its body must be closed.
@@ -48,12 +51,8 @@
 // Send sends the request to the address, once, and returns the answer's head.
 // When ctx ends, the connection is closed at once. A failure is an *Error.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, error) {
-	longest := p.opts.Idle
-	if r.Once {
-		longest = p.opts.IdleOnce
-	}
 	for {
-		c, fresh, err := p.connect(ctx, address, longest)
+		c, fresh, err := p.connect(ctx, address, r)
 		if err != nil {
 			return nil, &Error{Outcome: NotSent, Address: address, Cause: err}
 		}
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -50,13 +50,7 @@
 // now returns the time since the board was made, by the monotonic clock.
 func (b *Board) now() time.Duration { return time.Since(b.start) }
 
-func (b *Board) shard(key catalog.Key) *boardShard {
-	h := uint32(key.Born)
-	for i := range len(key.ID) {
-		h = h*31 + uint32(key.ID[i])
-	}
-	return &b.shards[h%boardShards]
-}
+func (b *Board) shard(key catalog.Key) *boardShard { return &b.shards[key.Sum()%boardShards] }
 
 // update calls f with the state of an upstream under its lock.
 func (b *Board) update(key catalog.Key, f func(*upstreamState, time.Duration)) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -160,9 +160,25 @@
 		Body:   req.body,
 		ID:     req.AttemptID,
 		Once:   !req.route.Repeatable(),
+
+		MaxConnections: g.connections(req),
 	}
 }
 
+// leastConnections to one upstream are open to each router, however many share
+// what the upstream accepts.
+const leastConnections = 4
+
+// connections returns this router's part of the connections that an upstream of
+// the service accepts; 0 means no limit.
+func (g *Gateway) connections(req *request) int {
+	service := req.table.Service(req.service)
+	if service == nil || service.MaxConnections <= 0 {
+		return 0
+	}
+	return max(leastConnections, service.MaxConnections/int(g.routers.Load()))
+}
+
 // priority returns the rank of a request at an engine; nil for plain services.
 func priority(req *request) *int {
 	if !req.route.Prompted {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -84,9 +84,8 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots        int // requests processed at once
-	CacheTokens  int // memory for prompts and answers
-	FetchAllowed bool
+	Slots       int // requests processed at once
+	CacheTokens int // memory for prompts and answers
 }
 
 // Customer is an organisation with its keys.
