--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -55,14 +55,14 @@
 	switch {
 	case req.begun:
 		return end{kind: endCut, reason: "no other upstream to go on at"}
-	case a.made > 0 && !req.lastRefused():
+	case a.made > 0 && !req.neverRan():
 		return failed(http.StatusBadGateway, "no other upstream to try")
 	}
 	return refused("no upstream of the service is available", retryUnknown)
 }
 
-// lastRefused tells whether no send of the request can have run.
-func (req *request) lastRefused() bool {
+// neverRan tells whether no send of the request can have run so far.
+func (req *request) neverRan() bool {
 	for _, s := range req.sends {
 		if s.result != resultRefused && s.result != forward.NotSent.String() {
 			return false
@@ -108,7 +108,7 @@
 	case req.http.Context().Err() != nil:
 		return end{kind: endLeft, reason: "caller left"}
 	case failure == retry.FailureNotSent || failure == retry.FailureRefused:
-		if !req.lastRefused() {
+		if !req.neverRan() {
 			return failed(http.StatusBadGateway, e.reason)
 		}
 		return refused(e.reason, retrySoon)
