Send no new requests to upstreams that owe answers and say nothing

Cause: a replica that goes dark showed only when TCP gave up: 1.5 s for data that is not acknowledged, 3 s for a stream that waits. Until then each router went on sending it the prompts whose home it is, and requests that timed out there did not count as failures.

Change: the board keeps for how long an upstream has owed answers without a byte of any (decide/eject.Silence). After 400 ms (800 ms where one answer is owed, which may be a long prompt) it takes no new requests until it sends something; after a second, or half of the route's timeout, requests that may be repeated are sent to another one. Both are logged.

Ruled out: a shorter TCP_USER_TIMEOUT; it would end requests that must not be repeated after two lost packets.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -16,7 +16,7 @@
 const peerLoadAge = 3 * time.Second
 
 // Board is what a router knows of each upstream beyond the catalog: requests in
-// progress here and at other routers, and failures. All methods may be called
+// progress here and at other routers, silence, and failures. All methods may be called
 // concurrently.
 type Board struct {
 	start  time.Time
@@ -34,6 +34,9 @@
 type upstreamState struct {
 	own      int // requests in progress sent by this router
 	failures eject.Record
+	silence  eject.Silence
+	// silent tells that the upstream's silence was taken for a fault and logged.
+	silent bool
 }
 
 // NewBoard returns an empty board.
@@ -68,12 +71,42 @@
 
 // Begin records that a request is sent to the upstream.
 func (b *Board) Begin(key catalog.Key) {
-	b.update(key, func(u *upstreamState, _ time.Duration) { u.own++ })
+	b.update(key, func(u *upstreamState, now time.Duration) {
+		u.own++
+		u.silence.Begin(now)
+	})
 }
 
 // End records that a request at the upstream has ended.
 func (b *Board) End(key catalog.Key) {
-	b.update(key, func(u *upstreamState, _ time.Duration) { u.own = max(0, u.own-1) })
+	b.update(key, func(u *upstreamState, _ time.Duration) {
+		u.own = max(0, u.own-1)
+		u.silence.End()
+	})
+}
+
+// Heard records that the upstream sent something, and tells whether that ends a
+// silence that was taken for a fault.
+func (b *Board) Heard(key catalog.Key) (again bool) {
+	b.update(key, func(u *upstreamState, now time.Duration) {
+		u.silence.Heard(now)
+		again, u.silent = u.silent, false
+	})
+	return again
+}
+
+// Silence returns for how long the upstream has owed this router answers
+// without sending anything.
+func (b *Board) Silence(key catalog.Key) (d time.Duration) {
+	b.update(key, func(u *upstreamState, now time.Duration) { d = u.silence.For(now) })
+	return d
+}
+
+// FellSilent notes that the upstream's silence is taken for a fault, and tells
+// whether that is new.
+func (b *Board) FellSilent(key catalog.Key) (first bool) {
+	b.update(key, func(u *upstreamState, _ time.Duration) { first, u.silent = !u.silent, true })
+	return first
 }
 
 // Failed records a failure that speaks against the upstream, and returns for
@@ -113,6 +146,9 @@
 	Load     int // requests in progress of all routers, as far as known
 	Own      int
 	Failures eject.Record
+	// Silence is for how long it has owed this router answers without sending
+	// anything.
+	Silence time.Duration
 }
 
 // Known returns what is known of an upstream.
@@ -126,7 +162,7 @@
 		return k
 	}
 	k.Load += u.own
-	k.Own, k.Failures = u.own, u.failures
+	k.Own, k.Failures, k.Silence = u.own, u.failures, u.silence.For(b.now())
 	return k
 }
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -36,11 +36,12 @@
 // choose returns the upstream for the next send.
 func (g *Gateway) choose(req *request, a *attempts) (target, bool) {
 	list := g.catalog.Load().Service(req.service)
+	now := g.board.now()
 	records := make([]eject.Record, 0, len(list))
 	replicas := make([]place.Replica, 0, len(list))
 	for _, u := range list {
 		known := g.board.Known(u.Key())
-		records = append(records, known.Failures)
+		records = append(records, g.held(u.Key(), known, now))
 		replicas = append(replicas, place.Replica{
 			Seed:   u.Hash,
 			Load:   float64(known.Load),
@@ -49,7 +50,7 @@
 			Leaves: u.State != catalog.StateReady,
 		})
 	}
-	for i, weight := range eject.Weights(g.opts.Policy.Eject, g.board.now(), records) {
+	for i, weight := range eject.Weights(g.opts.Policy.Eject, now, records) {
 		replicas[i].Weight = weight
 	}
 	index, source := g.rank(req, list, replicas)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -52,10 +52,13 @@
 	for _, prefix := range req.prefixes {
 		g.prompts.Placed(Placement{Part: prefix, At: key})
 	}
-	response, err := g.pool.Send(ctx, t.upstream.Address, out)
+	watched, stop := g.watchSilence(ctx, key, req.route)
+	defer stop()
+	response, err := g.pool.Send(watched, t.upstream.Address, out)
 	if err != nil {
 		return g.sendFailed(ctx, req, key, err)
 	}
+	g.heard(key)
 	answer := g.opts.Protocol.ReadAnswer(response.Status, response.Header)
 	switch {
 	case answer.NotRun:
@@ -120,9 +123,7 @@
 	if !errors.As(err, &failure) {
 		return failed(http.StatusBadGateway, err.Error()), retry.FailureMayHaveRun, err.Error()
 	}
-	if ctx.Err() == nil && !errors.Is(err, forward.ErrConnectionLimit) {
-		g.holdBack(key, err)
-	}
+	err = g.blame(ctx, key, err)
 	if failure.Outcome == forward.NotSent {
 		return refused(err.Error(), retrySoon), retry.FailureNotSent, failure.Outcome.String()
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -59,6 +59,7 @@
 	results    expvar.Map // sends by result
 	dials      expvar.Int
 	dialErrors expvar.Int
+	silences   expvar.Int // silences of upstreams taken for a fault
 	first      *histogram // until the first byte of an answer
 	whole      *histogram // until the end
 	dialTime   *histogram
@@ -70,6 +71,7 @@
 	m.vars.Set("sends", &m.results)
 	m.vars.Set("dials", &m.dials)
 	m.vars.Set("dial_errors", &m.dialErrors)
+	m.vars.Set("silences", &m.silences)
 	m.vars.Set("first_byte", m.first)
 	m.vars.Set("whole", m.whole)
 	m.vars.Set("dial_time", m.dialTime)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -42,7 +42,8 @@
 // large.
 func (g *Gateway) deliverWhole(ctx context.Context, w http.ResponseWriter, req *request, key catalog.Key, r *forward.Response) (end, retry.Failure, string) {
 	var held bytes.Buffer
-	_, err := io.Copy(&held, io.LimitReader(r, wholeAnswerBytes))
+	body := listener{g, key, r}
+	_, err := io.Copy(&held, io.LimitReader(body, wholeAnswerBytes))
 	req.first = time.Since(req.arrived)
 	if err != nil {
 		r.Close(false)
@@ -52,7 +53,7 @@
 	g.writeHead(w, req, r)
 	_, _ = w.Write(held.Bytes()) // a caller that left is found by the context
 	if !whole {
-		if _, err = io.Copy(w, r); err != nil {
+		if _, err = io.Copy(w, body); err != nil {
 			r.Close(false)
 			return end{kind: endCut, reason: "large answer broke off"}, 0, resultCut
 		}
@@ -79,6 +80,7 @@
 
 // brokenOff classifies an answer that ended before it was whole.
 func (g *Gateway) brokenOff(ctx context.Context, req *request, key catalog.Key, err error) (end, retry.Failure, string) {
+	err = g.blame(ctx, key, err)
 	switch {
 	case req.http.Context().Err() != nil:
 		return end{kind: endLeft, reason: "caller left"}, 0, resultLeft
@@ -87,7 +89,6 @@
 	case ctx.Err() != nil:
 		return failed(http.StatusGatewayTimeout, "timeout"), 0, "timeout"
 	}
-	g.holdBack(key, err)
 	e := failed(http.StatusBadGateway, "upstream's answer broke off: "+err.Error())
 	if req.begun {
 		return e, retry.FailureCut, resultCut
@@ -102,10 +103,11 @@
 	_ = controller.SetWriteDeadline(req.deadline.Add(writeSlack)) // on failure the context still ends the request
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	var events eventBuffer
+	body := listener{g, key, r}
 	chunk := make([]byte, relayBytes)
 	last := time.Now()
 	for {
-		n, err := r.Read(chunk)
+		n, err := body.Read(chunk)
 		if n > 0 {
 			now := time.Now()
 			if req.begun {
