Know cached prompts by the parts' own identifiers

Cause: cached prompts were known by a hash of all parts up to one, which nothing but a router's own sends can tell.

Change: placements name a part by model and identifier. A replica is taken to hold the longest beginning of a prompt of which it has read the last part; place.Source picks the one that holds most beyond the chosen one.

Tests: table of place.Source; the checks of ChoosePrompt over drawn prompts.

--- a/decide/place/prompt.go
+++ b/decide/place/prompt.go
@@ -17,7 +17,7 @@
 	Seed   uint64  // hash of its identity
 	Load   float64 // requests in progress, of all routers as far as known
 	Weight float64 // 1 normal, between 0 and 1 while it returns gradually, 0 ejected
-	Holds  bool    // has lately read the shared part of the prompt
+	Held   int     // shared parts at the prompt's beginning that it has lately read
 	Tried  bool    // not to be chosen again
 	Leaves bool    // takes no new work, but can be fetched from
 	Local  bool    // in the failure domain of the router
@@ -38,10 +38,16 @@
 	return limit
 }
 
-// ChoosePrompt returns the replica for a request whose shared part has the
-// given key: the first of its hash order that holds the part and is not full,
-// else the first that is not full, else the least loaded.
-func ChoosePrompt(opts PromptOptions, key uint64, replicas []Replica) PromptChoice {
+// Prompt is the shared part of a request's prompt.
+type Prompt struct {
+	Key   uint64 // hash of all shared parts
+	Parts int    // number of shared parts; more than 0
+}
+
+// ChoosePrompt returns the replica for a request with the prompt: the first of
+// its hash order that holds all of it and is not full, else the first that is not
+// full, else the least loaded.
+func ChoosePrompt(opts PromptOptions, prompt Prompt, replicas []Replica) PromptChoice {
 	limit := opts.full(meanOf(replicas))
 	holder, open, least := -1, -1, -1
 	var holderScore, openScore uint64
@@ -53,14 +59,14 @@
 		if least < 0 || r.Load/r.Weight < replicas[least].Load/replicas[least].Weight {
 			least = i
 		}
-		if r.Load >= limit || !takesShare(r, key) {
+		if r.Load >= limit || !takesShare(r, prompt.Key) {
 			continue
 		}
-		score := mix(key ^ r.Seed)
+		score := mix(prompt.Key ^ r.Seed)
 		if open < 0 || score > openScore {
 			open, openScore = i, score
 		}
-		if r.Holds && (holder < 0 || score > holderScore) {
+		if r.Held >= prompt.Parts && (holder < 0 || score > holderScore) {
 			holder, holderScore = i, score
 		}
 	}
@@ -79,16 +85,18 @@
 	return r.Weight >= 1 || mix(key+r.Seed) < keyShare(r.Weight)
 }
 
-// Source returns the least loaded replica from which the chosen one can fetch
-// what it does not hold itself; -1 if there is none. One that was tried or
+// Source returns the replica from which the chosen one can fetch what it does
+// not hold itself: the one that holds most of the prompt, and of several the
+// least loaded; -1 if none holds more than the chosen one. One that was tried or
 // leaves may still be read from.
 func Source(replicas []Replica, chosen int) int {
 	source := -1
 	for i := range replicas {
-		if i == chosen || !replicas[i].Holds || replicas[i].Weight <= 0 {
+		r := &replicas[i]
+		if i == chosen || r.Weight <= 0 || r.Held <= replicas[chosen].Held {
 			continue
 		}
-		if source < 0 || replicas[i].Load < replicas[source].Load {
+		if source < 0 || r.Held > replicas[source].Held || r.Held == replicas[source].Held && r.Load < replicas[source].Load {
 			source = i
 		}
 	}
--- a/decide/place/prompt_test.go
+++ b/decide/place/prompt_test.go
@@ -23,14 +23,14 @@
 // its hash order.
 func TestHotPromptSpillsToTheNextOfItsOrder(t *testing.T) {
 	replicas := replicasWith(0, 0, 0, 0, 0, 0)
-	key := Key("document")
-	home := ChoosePrompt(bound, key, replicas).Index
-	replicas[home].Holds = true
-	must.Eq(t, home, ChoosePrompt(bound, key, replicas).Index)
+	document := Prompt{Key: Key("document"), Parts: 2}
+	home := ChoosePrompt(bound, document, replicas).Index
+	replicas[home].Held = 2
+	must.Eq(t, home, ChoosePrompt(bound, document, replicas).Index)
 	used := map[int]int{}
 	for range 40 { // nothing ends meanwhile
-		choice := ChoosePrompt(bound, key, replicas)
-		replicas[choice.Index].Holds = true
+		choice := ChoosePrompt(bound, document, replicas)
+		replicas[choice.Index].Held = 2
 		replicas[choice.Index].Load++
 		used[choice.Index]++
 	}
@@ -54,8 +54,8 @@
 	after[replaced].Leaves = true
 	moved := 0
 	for i := range 200 {
-		key := Key(fmt.Sprint("document-", i))
-		was, is := ChoosePrompt(bound, key, before).Index, ChoosePrompt(bound, key, after).Index
+		document := Prompt{Key: Key(fmt.Sprint("document-", i)), Parts: 1}
+		was, is := ChoosePrompt(bound, document, before).Index, ChoosePrompt(bound, document, after).Index
 		must.NotEq(t, replaced, is)
 		if was != is {
 			must.Eq(t, replaced, was)
@@ -68,17 +68,22 @@
 func TestSourceOfAFetch(t *testing.T) {
 	replicas := replicasWith(5, 3, 4, 1)
 	must.Eq(t, -1, Source(replicas, 0))
-	replicas[1].Holds, replicas[2].Holds, replicas[0].Holds = true, true, true
-	must.Eq(t, 1, Source(replicas, 0))
+	replicas[1].Held, replicas[2].Held, replicas[3].Held = 2, 2, 1
+	must.Eq(t, 1, Source(replicas, 0)) // holds most, and less loaded than 2
+	must.Eq(t, 1, Source(replicas, 3)) // what it lacks
+	must.Eq(t, -1, Source(replicas, 2))
 	replicas[1].Leaves = true // can still be read from
 	must.Eq(t, 1, Source(replicas, 0))
 	replicas[1].Weight = 0 // out of reach
 	must.Eq(t, 2, Source(replicas, 0))
+	replicas[2].Weight = 0
+	must.Eq(t, 3, Source(replicas, 0))
 }
 
 func TestChoosePromptHoldsItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "replicas")
+		parts := rapid.IntRange(1, 3).Draw(t, "parts")
 		replicas := replicasWith(make([]float64, n)...)
 		usable := 0
 		for i := range replicas {
@@ -87,12 +92,12 @@
 			r.Weight = rapid.SampledFrom([]float64{0, 0.1, 1, 1, 1}).Draw(t, "weight")
 			r.Tried = rapid.Bool().Draw(t, "tried")
 			r.Leaves = rapid.IntRange(0, 4).Draw(t, "leaves") == 0
-			r.Holds = rapid.Bool().Draw(t, "holds")
+			r.Held = rapid.IntRange(0, parts).Draw(t, "held")
 			if r.Weight > 0 && !r.Tried && !r.Leaves {
 				usable++
 			}
 		}
-		choice := ChoosePrompt(bound, rapid.Uint64().Draw(t, "key"), replicas)
+		choice := ChoosePrompt(bound, Prompt{Key: rapid.Uint64().Draw(t, "key"), Parts: parts}, replicas)
 		if usable == 0 {
 			must.Eq(t, -1, choice.Index)
 			return
@@ -104,8 +109,8 @@
 			must.Less(t, limit, chosen.Load)
 		}
 		for _, r := range replicas {
-			if r.Holds && r.Weight >= 1 && !r.Tried && !r.Leaves && r.Load < limit {
-				must.True(t, chosen.Holds, must.Sprint("a replica that holds the prompt had room"))
+			if r.Held == parts && r.Weight >= 1 && !r.Tried && !r.Leaves && r.Load < limit {
+				must.Eq(t, parts, chosen.Held, must.Sprint("a replica that holds the prompt had room"))
 			}
 		}
 	})
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/bits"
 	"math/rand/v2"
 
 	"dandelionrill.example/fleet/catalog"
@@ -9,21 +10,30 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// sharedPrefixes returns the keys of the prompt up to each of its shared parts;
-// the last part belongs to the request itself. None means that nothing is
-// shared.
-func sharedPrefixes(m *Meta) []uint64 {
+// partKey identifies a prompt part in the caches of engines: they keep it by
+// model and identifier.
+func partKey(model, id string) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(model) // cannot fail
+	_, _ = h.WriteString("\x00" + id)
+	return h.Sum64()
+}
+
+// sharedParts returns the keys of a prompt's shared parts, in their order, and
+// what places it; the last part belongs to the request itself. No keys mean that
+// nothing is shared.
+func sharedParts(m *Meta) ([]uint64, place.Prompt) {
 	if len(m.Parts) < 2 {
-		return nil
+		return nil, place.Prompt{}
 	}
 	keys := make([]uint64, 0, len(m.Parts)-1)
-	h := xxhash.New()
-	_, _ = h.WriteString(m.Model) // cannot fail
+	var all uint64
 	for _, part := range m.Parts[:len(m.Parts)-1] {
-		_, _ = h.WriteString("\x00" + part.ID)
-		keys = append(keys, h.Sum64())
+		key := partKey(m.Model, part.ID)
+		keys = append(keys, key)
+		all = bits.RotateLeft64(all, 1) ^ key
 	}
-	return keys
+	return keys, place.Prompt{Key: all, Parts: len(keys)}
 }
 
 // target is the upstream chosen for a send.
@@ -67,38 +77,27 @@
 // rank applies the policy of the route to the candidates. source is the one to
 // fetch the prompt from; -1 if none is needed or known.
 func (g *Gateway) rank(req *request, list []*catalog.Upstream, replicas []place.Replica) (index, source int) {
-	n := len(req.prefixes)
-	if n == 0 {
+	if len(req.parts) == 0 {
 		return place.ChooseLeast(replicas, g.policy.Load().RemoteLoad, rand.Uint64()), -1
 	}
-	g.markHolders(req.prefixes[n-1], list, replicas)
-	index = place.ChoosePrompt(g.policy.Load().Prompt, req.prefixes[n-1], replicas).Index
+	g.markHeld(req.parts, list, replicas)
+	index = place.ChoosePrompt(g.policy.Load().Prompt, req.prompt, replicas).Index
 	if index < 0 {
 		return -1, -1
 	}
-	for i := n - 1; i >= 0; i-- {
-		g.markHolders(req.prefixes[i], list, replicas)
-		if replicas[index].Holds {
-			return index, -1
-		}
-		if source = place.Source(replicas, index); source >= 0 {
-			return index, source
-		}
-	}
-	return index, -1
+	return index, place.Source(replicas, index)
 }
 
-// markHolders marks the candidates that have lately read the prompt up to a
-// shared part.
-func (g *Gateway) markHolders(prefix uint64, list []*catalog.Upstream, replicas []place.Replica) {
-	for i := range replicas {
-		replicas[i].Holds = false
-	}
-	g.prompts.Holders(prefix, func(key catalog.Key) {
-		for i, u := range list {
-			if u.ID == key.ID && u.Born == key.Born {
-				replicas[i].Holds = true
+// markHeld notes how much of a prompt's shared beginning each candidate has
+// lately read. One that has read a part has read all parts before it.
+func (g *Gateway) markHeld(parts []uint64, list []*catalog.Upstream, replicas []place.Replica) {
+	for i, part := range parts {
+		g.prompts.Holders(part, func(key catalog.Key) {
+			for j, u := range list {
+				if u.Key() == key {
+					replicas[j].Held = i + 1
+				}
 			}
-		}
-	})
+		})
+	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -49,8 +49,8 @@
 func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, req *request, t target, a *attempts) (end, retry.Failure, string) {
 	key := t.upstream.Key()
 	out := g.upstreamRequest(req, t)
-	for _, prefix := range req.prefixes {
-		g.prompts.Placed(Placement{Part: prefix, At: key})
+	for _, part := range req.parts {
+		g.prompts.Placed(Placement{Part: part, At: key})
 	}
 	watched, stop := g.watchSilence(ctx, key, req.route)
 	defer stop()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dandelionrill.example/fleet/decide/admit"
+	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/routing"
 	"github.com/cockroachdb/errors"
 )
@@ -34,7 +35,8 @@
 	service  string
 	deadline time.Time // of the caller or the route, whichever is first
 	body     []byte
-	prefixes []uint64 // of the prompt up to each shared part, the shortest first
+	parts    []uint64 // keys of the prompt's shared parts
+	prompt   place.Prompt
 
 	// What became of it.
 	sends    []sendRecord
@@ -109,7 +111,7 @@
 	}
 	req.service = req.route.Service(req.AttemptID)
 	req.deadline = req.arrived.Add(patience(req.Meta.Deadline, req.route.Timeout))
-	req.prefixes = sharedPrefixes(&req.Meta)
+	req.parts, req.prompt = sharedParts(&req.Meta)
 	if g.stopping(req) {
 		return refused("router is stopping", retrySoon), false
 	}
