Ask the engines what they have cached after a start

What is lost with a replica cannot be helped.

Change: a router that starts asks its part of the upstreams (highest random weight over the registered routers) for their cache lists, remembers the 256 largest parts of each and tells the other routers. Not at the first start of the whole system. The stand-in replica lists its cache; streams of the soak name prompts.

Ruled out: following kv-events; on a busy replica each call returns at once and costs as much as a probe, and a router's own sends tell the same.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -82,6 +82,7 @@
 	for _, r := range routers {
 		addresses = append(addresses, r.Address)
 	}
+	h.routerList.Store(&addresses)
 	h.mesh.SetPeers(addresses)
 	h.gateway.SetRouters(len(routers))
 	h.log.WithFields(log.Fields{"revision": s.Revision, "routers": len(routers)}).Info("routers changed")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionrill.example/fleet/catalog"
@@ -64,6 +65,7 @@
 	configuration *feed.Feed
 	upstreams     *feed.Feed
 	routers       *feed.Feed
+	routerList    atomic.Pointer[[]string] // addresses; nil until it is known
 
 	lapsing sync.Mutex // guards lapse
 	lapse   catalog.Lapse
@@ -189,7 +191,7 @@
 func (h *Host) start(ctx context.Context) {
 	for _, run := range []func(context.Context){
 		h.configuration.Run, h.upstreams.Run, h.routers.Run, h.mesh.Run,
-		h.register, h.maintain, h.watchSettings,
+		h.register, h.maintain, h.watchSettings, h.readCaches,
 	} {
 		go run(ctx)
 	}
--- /dev/null
+++ b/gateway/caches_test.go
@@ -0,0 +1,57 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"dandelionrill.example/fleet/catalog"
+	"github.com/shoenig/test/must"
+)
+
+const cacheList = "/dandelionrill/kv-list"
+
+// Pattern: all routers restart while chats go on. What the engines have cached
+// outlives them, and each document is sent to the upstream that has it.
+func TestPromptsFindTheirUpstreamAfterAllRoutersRestarted(t *testing.T) {
+	const documents = 12
+	var replicas []*replica
+	for i := range 4 {
+		replicas = append(replicas, newReplica(t, fmt.Sprint("i-", i), func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != cacheList {
+				answering("ok")(w, r)
+				return
+			}
+			// The first entry is malformed; the others still count.
+			_, _ = io.WriteString(w, `{"epoch":7,"next":99,"held":[["","bad","many","m"]`)
+			for d := i; d < documents; d += 4 {
+				fmt.Fprintf(w, `,["","d%d",5000,"m"]`, d)
+			}
+			_, _ = io.WriteString(w, "]}")
+		}))
+	}
+	f := newFixture(t, replicas...)
+	f.gateway.ReadCaches(context.Background(), func(*catalog.Upstream) bool { return true })
+	for d := range documents {
+		home := replicas[d%4]
+		before := home.runs.Load()
+		r := f.request(t, http.MethodPost, "/prompt/", "{}")
+		r.Header.Set("Dandelionrill-Model", "m")
+		r.Header.Set(parts, fmt.Sprintf("aa:100,d%d:5000,bb:10", d))
+		f.do(t, r)
+		must.Eq(t, before+1, home.runs.Load(), must.Sprintf("document %d", d))
+	}
+}
+
+// Only the part that is this router's is asked for, and only upstreams that take
+// prompts are.
+func TestCachesAreReadOnceEach(t *testing.T) {
+	mine, other := newReplica(t, "i-mine", answering("{}")), newReplica(t, "i-other", answering("{}"))
+	f := newFixture(t, mine, other)
+	f.gateway.ReadCaches(context.Background(), func(u *catalog.Upstream) bool { return u.ID == "i-mine" })
+	must.Eq(t, 1, mine.runs.Load())
+	must.Eq(t, cacheList, mine.requests()[0].URL.Path)
+	must.Eq(t, 0, other.runs.Load())
+}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -55,6 +55,13 @@
 	Waiting int
 }
 
+// CachedPart is a prompt part that an engine has cached.
+type CachedPart struct {
+	Model  string
+	ID     string
+	Tokens int
+}
+
 // Protocol translates between the wire and the types of this package. All
 // methods may be called concurrently.
 type Protocol interface {
@@ -73,4 +80,10 @@
 	// SetRefusal sets the headers of an answer of the fleet's own. A
 	// retryAfter of 0 names no time.
 	SetRefusal(h http.Header, attemptID string, retryAfter time.Duration)
+	// CacheListTarget is the path at which an upstream lists what its engine
+	// has cached.
+	CacheListTarget() string
+	// ReadCacheList decodes that list. Beside an error it returns the parts
+	// that could be read.
+	ReadCacheList(body []byte) ([]CachedPart, error)
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -5,6 +5,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -177,3 +178,17 @@
 
 // Customer returns the holder of an API key; nil if nobody holds it.
 func (t *Table) Customer(key string) *Customer { return t.keys[key] }
+
+// PromptedServices returns the names of the services that get requests which
+// name the parts of their prompt.
+func (t *Table) PromptedServices() []string {
+	var names []string
+	for _, r := range t.routes {
+		for _, share := range r.Shares {
+			if r.Prompted && !slices.Contains(names, share.Service) {
+				names = append(names, share.Service)
+			}
+		}
+	}
+	return names
+}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -90,6 +90,14 @@
 	}
 }
 
+// documents is the number of prompt parts that the callers share.
+const documents = 8
+
+// prompted tells whether requests to the path name the parts of their prompt.
+func prompted(path string) bool {
+	return strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resume/")
+}
+
 func (c *caller) request(router int, path, attempt string) (*http.Response, error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+c.soak.fleet.routers[router].callers+path, strings.NewReader(strings.Repeat("x", 2000)))
 	if err != nil {
@@ -98,6 +106,10 @@
 	r.GetBody = nil // keeps net/http from sending it again by itself
 	r.Host = host
 	wire.SetCaller(r.Header, attempt, apiKey, callerDeadline)
+	if prompted(path) {
+		document := int(attempt[len(attempt)-1]) % documents
+		wire.SetPrompt(r.Header, "m", "a0:300", fmt.Sprintf("d%d:4000", document), attempt+":100")
+	}
 	return c.client.Do(r)
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -134,8 +134,8 @@
 		Version: f.version, Host: host, Service: service, Key: apiKey, Timeout: 4 * time.Second, Attempts: 2,
 		Routes: []wire.Route{
 			{Prefix: "/once/", Repeat: wire.RepeatNever}, {Prefix: "/safe/", Repeat: wire.RepeatSafe},
-			{Prefix: "/stream/", Repeat: wire.RepeatStream},
-			{Prefix: "/resume/", Repeat: wire.RepeatStream, Resumable: true},
+			{Prefix: "/stream/", Repeat: wire.RepeatStream, Prompted: true},
+			{Prefix: "/resume/", Repeat: wire.RepeatStream, Resumable: true, Prompted: true},
 			{Prefix: versionPath(f.version), Repeat: wire.RepeatSafe},
 			{Prefix: versionPath(f.version - 1), Repeat: wire.RepeatSafe},
 		},
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -5,10 +5,12 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,10 +38,19 @@
 	mu      sync.Mutex
 	running int
 	runs    []Run
+	cached  map[string]cachedPart // prompt parts by identifier
+}
+
+// cachedPart is a prompt part that was read.
+type cachedPart struct {
+	tokens int
+	model  string
 }
 
 // New returns a replica.
-func New(opts Options) *Replica { return &Replica{opts: opts} }
+func New(opts Options) *Replica {
+	return &Replica{opts: opts, cached: make(map[string]cachedPart)}
+}
 
 // Runs returns all runs so far.
 func (r *Replica) Runs() []Run {
@@ -68,6 +79,10 @@
 // ServeHTTP runs a request: a path below /stream/ or /resume/ gets events, all
 // others a plain answer.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == wire.CacheListPath {
+		r.listCache(w)
+		return
+	}
 	attempt := req.Header.Get(wire.HeaderAttempt)
 	w.Header().Set(wire.HeaderAttempt, attempt)
 	w.Header().Set(wire.HeaderReplica, r.opts.ID)
@@ -85,6 +100,7 @@
 		return
 	}
 	defer r.end()
+	r.cache(req.Header.Get(wire.HeaderModel), req.Header.Get(wire.HeaderPrompt))
 	w.Header().Set(wire.HeaderSignature, r.opts.ID+"."+attempt)
 	if len(req.URL.Path) > 8 && (req.URL.Path[:8] == "/stream/" || req.URL.Path[:8] == "/resume/") {
 		r.stream(w, req, attempt, last)
@@ -124,3 +140,28 @@
 		_ = flusher.Flush()
 	}
 }
+
+// cache notes the parts of a prompt, as ID:TOKENS entries.
+func (r *Replica) cache(model, prompt string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for entry := range strings.SplitSeq(prompt, ",") {
+		id, tokens, _ := strings.Cut(entry, ":")
+		if n, err := strconv.Atoi(tokens); err == nil {
+			r.cached[id] = cachedPart{tokens: n, model: model}
+		}
+	}
+}
+
+// listCache tells what is cached.
+func (r *Replica) listCache(w http.ResponseWriter) {
+	held := []any{}
+	r.mu.Lock()
+	for id, part := range r.cached {
+		held = append(held, []any{"", id, part.tokens, part.model})
+	}
+	r.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that left needs no list.
+	_ = json.NewEncoder(w).Encode(map[string]any{"epoch": 1, "next": len(held), "held": held})
+}
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -17,9 +18,14 @@
 	HeaderReplica   = "Dandelionrill-Replica-Id"
 	HeaderNotRun    = "Dandelionrill-Not-Executed"
 	HeaderLastEvent = "Last-Event-Id"
+	HeaderModel     = "Dandelionrill-Model"
+	HeaderPrompt    = "Dandelionrill-Prompt-Prefix"
 	headerDeadline  = "Dandelionrill-Deadline-Ms"
 )
 
+// CacheListPath is where a replica tells which prompt parts it has cached.
+const CacheListPath = "/dandelionrill/kv-list"
+
 // Kinds of objects, and the name of the configuration.
 const (
 	KindConfiguration = "config"
@@ -34,6 +40,12 @@
 	h.Set("Authorization", "Bearer "+key)
 }
 
+// SetPrompt names the parts of a request's prompt, as ID:TOKENS.
+func SetPrompt(h http.Header, model string, parts ...string) {
+	h.Set(HeaderModel, model)
+	h.Set(HeaderPrompt, strings.Join(parts, ","))
+}
+
 // Repeat says what may be repeated of a route.
 type Repeat string
 
@@ -49,6 +61,7 @@
 	Prefix    string
 	Repeat    Repeat
 	Resumable bool
+	Prompted  bool // requests name the parts of their prompt
 }
 
 type wireRoute struct {
@@ -60,6 +73,7 @@
 	Service     string `json:"service"`
 	MaxAttempts int    `json:"maxAttempts"`
 	Resumable   bool   `json:"resumable"`
+	Sticky      bool   `json:"sticky"`
 }
 
 // Configuration describes a version of the configuration with one host, one
@@ -80,7 +94,7 @@
 	for _, r := range c.Routes {
 		routes = append(routes, wireRoute{
 			Name: r.Prefix, Host: c.Host, PathPrefix: r.Prefix, RouteKind: r.Repeat, TimeoutMs: c.Timeout.Milliseconds(),
-			Service: c.Service, MaxAttempts: c.Attempts, Resumable: r.Resumable,
+			Service: c.Service, MaxAttempts: c.Attempts, Resumable: r.Resumable, Sticky: r.Prompted,
 		})
 	}
 	return encode(map[string]any{
