Count ejected replicas in the mean that bounds a replica's load

The pool's mean is that of all replicas.

Change: the ceiling goes by the mean of all replicas, with or without those that leave, whichever is lower.

Tests, seen failing without the change: TestEjectedReplicasCountForTheCeiling, TestChoosePromptHoldsItsPromises (now checks the ceiling over all replicas).

--- a/decide/place/prompt.go
+++ b/decide/place/prompt.go
@@ -3,8 +3,8 @@
 import "math"
 
 // PromptOptions is the policy for requests that name the parts of their prompt.
-// A replica is full for a request once its load reaches
-// min(Multiple*mean + Slack, Ceiling*mean + CeilingSlack).
+// A replica is full for a request once its load reaches Multiple*mean + Slack, of
+// the replicas that take work, or Ceiling*mean + CeilingSlack, of all replicas.
 type PromptOptions struct {
 	Multiple     float64 // of the mean load, from which a prompt is led away from its home
 	Slack        float64 // requests beyond Multiple, which keeps prompts home in a quiet pool
@@ -30,14 +30,27 @@
 }
 
 // full returns the load from which a replica takes no further request.
-func (o PromptOptions) full(mean float64) float64 {
-	limit := o.Multiple*mean + o.Slack
+func (o PromptOptions) full(replicas []Replica) float64 {
+	limit := o.Multiple*meanOf(replicas, takesWork) + o.Slack
 	if o.Ceiling > 0 {
-		limit = min(limit, o.Ceiling*mean+o.CeilingSlack)
+		limit = min(limit, o.Ceiling*lowestMean(replicas)+o.CeilingSlack)
 	}
 	return limit
 }
 
+// takesWork tells whether a replica is neither ejected nor leaving.
+func takesWork(r *Replica) bool { return r.Weight > 0 && !r.Leaves }
+
+// lowestMean averages the loads of all replicas, with or without those that
+// leave: ejected ones are idle, which others must not make up for beyond the
+// ceiling, and one that leaves may or may not count as part of the pool.
+func lowestMean(replicas []Replica) float64 {
+	return min(
+		meanOf(replicas, func(*Replica) bool { return true }),
+		meanOf(replicas, func(r *Replica) bool { return !r.Leaves }),
+	)
+}
+
 // Prompt is the shared part of a request's prompt.
 type Prompt struct {
 	Key   uint64 // hash of all shared parts
@@ -48,7 +61,7 @@
 // its hash order that holds all of it and is not full, else the first that is not
 // full, else the least loaded.
 func ChoosePrompt(opts PromptOptions, prompt Prompt, replicas []Replica) PromptChoice {
-	limit := opts.full(meanOf(replicas))
+	limit := opts.full(replicas)
 	holder, open, least := -1, -1, -1
 	var holderScore, openScore uint64
 	for i := range replicas {
@@ -103,11 +116,11 @@
 	return source
 }
 
-// meanOf averages the loads of replicas that are not ejected.
-func meanOf(replicas []Replica) float64 {
+// meanOf averages the loads of the replicas that count; 0 if none does.
+func meanOf(replicas []Replica, counts func(*Replica) bool) float64 {
 	sum, n := 0.0, 0
 	for i := range replicas {
-		if replicas[i].Weight > 0 && !replicas[i].Leaves {
+		if counts(&replicas[i]) {
 			sum += replicas[i].Load
 			n++
 		}
--- a/decide/place/prompt_test.go
+++ b/decide/place/prompt_test.go
@@ -46,6 +46,21 @@
 	must.Greater(t, 1, used[home])
 }
 
+// Pattern: half of the replicas are ejected at once, for failures. They are idle
+// and still part of the pool: the others are not led over its ceiling as long as
+// one of them is below.
+func TestEjectedReplicasCountForTheCeiling(t *testing.T) {
+	replicas := replicasWith(12, 11, 7, 6, 0, 0, 1, 0, 1, 0)
+	for i := 4; i < len(replicas); i++ {
+		replicas[i].Weight = 0
+	}
+	for i := range 50 {
+		choice := ChoosePrompt(bound, Prompt{Key: Key(fmt.Sprint("document-", i)), Parts: 1}, replicas)
+		must.False(t, choice.Full)
+		must.True(t, choice.Index == 2 || choice.Index == 3, must.Sprintf("replica %d", choice.Index))
+	}
+}
+
 // Pattern: a replica is replaced. Only the prompts whose home it was move.
 func TestReplacedReplicaMovesOnlyItsPrompts(t *testing.T) {
 	before := replicasWith(0, 0, 0, 0, 0, 0, 0, 0)
@@ -104,9 +119,14 @@
 		}
 		chosen := replicas[choice.Index]
 		must.True(t, chosen.Weight > 0 && !chosen.Tried && !chosen.Leaves)
-		limit := bound.full(meanOf(replicas))
+		limit := bound.full(replicas)
 		if !choice.Full {
 			must.Less(t, limit, chosen.Load)
+			total := 0.0
+			for _, r := range replicas {
+				total += r.Load
+			}
+			must.Less(t, bound.Ceiling*total/float64(n)+bound.CeilingSlack, chosen.Load)
 		}
 		for _, r := range replicas {
 			if r.Held == parts && r.Weight >= 1 && !r.Tried && !r.Leaves && r.Load < limit {
