--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GO      := go
 
 .PHONY: check build boundary fmt vet lint test soak spec spec-large known-red setup demo clean \
-	bench bench-capacity bench-loadunit bench-mean bench-overload bench-placement capacity
+	bench bench-capacity bench-loadunit bench-mean bench-overload bench-placement bench-prompts capacity
 
 check: setup fmt vet lint boundary build test soak spec known-red
 
@@ -42,6 +42,9 @@
 bench-placement:
 	cd experiment && $(GO) run ./cmd/bench-placement -out ../docs
 
+bench-prompts:
+	cd experiment && $(GO) run ./cmd/bench-prompts -out ../docs
+
 bench-overload:
 	cd experiment && $(GO) run ./cmd/bench-overload -out ../docs
 
