--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -40,7 +40,8 @@
 type target struct {
 	upstream *catalog.Upstream
 	load     int
-	source   *catalog.Upstream // that has the prompt cached; nil if none is needed
+	held     int               // shared parts of the prompt that it is known to have cached
+	source   *catalog.Upstream // that has more of the prompt cached; nil if none is known
 }
 
 // choose returns the upstream for the next send.
@@ -67,7 +68,7 @@
 	if index < 0 {
 		return target{}, false
 	}
-	t := target{upstream: list[index], load: int(replicas[index].Load)}
+	t := target{upstream: list[index], load: int(replicas[index].Load), held: replicas[index].Held}
 	if source >= 0 {
 		t.source = list[source]
 	}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -55,20 +55,24 @@
 		fields["pause_ms"] = f.req.pauseMax.Milliseconds()
 	}
 	if len(f.req.sends) > 0 {
-		fields["sends"] = describeSends(f.req.sends)
+		fields["sends"] = describeSends(f.req.sends, len(f.req.parts))
 	}
 	return fields
 }
 
 // describeSends returns the attempts of a request: upstream, load there when it
-// was chosen, where the prompt was fetched from, result and time.
-func describeSends(sends []sendRecord) string {
+// was chosen, how many of the prompt's shared parts it had cached, where the rest
+// was fetched from, result and time.
+func describeSends(sends []sendRecord, parts int) string {
 	var b strings.Builder
 	for i, s := range sends {
 		if i > 0 {
 			b.WriteString("; ")
 		}
 		fmt.Fprintf(&b, "%s load=%d", s.upstream, s.load)
+		if parts > 0 {
+			fmt.Fprintf(&b, " held=%d/%d", s.held, parts)
+		}
 		if s.fetch != "" {
 			b.WriteString(" fetch=" + s.fetch)
 		}
--- /dev/null
+++ b/gateway/record_test.go
@@ -0,0 +1,17 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestSendsInTheLogNameWhatDecidedThem(t *testing.T) {
+	sends := []sendRecord{
+		{upstream: "i-1@a", load: 3, held: 1, fetch: "i-2", result: resultRefused, took: 4 * time.Millisecond},
+		{upstream: "i-2@b", load: 1, held: 2, result: resultAnswered, took: 30 * time.Millisecond},
+	}
+	must.Eq(t, "i-1@a load=3 held=1/2 fetch=i-2 refused 4ms; i-2@b load=1 held=2/2 answered 30ms", describeSends(sends, 2))
+	must.Eq(t, "i-1@a load=3 fetch=i-2 refused 4ms", describeSends(sends[:1], 0))
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,7 +49,8 @@
 // sendRecord is one attempt at an upstream, for the log.
 type sendRecord struct {
 	upstream string
-	load     int
+	load     int // requests in progress there when it was chosen
+	held     int // shared parts of the prompt that it was known to have cached
 	fetch    string
 	result   string
 	took     time.Duration
