Judge a single silent answer by the longer limit also when its wait ends

A caller that leaves while a long prompt is read alone would have counted against the upstream after 400 ms; the limit for one answer is 800 ms. The watch of a request's silence is a type of its own. Test: TestSilenceOfOneAnswerCountsLater.

--- a/gateway/board_test.go
+++ b/gateway/board_test.go
@@ -92,3 +92,21 @@
 	p.Holders(7, func(catalog.Key) { held++ })
 	must.LessEq(t, maxHolders, held)
 }
+
+// One answer that is owed may be that to a long prompt, and its caller may leave
+// early: that alone speaks against no upstream.
+func TestSilenceOfOneAnswerCountsLater(t *testing.T) {
+	for _, c := range []struct {
+		own     int
+		silence time.Duration
+		want    bool
+	}{
+		{0, 0, false},
+		{1, 500 * time.Millisecond, false},
+		{1, 900 * time.Millisecond, true},
+		{2, 300 * time.Millisecond, false},
+		{2, 500 * time.Millisecond, true},
+	} {
+		must.Eq(t, c.want, tooSilent(Known{Own: c.own, Silence: c.silence}), must.Sprintf("%+v", c))
+	}
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -52,7 +52,7 @@
 	replicas := make([]place.Replica, 0, len(list))
 	for _, u := range list {
 		known := g.board.Known(u.Key())
-		records = append(records, g.held(u.Key(), known, now))
+		records = append(records, g.heldAgainst(u.Key(), known, now))
 		replicas = append(replicas, place.Replica{
 			Seed:   u.Hash,
 			Load:   float64(known.Load),
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"dandelionrill.example/fleet/catalog"
@@ -35,14 +36,18 @@
 // errSilent is why a request is taken from an upstream that sends nothing.
 var errSilent = errors.New("upstream sends nothing")
 
-// held returns what is held against an upstream: its failures, and its silence
-// at now.
-func (g *Gateway) held(key catalog.Key, known Known, now time.Duration) eject.Record {
-	longest := silentAfter
-	if known.Own == 1 {
-		longest = silentAlone
+// tooSilent tells whether an upstream's silence is taken for a fault.
+func tooSilent(known Known) bool {
+	if known.Own <= 1 {
+		return known.Silence > silentAlone
 	}
-	if known.Silence <= longest {
+	return known.Silence > silentAfter
+}
+
+// heldAgainst returns what is held against an upstream: its failures, and its
+// silence at now.
+func (g *Gateway) heldAgainst(key catalog.Key, known Known, now time.Duration) eject.Record {
+	if !tooSilent(known) {
 		return known.Failures
 	}
 	if g.board.FellSilent(key) {
@@ -73,6 +78,18 @@
 	return max(silentAfter, min(silentLongest, route.Timeout/2))
 }
 
+// silenceWatch ends a context once an upstream has been silent for too long.
+type silenceWatch struct {
+	board   *Board
+	key     catalog.Key
+	longest time.Duration
+	cancel  context.CancelCauseFunc
+
+	mu        sync.Mutex
+	timer     *time.Timer
+	confirmed bool // the silence was too long when it was looked at last
+}
+
 // watchSilence returns a context that ends once the upstream has been silent for
 // too long for the request, and a function that ends the watch.
 func (g *Gateway) watchSilence(ctx context.Context, key catalog.Key, route *routing.Route) (context.Context, func()) {
@@ -81,31 +98,38 @@
 		return ctx, func() {}
 	}
 	watched, cancel := context.WithCancelCause(ctx)
-	confirmed := false // by the timer, one call at a time
-	var timer *time.Timer
-	armed := make(chan struct{})
-	timer = time.AfterFunc(longest, func() {
-		<-armed
-		left := longest - g.board.Silence(key)
-		switch {
-		case watched.Err() != nil:
-		case left > 0:
-			confirmed = false
-			timer.Reset(left)
-		case !confirmed:
-			confirmed = true
-			timer.Reset(silentConfirm)
-		default:
-			cancel(errSilent)
-		}
-	})
-	close(armed)
-	return watched, func() {
-		timer.Stop()
-		cancel(nil)
+	w := &silenceWatch{board: g.board, key: key, longest: longest, cancel: cancel}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(longest, w.look)
+	return watched, w.end
+}
+
+// look ends the context if the silence is too long, and stays so for a moment.
+func (w *silenceWatch) look() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	left := w.longest - w.board.Silence(w.key)
+	switch {
+	case left > 0:
+		w.confirmed = false
+		w.timer.Reset(left)
+	case !w.confirmed:
+		w.confirmed = true
+		w.timer.Reset(silentConfirm)
+	default:
+		w.cancel(errSilent)
 	}
 }
 
+// end ends the watch.
+func (w *silenceWatch) end() {
+	w.cancel(nil)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer.Stop()
+}
+
 // listener notes every byte that an upstream sends.
 type listener struct {
 	gateway *Gateway
@@ -127,7 +151,7 @@
 // counts whatever ended the wait.
 func (g *Gateway) blame(ctx context.Context, key catalog.Key, err error) error {
 	switch {
-	case g.board.Silence(key) > silentAfter:
+	case tooSilent(g.board.Known(key)):
 		err = errors.Wrap(err, errSilent.Error())
 	case ctx.Err() != nil || errors.Is(err, forward.ErrConnectionLimit):
 		return err
