Wait for a silent upstream where no other attempt is possible

Change: the watch is for requests that have another attempt, and takes one from its upstream only while there is an upstream that was not tried.

Test: TestLastAttemptIsNotTakenFromASilentUpstream, seen failing (502).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -52,7 +52,7 @@
 	for _, part := range req.parts {
 		g.prompts.Placed(Placement{Part: part, At: key})
 	}
-	watched, stop := g.watchSilence(ctx, key, req.route)
+	watched, stop := g.watchSilence(ctx, key, req, a)
 	defer stop()
 	response, err := g.pool.Send(watched, t.upstream.Address, out)
 	if err != nil {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -118,6 +118,7 @@
 		with("/stream/", func(r *routing.Route) { r.Repeat = routing.RepeatStream }),
 		with("/resume/", func(r *routing.Route) { r.Repeat, r.Resumable = routing.RepeatStream, true }),
 		with("/prompt/", func(r *routing.Route) { r.Repeat, r.Prompted = routing.RepeatStream, true }),
+		with("/single/", func(r *routing.Route) { r.Repeat, r.MaxAttempts = routing.RepeatSafe, 1 }),
 		with("/short/", func(r *routing.Route) { r.Repeat, r.Timeout = routing.RepeatSafe, 100*time.Millisecond }),
 		with("/shortstream/", func(r *routing.Route) { r.Repeat, r.Timeout = routing.RepeatStream, 100*time.Millisecond }),
 		with("/public/", func(r *routing.Route) { r.Repeat, r.Public = routing.RepeatSafe, true }),
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -67,9 +67,10 @@
 }
 
 // patienceWithSilence returns for how long an upstream may be silent before a
-// request of the route is taken from it; 0 means that it stays.
-func patienceWithSilence(route *routing.Route) time.Duration {
-	if !route.Repeatable() {
+// request is taken from it; 0 means that it stays, for it may not be repeated or
+// this is its last attempt.
+func patienceWithSilence(route *routing.Route, a *attempts) time.Duration {
+	if !route.Repeatable() || a.made+1 >= route.MaxAttempts {
 		return 0
 	}
 	if route.Timeout <= 0 {
@@ -84,6 +85,8 @@
 	key     catalog.Key
 	longest time.Duration
 	cancel  context.CancelCauseFunc
+	// others tells whether there is an upstream that was not tried yet.
+	others func() bool
 
 	mu        sync.Mutex
 	timer     *time.Timer
@@ -92,13 +95,15 @@
 
 // watchSilence returns a context that ends once the upstream has been silent for
 // too long for the request, and a function that ends the watch.
-func (g *Gateway) watchSilence(ctx context.Context, key catalog.Key, route *routing.Route) (context.Context, func()) {
-	longest := patienceWithSilence(route)
+func (g *Gateway) watchSilence(ctx context.Context, key catalog.Key, req *request, a *attempts) (context.Context, func()) {
+	longest := patienceWithSilence(req.route, a)
 	if longest == 0 {
 		return ctx, func() {}
 	}
 	watched, cancel := context.WithCancelCause(ctx)
-	w := &silenceWatch{board: g.board, key: key, longest: longest, cancel: cancel}
+	tried := len(a.tried) // this upstream included
+	others := func() bool { return len(g.catalog.Load().Service(req.service)) > tried }
+	w := &silenceWatch{board: g.board, key: key, longest: longest, cancel: cancel, others: others}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(longest, w.look)
@@ -114,7 +119,7 @@
 	case left > 0:
 		w.confirmed = false
 		w.timer.Reset(left)
-	case !w.confirmed:
+	case !w.confirmed || !w.others():
 		w.confirmed = true
 		w.timer.Reset(silentConfirm)
 	default:
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -82,3 +82,28 @@
 	must.Eq(t, before, dark.runs.Load())
 	must.Eq(t, 50, other.runs.Load())
 }
+
+// A slow answer is waited for where no other attempt is possible.
+func TestLastAttemptIsNotTakenFromASilentUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		others     bool
+	}{
+		{"one attempt allowed", "/single/", true},
+		{"no other upstream", "/safe/", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			slow := newReplica(t, "i-slow", func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(1300 * time.Millisecond) // more than the longest silence
+				answering("ok")(w, r)
+			})
+			f := newFixture(t, slow)
+			if c.others {
+				f.list(slow, newReplica(t, "i-other", slow.server.Config.Handler.ServeHTTP))
+			}
+			response, body := f.do(t, f.request(t, http.MethodGet, c.path, ""))
+			must.Eq(t, 200, response.StatusCode)
+			must.Eq(t, "ok", body)
+		})
+	}
+}
