Avoid plain replicas that fail more requests than their pool; reach doubtful ones

Two changes that meet in the same files.

Cause: a replica that fails half of its requests (srv_grey, errors) took its share of them: an answer with status 500 spoke against no upstream. Change: routers tally answers and failures by upstream (half is forgotten in 3 s), tell each other, and a plain upstream counts 20 requests more for a share of failures 1 above its pool's, with two answers at the pool's rate added to each. Ruled out: ejection by the share of failures; lookups fail 14 times in 100 everywhere.

The board notes whether the last failure was one to reach the upstream.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -35,6 +35,10 @@
 	own      int // requests in progress sent by this router
 	failures eject.Record
 	silence  eject.Silence
+	tally    eject.Tally // of answers to requests that name no prompt
+	// unreachable tells that the last failure was one to reach the upstream, and
+	// that nothing has come from it since.
+	unreachable bool
 	// silent tells that the upstream's silence was taken for a fault and logged.
 	silent bool
 }
@@ -85,12 +89,17 @@
 	})
 }
 
+// Answered records an answer of the upstream, and whether it is a failure.
+func (b *Board) Answered(key catalog.Key, failed bool) {
+	b.update(key, func(u *upstreamState, now time.Duration) { u.tally.Add(now, failed) })
+}
+
 // Heard records that the upstream sent something, and tells whether that ends a
 // silence that was taken for a fault.
 func (b *Board) Heard(key catalog.Key) (again bool) {
 	b.update(key, func(u *upstreamState, now time.Duration) {
 		u.silence.Heard(now)
-		again, u.silent = u.silent, false
+		again, u.silent, u.unreachable = u.silent, false, false
 	})
 	return again
 }
@@ -109,10 +118,14 @@
 	return first
 }
 
-// Failed records a failure that speaks against the upstream, and returns for
-// how long it is taken out of placement by it; 0 if it was already.
-func (b *Board) Failed(key catalog.Key) (out time.Duration) {
-	b.update(key, func(u *upstreamState, now time.Duration) { out = u.failures.Failure(b.eject, now) })
+// Failed records a failure that speaks against the upstream, and whether the
+// upstream was reached. It returns for how long the upstream is taken out of
+// placement by it; 0 if it was already.
+func (b *Board) Failed(key catalog.Key, reached bool) (out time.Duration) {
+	b.update(key, func(u *upstreamState, now time.Duration) {
+		out = u.failures.Failure(b.eject, now)
+		u.unreachable = !reached
+	})
 	return out
 }
 
@@ -125,6 +138,51 @@
 // upstream without any is left out.
 type Loads map[uint32]int
 
+// Tally is how many answers an upstream gave lately, and how many of them were
+// failures; older ones count less.
+type Tally struct{ Answers, Failures float32 }
+
+func (t *Tally) add(other Tally) {
+	t.Answers += other.Answers
+	t.Failures += other.Failures
+}
+
+// tallyAt returns the counts at now.
+func (u *upstreamState) tallyAt(now time.Duration) Tally {
+	answers, failures := u.tally.At(now)
+	return Tally{Answers: float32(answers), Failures: float32(failures)}
+}
+
+// Tally returns how many answers an upstream gave to all routers, as far as known.
+func (b *Board) Tally(key catalog.Key) Tally {
+	sum := b.peers.tally(key)
+	b.update(key, func(u *upstreamState, now time.Duration) { sum.add(u.tallyAt(now)) })
+	return sum
+}
+
+// Tallies are counts by the short hash of the upstream's key.
+type Tallies map[uint32]Tally
+
+// leastTally is the count of answers below which a tally is not told.
+const leastTally = 0.5
+
+// OwnTallies returns the counts of this router.
+func (b *Board) OwnTallies() Tallies {
+	out := make(Tallies)
+	now := b.now()
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for key, u := range s.upstreams {
+			if t := u.tallyAt(now); t.Answers >= leastTally {
+				out[key.Sum()] = t
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 // OwnLoads returns this router's requests in progress.
 func (b *Board) OwnLoads() Loads {
 	out := make(Loads)
@@ -149,6 +207,8 @@
 	// Silence is for how long it has owed this router answers without sending
 	// anything.
 	Silence time.Duration
+	// Unreachable tells that it could not be reached when it was tried last.
+	Unreachable bool
 }
 
 // Known returns what is known of an upstream.
@@ -156,13 +216,13 @@
 	s := b.shard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := Known{Load: b.peers.of(key)}
+	k := Known{Load: b.peers.load(key)}
 	u := s.upstreams[key]
 	if u == nil {
 		return k
 	}
 	k.Load += u.own
-	k.Own, k.Failures, k.Silence = u.own, u.failures, u.silence.For(b.now())
+	k.Own, k.Failures, k.Silence, k.Unreachable = u.own, u.failures, u.silence.For(b.now()), u.unreachable
 	return k
 }
 
--- a/gateway/board_test.go
+++ b/gateway/board_test.go
@@ -13,12 +13,12 @@
 	b := NewBoard(eject.Options{})
 	x, y := catalog.Key{ID: "x", Born: 1}, catalog.Key{ID: "y"}
 	b.Begin(x)
-	b.SetPeerLoads("r1", Loads{x.Sum(): 2, y.Sum(): 1})
-	b.SetPeerLoads("r2", Loads{x.Sum(): 3})
+	b.SetPeer("r1", Loads{x.Sum(): 2, y.Sum(): 1}, nil)
+	b.SetPeer("r2", Loads{x.Sum(): 3}, nil)
 	must.Eq(t, 6, b.Known(x).Load)
 	must.Eq(t, 1, b.Known(x).Own)
 	must.Eq(t, 1, b.Known(y).Load)
-	b.SetPeerLoads("r1", Loads{}) // a report replaces the one before
+	b.SetPeer("r1", Loads{}, nil) // a report replaces the one before
 	must.Eq(t, 4, b.Known(x).Load)
 	must.Eq(t, 0, b.Known(y).Load)
 	must.Eq(t, Loads{x.Sum(): 1}, b.OwnLoads())
@@ -30,7 +30,7 @@
 func TestLoadsOfSilentRoutersExpire(t *testing.T) {
 	b := NewBoard(eject.Options{})
 	x := catalog.Key{ID: "x"}
-	b.SetPeerLoads("r1", Loads{x.Sum(): 2})
+	b.SetPeer("r1", Loads{x.Sum(): 2}, nil)
 	b.ExpirePeers()
 	must.Eq(t, 2, b.Known(x).Load)
 	b.start = b.start.Add(-peerLoadAge - time.Second)
@@ -44,7 +44,7 @@
 	b := NewBoard(eject.Options{})
 	old, reborn := catalog.Key{ID: "x", Born: 1}, catalog.Key{ID: "x", Born: 2}
 	b.Begin(old)
-	b.Failed(old)
+	b.Failed(old, true)
 	must.Eq(t, 0, b.Known(reborn).Load)
 	must.Eq(t, Known{}, b.Known(reborn))
 	b.End(old)
@@ -110,3 +110,14 @@
 		must.Eq(t, c.want, tooSilent(Known{Own: c.own, Silence: c.silence}), must.Sprintf("%+v", c))
 	}
 }
+
+func TestUnreachableUntilSomethingComes(t *testing.T) {
+	b := NewBoard(eject.Options{})
+	x := catalog.Key{ID: "x"}
+	b.Failed(x, true)
+	must.False(t, b.Known(x).Unreachable)
+	b.Failed(x, false)
+	must.True(t, b.Known(x).Unreachable)
+	b.Heard(x)
+	must.False(t, b.Known(x).Unreachable)
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -59,6 +59,8 @@
 			Tried:  a.tried[u.Key()],
 			Local:  u.FailureDomain == g.opts.FailureDomain,
 			Leaves: u.State != catalog.StateReady,
+
+			Doubtful: !known.Unreachable && !tooSilent(known),
 		})
 	}
 	for i, weight := range eject.Weights(g.opts.Policy.Eject, now, records) {
@@ -79,7 +81,8 @@
 // fetch the prompt from; -1 if none is needed or known.
 func (g *Gateway) rank(req *request, list []*catalog.Upstream, replicas []place.Replica) (index, source int) {
 	if len(req.parts) == 0 {
-		return place.ChooseLeast(replicas, g.policy.Load().RemoteLoad, rand.Uint64()), -1
+		g.markFailing(list, replicas)
+		return place.ChooseLeast(g.policy.Load().Least, replicas, rand.Uint64()), -1
 	}
 	g.markHeld(req.parts, list, replicas)
 	index = place.ChoosePrompt(g.policy.Load().Prompt, req.prompt, replicas).Index
@@ -102,3 +105,16 @@
 		})
 	}
 }
+
+// markFailing notes which candidates fail more of their requests than the others,
+// as far as all routers know.
+func (g *Gateway) markFailing(list []*catalog.Upstream, replicas []place.Replica) {
+	answers, failures := make([]float64, len(list)), make([]float64, len(list))
+	for i, u := range list {
+		tally := g.board.Tally(u.Key())
+		answers[i], failures[i] = float64(tally.Answers), float64(tally.Failures)
+	}
+	for i, excess := range eject.Excess(answers, failures) {
+		replicas[i].Failing = excess
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -60,6 +60,9 @@
 	}
 	g.heard(key)
 	answer := g.opts.Protocol.ReadAnswer(response.Status, response.Header)
+	if answer.Signed && len(req.parts) == 0 {
+		g.board.Answered(key, response.Status >= http.StatusInternalServerError)
+	}
 	switch {
 	case answer.NotRun:
 		drained := drainBody(response)
@@ -84,9 +87,10 @@
 	return g.deliver(ctx, w, req, key, response)
 }
 
-// holdBack records a failure that speaks against an upstream.
-func (g *Gateway) holdBack(key catalog.Key, cause error) {
-	if out := g.board.Failed(key); out > 0 {
+// holdBack records a failure that speaks against an upstream, and whether the
+// upstream was reached.
+func (g *Gateway) holdBack(key catalog.Key, reached bool, cause error) {
+	if out := g.board.Failed(key, reached); out > 0 {
 		g.logHold(key, out, cause.Error())
 	}
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -132,7 +132,7 @@
 		Protocol: platform.Protocol{}, Log: &log.Logger{Handler: discard.New()}, FailureDomain: "a", BodyBytes: 1 << 20,
 		Ages: func() (time.Duration, time.Duration) { return time.Duration(f.age.Load()), 0 },
 		Policy: gateway.Policy{
-			Prompt: place.PromptOptions{Multiple: 2, Slack: 4}, RemoteLoad: 1, RepeatShare: 0.1, RepeatExtra: 20,
+			Prompt: place.PromptOptions{Multiple: 2, Slack: 4}, Least: place.LeastOptions{Remote: 1, Failing: 20}, RepeatShare: 0.1, RepeatExtra: 20,
 			Eject: eject.Options{Base: time.Millisecond, Ceiling: 0.5},
 		},
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,7 @@
 // Policy holds the figures by which a gateway decides.
 type Policy struct {
 	Prompt      place.PromptOptions
-	RemoteLoad  float64 // requests that a plain upstream of another failure domain counts more
+	Least       place.LeastOptions
 	RepeatShare float64 // repeated sends to a service, as a share of its requests, of this router
 	RepeatExtra float64 // repeated sends beyond that share in a window, of all routers
 	Eject       eject.Options
--- a/gateway/peerloads.go
+++ b/gateway/peerloads.go
@@ -7,8 +7,8 @@
 	"dandelionrill.example/fleet/catalog"
 )
 
-// peerLoads are the requests in progress of the other routers, summed up as
-// their reports come in.
+// peerLoads are the requests in progress and the answers of the other routers,
+// summed up as their reports come in.
 type peerLoads struct {
 	mu      sync.RWMutex
 	reports map[string]peerReport // by router
@@ -17,17 +17,28 @@
 
 // peerReport is the last word of one router.
 type peerReport struct {
-	loads Loads
-	at    time.Duration
+	loads   Loads
+	tallies Tallies
+	at      time.Duration
 }
 
-// of returns the requests in progress at an upstream.
-func (p *peerLoads) of(key catalog.Key) int {
+// load returns the requests in progress at an upstream.
+func (p *peerLoads) load(key catalog.Key) int {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	return p.total[key.Sum()]
 }
 
+// tally returns the counts of an upstream's answers.
+func (p *peerLoads) tally(key catalog.Key) (sum Tally) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, r := range p.reports {
+		sum.add(r.tallies[key.Sum()])
+	}
+	return sum
+}
+
 // add adds the loads, times sign, to the total. p.mu is held.
 func (p *peerLoads) add(loads Loads, sign int) {
 	for sum, n := range loads {
@@ -39,15 +50,15 @@
 	}
 }
 
-// SetPeerLoads replaces what another router has told of its requests in
-// progress. The board keeps the loads.
-func (b *Board) SetPeerLoads(router string, loads Loads) {
+// SetPeer replaces what another router has told of its requests in progress and
+// of the answers it got. The board keeps both.
+func (b *Board) SetPeer(router string, loads Loads, tallies Tallies) {
 	p := &b.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.add(p.reports[router].loads, -1)
 	p.add(loads, 1)
-	p.reports[router] = peerReport{loads: loads, at: b.now()}
+	p.reports[router] = peerReport{loads: loads, tallies: tallies, at: b.now()}
 }
 
 // ExpirePeers forgets what routers told that have been silent for too long.
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -155,12 +155,15 @@
 // cause is elsewhere: with the caller, the deadline, or this router. Silence
 // counts whatever ended the wait.
 func (g *Gateway) blame(ctx context.Context, key catalog.Key, err error) error {
+	var failure *forward.Error
+	reached := !errors.As(err, &failure) || failure.Outcome != forward.NotSent
 	switch {
 	case tooSilent(g.board.Known(key)):
+		reached = false
 		err = errors.Wrap(err, errSilent.Error())
 	case ctx.Err() != nil || errors.Is(err, forward.ErrConnectionLimit):
 		return err
 	}
-	g.holdBack(key, err)
+	g.holdBack(key, reached, err)
 	return err
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -62,6 +62,9 @@
 	// the upstream's key.
 	Upstreams []uint32
 	Requests  []uint
+	// Answered are the upstreams, by the same hash, that gave answers lately.
+	Answered []uint32
+	Tallies  []gateway.Tally
 	// NewsAfter asks for the peer's placements from this number on.
 	NewsAfter uint64
 	// News are placements of the router itself, up to number NewsNext.
@@ -207,6 +210,10 @@
 		r.Upstreams = append(r.Upstreams, sum)
 		r.Requests = append(r.Requests, uint(n))
 	}
+	for sum, t := range m.opts.Board.OwnTallies() {
+		r.Answered = append(r.Answered, sum)
+		r.Tallies = append(r.Tallies, t)
+	}
 	return r
 }
 
@@ -216,7 +223,11 @@
 	for i, sum := range r.Upstreams[:min(len(r.Upstreams), len(r.Requests))] {
 		loads[sum] = int(min(r.Requests[i], maxRequests))
 	}
-	m.opts.Board.SetPeerLoads(r.Router, loads)
+	tallies := make(gateway.Tallies, len(r.Answered))
+	for i, sum := range r.Answered[:min(len(r.Answered), len(r.Tallies))] {
+		tallies[sum] = r.Tallies[i]
+	}
+	m.opts.Board.SetPeer(r.Router, loads, tallies)
 }
 
 // maxRequests is the most requests in progress at one upstream that a router is
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -102,6 +102,7 @@
 	two := start(t, "r2", one.address)
 	x := catalog.Key{ID: "x", Born: 5}
 	two.board.Begin(x)
+	two.board.Answered(x, true)
 	one.prompts.Placed(gateway.Placement{Part: 9, At: x})
 	holds := func() (held bool) {
 		two.prompts.Holders(9, func(catalog.Key) { held = true })
@@ -110,6 +111,7 @@
 	for one.board.Known(x).Load != 1 || !holds() {
 		time.Sleep(time.Millisecond)
 	}
+	must.Greater(t, 0.5, one.board.Tally(x).Failures) // came with the load
 	two.board.End(x)
 	for one.board.Known(x).Load != 0 {
 		time.Sleep(time.Millisecond)
