Load doubtful replicas before others go over the pool's ceiling

Tests: TestDoubtfulReplicasTakeWorkBeforeOthersAreOverloaded and the drawn checks, seen failing without it.

--- a/decide/place/prompt.go
+++ b/decide/place/prompt.go
@@ -21,6 +21,12 @@
 	Tried  bool    // not to be chosen again
 	Leaves bool    // takes no new work, but can be fetched from
 	Local  bool    // in the failure domain of the router
+	// Doubtful tells that an ejected replica can be reached: answers of it failed,
+	// but others may come.
+	Doubtful bool
+	// Failing is by how much its share of failed answers is above that of the
+	// pool, 0 to 1.
+	Failing float64
 }
 
 // PromptChoice is the replica for a request.
@@ -59,14 +65,21 @@
 
 // ChoosePrompt returns the replica for a request with the prompt: the first of
 // its hash order that holds all of it and is not full, else the first that is not
-// full, else the least loaded.
+// full, else an ejected one that can be reached and is not full, rather than
+// load the others beyond their bound, else the least loaded.
 func ChoosePrompt(opts PromptOptions, prompt Prompt, replicas []Replica) PromptChoice {
 	limit := opts.full(replicas)
-	holder, open, least := -1, -1, -1
+	holder, open, doubtful, least := -1, -1, -1, -1
 	var holderScore, openScore uint64
 	for i := range replicas {
 		r := &replicas[i]
-		if r.Tried || r.Leaves || r.Weight <= 0 {
+		if r.Tried || r.Leaves {
+			continue
+		}
+		if r.Weight <= 0 {
+			if r.Doubtful && r.Load < limit && (doubtful < 0 || r.Load < replicas[doubtful].Load) {
+				doubtful = i
+			}
 			continue
 		}
 		if least < 0 || r.Load/r.Weight < replicas[least].Load/replicas[least].Weight {
@@ -88,6 +101,8 @@
 		return PromptChoice{Index: holder}
 	case open >= 0:
 		return PromptChoice{Index: open}
+	case doubtful >= 0:
+		return PromptChoice{Index: doubtful}
 	}
 	return PromptChoice{Index: least, Full: least >= 0}
 }
@@ -131,11 +146,16 @@
 	return sum / float64(n)
 }
 
-// ChooseLeast returns the replica with the lowest load; one of another failure
-// domain counts as if it had remoteLoad more requests. The scan starts at a
+// LeastOptions is the policy for other requests.
+type LeastOptions struct {
+	Remote  float64 // requests that a replica of another failure domain counts more
+	Failing float64 // requests that a replica counts more of which all answers fail beyond the pool's
+}
+
+// ChooseLeast returns the replica with the lowest load and what opts add. The scan starts at a
 // random place, so that routers which know the same loads do not all choose
 // the same of several equal ones. It returns -1 if all are tried or ejected.
-func ChooseLeast(replicas []Replica, remoteLoad float64, random uint64) int {
+func ChooseLeast(opts LeastOptions, replicas []Replica, random uint64) int {
 	n := len(replicas)
 	if n == 0 {
 		return -1
@@ -145,9 +165,9 @@
 	for range n {
 		r := &replicas[i]
 		if !r.Tried && !r.Leaves && r.Weight > 0 {
-			cost := (r.Load + 1) / r.Weight
+			cost := (r.Load+1)/r.Weight + opts.Failing*r.Failing
 			if !r.Local {
-				cost += remoteLoad
+				cost += opts.Remote
 			}
 			if cost < bestCost {
 				best, bestCost = i, cost
--- a/entry/policy.go
+++ b/entry/policy.go
@@ -18,11 +18,16 @@
 	promptMultiple = 1.05
 	promptSlack    = 8
 	// ceilingSlack stays below the 3 requests that the platform allows beyond
-	// the multiple of the mean, since loads are known with a lag.
-	ceilingSlack = 2
+	// the multiple of the mean, since loads are known with a lag and several
+	// routers send at once.
+	ceilingSlack = 1
 	// remoteLoad is the number of requests more at a local plain upstream at
 	// which one of another failure domain is preferred.
 	remoteLoad = 2
+	// failingLoad is the number of requests more at the others at which an
+	// upstream is preferred all of whose answers fail while the others' do not.
+	// One that fails half of them is avoided until the others have ten more.
+	failingLoad = 20
 	// budgetShare of the platform's budget of repeats is used: routers that
 	// restart begin with a full one.
 	budgetShare = 0.6
@@ -44,7 +49,7 @@
 			Ceiling:      s.Bounds.LoadMultiple,
 			CeilingSlack: ceilingSlack,
 		},
-		RemoteLoad:  remoteLoad,
+		Least:       place.LeastOptions{Remote: remoteLoad, Failing: failingLoad},
 		RepeatShare: s.Bounds.RepeatShare * budgetShare,
 		RepeatExtra: s.Bounds.RepeatExtra * budgetShare,
 		Eject:       eject.Options{Base: ejectBase, Max: ejectMax, Return: ejectReturn, Forget: ejectForget},
