--- a/decide/place/prompt.go
+++ b/decide/place/prompt.go
@@ -146,15 +146,16 @@
 	return sum / float64(n)
 }
 
-// LeastOptions is the policy for other requests.
+// LeastOptions is the policy for requests that name no parts of a prompt.
 type LeastOptions struct {
 	Remote  float64 // requests that a replica of another failure domain counts more
 	Failing float64 // requests that a replica counts more of which all answers fail beyond the pool's
 }
 
-// ChooseLeast returns the replica with the lowest load and what opts add. The scan starts at a
-// random place, so that routers which know the same loads do not all choose
-// the same of several equal ones. It returns -1 if all are tried or ejected.
+// ChooseLeast returns the replica with the lowest load, with what opts add to it.
+// The scan starts at a random place, so that routers which know the same loads do
+// not all choose the same of several equal ones. It returns -1 if all are tried
+// or ejected.
 func ChooseLeast(opts LeastOptions, replicas []Replica, random uint64) int {
 	n := len(replicas)
 	if n == 0 {
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -11,9 +11,9 @@
 // boardShards is the number of independently locked parts of a Board.
 const boardShards = 16
 
-// peerLoadAge is how long another router's word on its requests in progress
+// peerReportAge is how long another router's word on its requests in progress
 // counts: twice the time between two exchanges of a pair in a fleet of 30.
-const peerLoadAge = 3 * time.Second
+const peerReportAge = 3 * time.Second
 
 // Board is what a router knows of each upstream beyond the catalog: requests in
 // progress here and at other routers, silence, and failures. All methods may be called
@@ -22,7 +22,7 @@
 	start  time.Time
 	eject  eject.Options
 	shards [boardShards]boardShard
-	peers  peerLoads
+	peers  peerReports
 }
 
 type boardShard struct {
@@ -47,7 +47,7 @@
 func NewBoard(opts eject.Options) *Board {
 	b := &Board{start: time.Now(), eject: opts}
 	b.peers.reports = make(map[string]peerReport)
-	b.peers.total = make(map[uint32]int)
+	b.peers.loads = make(map[uint32]int)
 	for i := range b.shards {
 		b.shards[i].upstreams = make(map[catalog.Key]*upstreamState)
 	}
@@ -89,11 +89,6 @@
 	})
 }
 
-// Answered records an answer of the upstream, and whether it is a failure.
-func (b *Board) Answered(key catalog.Key, failed bool) {
-	b.update(key, func(u *upstreamState, now time.Duration) { u.tally.Add(now, failed) })
-}
-
 // Heard records that the upstream sent something, and tells whether that ends a
 // silence that was taken for a fault.
 func (b *Board) Heard(key catalog.Key) (again bool) {
@@ -138,51 +133,6 @@
 // upstream without any is left out.
 type Loads map[uint32]int
 
-// Tally is how many answers an upstream gave lately, and how many of them were
-// failures; older ones count less.
-type Tally struct{ Answers, Failures float32 }
-
-func (t *Tally) add(other Tally) {
-	t.Answers += other.Answers
-	t.Failures += other.Failures
-}
-
-// tallyAt returns the counts at now.
-func (u *upstreamState) tallyAt(now time.Duration) Tally {
-	answers, failures := u.tally.At(now)
-	return Tally{Answers: float32(answers), Failures: float32(failures)}
-}
-
-// Tally returns how many answers an upstream gave to all routers, as far as known.
-func (b *Board) Tally(key catalog.Key) Tally {
-	sum := b.peers.tally(key)
-	b.update(key, func(u *upstreamState, now time.Duration) { sum.add(u.tallyAt(now)) })
-	return sum
-}
-
-// Tallies are counts by the short hash of the upstream's key.
-type Tallies map[uint32]Tally
-
-// leastTally is the count of answers below which a tally is not told.
-const leastTally = 0.5
-
-// OwnTallies returns the counts of this router.
-func (b *Board) OwnTallies() Tallies {
-	out := make(Tallies)
-	now := b.now()
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for key, u := range s.upstreams {
-			if t := u.tallyAt(now); t.Answers >= leastTally {
-				out[key.Sum()] = t
-			}
-		}
-		s.mu.Unlock()
-	}
-	return out
-}
-
 // OwnLoads returns this router's requests in progress.
 func (b *Board) OwnLoads() Loads {
 	out := make(Loads)
--- a/gateway/board_test.go
+++ b/gateway/board_test.go
@@ -33,10 +33,10 @@
 	b.SetPeer("r1", Loads{x.Sum(): 2}, nil)
 	b.ExpirePeers()
 	must.Eq(t, 2, b.Known(x).Load)
-	b.start = b.start.Add(-peerLoadAge - time.Second)
+	b.start = b.start.Add(-peerReportAge - time.Second)
 	b.ExpirePeers()
 	must.Eq(t, 0, b.Known(x).Load)
-	must.MapEmpty(t, b.peers.total)
+	must.MapEmpty(t, b.peers.loads)
 }
 
 // A restart under the same identifier knows nothing of before.
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -29,7 +29,7 @@
 	cacheListParts = 256
 )
 
-// ReadCaches asks the upstreams that take prompts, of those that mine picks,
+// ReadCaches asks the ready upstreams that take prompts, of those that mine picks,
 // what their engines have cached, and remembers it like this router's own
 // placements, so that other routers learn it too. After a restart of all routers
 // nothing else tells where prompts have been read.
@@ -37,7 +37,7 @@
 	slots := make(chan struct{}, cacheListAtOnce)
 	var all sync.WaitGroup
 	for _, u := range g.promptedUpstreams() {
-		if !mine(u) {
+		if u.State != catalog.StateReady || !mine(u) {
 			continue
 		}
 		slots <- struct{}{}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -41,6 +41,7 @@
 	upstream *catalog.Upstream
 	load     int
 	held     int               // shared parts of the prompt that it is known to have cached
+	failing  float64           // its share of failed answers above that of its pool
 	source   *catalog.Upstream // that has more of the prompt cached; nil if none is known
 }
 
@@ -70,7 +71,7 @@
 	if index < 0 {
 		return target{}, false
 	}
-	t := target{upstream: list[index], load: int(replicas[index].Load), held: replicas[index].Held}
+	t := target{upstream: list[index], load: int(replicas[index].Load), held: replicas[index].Held, failing: replicas[index].Failing}
 	if source >= 0 {
 		t.source = list[source]
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,7 +18,7 @@
 	key := t.upstream.Key()
 	a.tried[key] = true
 	begin := time.Now()
-	record := sendRecord{upstream: t.upstream.ID + "@" + t.upstream.FailureDomain, load: t.load, held: t.held}
+	record := sendRecord{upstream: t.upstream.ID + "@" + t.upstream.FailureDomain, load: t.load, held: t.held, failing: t.failing}
 	if t.source != nil {
 		record.fetch = t.source.ID
 	}
--- a/gateway/peerloads.go
+++ b/gateway/peers.go
@@ -7,12 +7,12 @@
 	"dandelionrill.example/fleet/catalog"
 )
 
-// peerLoads are the requests in progress and the answers of the other routers,
+// peerReports are the requests in progress and the answers of the other routers,
 // summed up as their reports come in.
-type peerLoads struct {
+type peerReports struct {
 	mu      sync.RWMutex
 	reports map[string]peerReport // by router
-	total   map[uint32]int        // by the short hash of the upstream's key
+	loads   map[uint32]int        // in sum, by the short hash of the upstream's key
 }
 
 // peerReport is the last word of one router.
@@ -23,14 +23,14 @@
 }
 
 // load returns the requests in progress at an upstream.
-func (p *peerLoads) load(key catalog.Key) int {
+func (p *peerReports) load(key catalog.Key) int {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
-	return p.total[key.Sum()]
+	return p.loads[key.Sum()]
 }
 
 // tally returns the counts of an upstream's answers.
-func (p *peerLoads) tally(key catalog.Key) (sum Tally) {
+func (p *peerReports) tally(key catalog.Key) (sum Tally) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, r := range p.reports {
@@ -40,12 +40,12 @@
 }
 
 // add adds the loads, times sign, to the total. p.mu is held.
-func (p *peerLoads) add(loads Loads, sign int) {
+func (p *peerReports) add(loads Loads, sign int) {
 	for sum, n := range loads {
-		if total := p.total[sum] + sign*n; total != 0 {
-			p.total[sum] = total
+		if total := p.loads[sum] + sign*n; total != 0 {
+			p.loads[sum] = total
 		} else {
-			delete(p.total, sum)
+			delete(p.loads, sum)
 		}
 	}
 }
@@ -68,7 +68,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for router, r := range p.reports {
-		if now-r.at > peerLoadAge {
+		if now-r.at > peerReportAge {
 			p.add(r.loads, -1)
 			delete(p.reports, router)
 		}
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -61,8 +61,9 @@
 }
 
 // describeSends returns the attempts of a request: upstream, load there when it
-// was chosen, how many of the prompt's shared parts it had cached, where the rest
-// was fetched from, result and time.
+// was chosen, how many of the prompt's shared parts it had cached, its share of
+// failed answers above that of its pool, where the rest of the prompt was fetched
+// from, result and time.
 func describeSends(sends []sendRecord, parts int) string {
 	var b strings.Builder
 	for i, s := range sends {
@@ -73,6 +74,9 @@
 		if parts > 0 {
 			fmt.Fprintf(&b, " held=%d/%d", s.held, parts)
 		}
+		if s.failing > 0 {
+			fmt.Fprintf(&b, " failing=%.2f", s.failing)
+		}
 		if s.fetch != "" {
 			b.WriteString(" fetch=" + s.fetch)
 		}
--- a/gateway/record_test.go
+++ b/gateway/record_test.go
@@ -13,5 +13,6 @@
 		{upstream: "i-2@b", load: 1, held: 2, result: resultAnswered, took: 30 * time.Millisecond},
 	}
 	must.Eq(t, "i-1@a load=3 held=1/2 fetch=i-2 refused 4ms; i-2@b load=1 held=2/2 answered 30ms", describeSends(sends, 2))
-	must.Eq(t, "i-1@a load=3 fetch=i-2 refused 4ms", describeSends(sends[:1], 0))
+	plain := []sendRecord{{upstream: "i-3@a", load: 2, failing: 0.314, result: resultAnswered, took: time.Millisecond}}
+	must.Eq(t, "i-3@a load=2 failing=0.31 answered 1ms", describeSends(plain, 0))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,8 +49,9 @@
 // sendRecord is one attempt at an upstream, for the log.
 type sendRecord struct {
 	upstream string
-	load     int // requests in progress there when it was chosen
-	held     int // shared parts of the prompt that it was known to have cached
+	load     int     // requests in progress there when it was chosen
+	held     int     // shared parts of the prompt that it was known to have cached
+	failing  float64 // share of failed answers above that of its pool
 	fetch    string
 	result   string
 	took     time.Duration
