Count resets in the tally of a plain replica's failures

Change: a connection that ends under a request which may have run counts as a failed answer, which routers tell each other.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -128,6 +128,9 @@
 		return failed(http.StatusBadGateway, err.Error()), retry.FailureMayHaveRun, err.Error()
 	}
 	err = g.blame(ctx, key, err)
+	if failure.Outcome == forward.MayHaveRun && ctx.Err() == nil && len(req.parts) == 0 {
+		g.board.Answered(key, true)
+	}
 	if failure.Outcome == forward.NotSent {
 		return refused(err.Error(), retrySoon), retry.FailureNotSent, failure.Outcome.String()
 	}
--- a/gateway/grey_test.go
+++ b/gateway/grey_test.go
@@ -5,23 +5,24 @@
 	"sync/atomic"
 	"testing"
 
+	"dandelionrill.example/fleet/catalog"
 	"github.com/shoenig/test/must"
 )
 
 // Pattern: a replica fails half of its requests while its health check passes, and
 // all replicas fail some. Requests that must not be repeated go to the others.
 func TestReplicaThatFailsMoreThanOthersIsAvoided(t *testing.T) {
-	every := func(n int64) http.HandlerFunc {
+	every := func(n int64, fails http.HandlerFunc) http.HandlerFunc {
 		var count atomic.Int64
 		return func(w http.ResponseWriter, r *http.Request) {
 			if count.Add(1)%n == 0 {
-				failing(500)(w, r)
+				fails(w, r)
 				return
 			}
 			answering("ok")(w, r)
 		}
 	}
-	grey, one, two := newReplica(t, "i-grey", every(2)), newReplica(t, "i-1", every(20)), newReplica(t, "i-2", every(20))
+	grey, one, two := newReplica(t, "i-grey", every(2, failing(500))), newReplica(t, "i-1", every(20, failing(500))), newReplica(t, "i-2", every(20, failing(500)))
 	f := newFixture(t, grey, one, two)
 	send := func(n int) {
 		for range n {
@@ -35,3 +36,26 @@
 	must.Greater(t, 0, one.runs.Load())
 	must.Greater(t, 0, two.runs.Load())
 }
+
+// What speaks against a replica at one router is told to the others: a failure of
+// its own, and a connection that it reset under a request.
+func TestFailuresOfPlainReplicasAreTallied(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		handle   http.HandlerFunc
+		failures float32
+	}{
+		{"answer", answering("ok"), 0},
+		{"failure", failing(500), 1},
+		{"reset", resetting, 1},
+		{"refusal", refusing, 0}, // it has not run
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			up := newReplica(t, "i-1", c.handle)
+			f := newFixture(t, up)
+			f.do(t, f.request(t, http.MethodPost, "/once/", "{}"))
+			tally := f.gateway.Board().Tally(catalog.Key{ID: "i-1"})
+			must.InDelta(t, c.failures, tally.Failures, 0.1)
+		})
+	}
+}
