--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -1,7 +1,8 @@
 // Package gossip lets the routers of a fleet tell each other what they know:
 // how new their copies of the store's kinds are, their requests in progress at
-// each upstream, and which upstreams have read which prompt parts. What a peer
-// tells only helps: a router without peers still works.
+// each upstream, which upstreams have read which prompt parts, and how many answers
+// of plain upstreams failed. What a peer tells only helps: a router without peers
+// still works.
 package gossip
 
 import (
