Let the upstream of an early answer read nothing more

Cause: TestEarlyAnswerToALongBody hung once beside other packages (100 s, then the time-out of the run). Its upstream read on after the answer; where it had read all 8 MB before the exchange ended, the connection was rightly kept, and the second request was discarded by the test's own upstream. Trace: the client waits in ReadResponse on the first connection, the upstream in io.Copy.

The upstream now reads nothing more, so that the body can never have left whole: the check is as strict, and no longer a matter of time.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -300,13 +300,15 @@
 // the body must not become the next request on the connection.
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	const size = 8 << 20
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
 	u := serve(t, func(u *upstream, c net.Conn, reader *bufio.Reader) {
 		u.requests.Add(1)
 		if _, err := http.ReadRequest(reader); err != nil {
 			return
 		}
 		_, _ = io.WriteString(c, answer("1", "no"))
-		_, _ = io.Copy(io.Discard, c)
+		<-ended // reads nothing more: the rest of the body cannot have left
 	})
 	p := newPool()
 	r := request("1")
