Read the whole change once more: derived state, twins, dead code

No behaviour changes; no test is touched.

Cause and change, by what was found: - Derived state: the board counted requests in progress beside eject.Silence, which counts the same; it is asked now (Owed). The entry host kept a list of routers that the feed has; readCaches takes the feed's, and one function tells whether configuration and upstreams are known, for readiness and for the cache lists. - Twins: three loops over the board's shards are Board.each; Board.Silence repeated Known. Reading a tally made an entry for an upstream that had none; Board.read does not. The stand-in's two ways to replace an object share one. - Work done twice: the head of each answer was decoded whole a second time to compare its attempt id (Protocol.AnswerAttempt).

--- a/decide/eject/silence.go
+++ b/decide/eject/silence.go
@@ -25,6 +25,9 @@
 // Heard records at now that the host sent something.
 func (s *Silence) Heard(now time.Duration) { s.since = now }
 
+// Owed returns the number of answers in progress.
+func (s *Silence) Owed() int { return s.owed }
+
 // For returns how long the host has been silent at now; 0 if it owes nothing.
 func (s *Silence) For(now time.Duration) time.Duration {
 	if s.owed == 0 {
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -78,16 +78,19 @@
 func (h *Host) applyRouters(s feed.Snapshot) {
 	routers, findings := platform.DecodeRouters(s.Records)
 	h.logFindings("router", findings)
-	addresses := make([]string, 0, len(routers))
-	for _, r := range routers {
-		addresses = append(addresses, r.Address)
-	}
-	h.routerList.Store(&addresses)
-	h.mesh.SetPeers(addresses)
+	h.mesh.SetPeers(addresses(routers))
 	h.gateway.SetRouters(len(routers))
 	h.log.WithFields(log.Fields{"revision": s.Revision, "routers": len(routers)}).Info("routers changed")
 }
 
+func addresses(routers []platform.Router) []string {
+	out := make([]string, 0, len(routers))
+	for _, r := range routers {
+		out = append(out, r.Address)
+	}
+	return out
+}
+
 // registerDelay is the wait after a failed registration.
 const registerDelay = time.Second
 
--- a/entry/caches.go
+++ b/entry/caches.go
@@ -7,6 +7,7 @@
 
 	"dandelionrill.example/fleet/catalog"
 	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/platform"
 )
 
 // knownInterval is how often a router that starts looks whether it knows the
@@ -24,7 +25,7 @@
 	}
 	ticker := time.NewTicker(knownInterval)
 	defer ticker.Stop()
-	for h.routerList.Load() == nil || h.gateway.Version() == 0 || h.upstreams.Stamp().Revision == 0 {
+	for !h.informed() || h.routers.Stamp().Revision == 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -32,9 +33,10 @@
 		}
 	}
 	own := h.opts.Settings.PeersAddress
-	routers := *h.routerList.Load()
+	known, _ := platform.DecodeRouters(h.routers.Snapshot().Records) // applyRouters logs what cannot be used
+	routers := addresses(known)
 	if !slices.Contains(routers, own) { // it is being registered
-		routers = append(slices.Clone(routers), own)
+		routers = append(routers, own)
 	}
 	h.gateway.ReadCaches(ctx, func(u *catalog.Upstream) bool {
 		return routers[place.Owner(u.Hash, routers)] == own
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"dandelionrill.example/fleet/catalog"
@@ -65,7 +64,6 @@
 	configuration *feed.Feed
 	upstreams     *feed.Feed
 	routers       *feed.Feed
-	routerList    atomic.Pointer[[]string] // addresses; nil until it is known
 
 	lapsing sync.Mutex // guards lapse
 	lapse   catalog.Lapse
@@ -236,5 +234,10 @@
 // ready tells whether new connections of callers are welcome. An outage of the
 // store alone does not matter.
 func (h *Host) ready() bool {
-	return h.gateway.Version() != 0 && h.upstreams.Stamp().Revision != 0 && !h.stop.begun()
+	return h.informed() && !h.stop.begun()
+}
+
+// informed tells whether the configuration and the upstreams are known.
+func (h *Host) informed() bool {
+	return h.gateway.Version() != 0 && h.upstreams.Stamp().Revision != 0
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -4,6 +4,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -189,12 +190,7 @@
 	for _, r := range f.records {
 		s.Records = append(s.Records, r)
 	}
-	slices.SortFunc(s.Records, func(a, b store.Record) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(s.Records, func(a, b store.Record) int { return cmp.Compare(a.Name, b.Name) })
 	return s
 }
 
--- a/forward/send.go
+++ b/forward/send.go
@@ -31,7 +31,6 @@
 	Status int
 	Header http.Header
 	Length int64 // of the body; -1 if unknown
-	Reused bool  // came over a connection that carried requests before
 
 	body io.ReadCloser
 	conn *conn
@@ -59,7 +58,6 @@
 		response, sent, err := p.exchange(ctx, address, c, r)
 		switch {
 		case err == nil:
-			response.Reused = !fresh
 			return response, nil
 		case sent:
 			return nil, &Error{Outcome: MayHaveRun, Address: address, Cause: err}
@@ -141,9 +139,6 @@
 // Read reads the body. It returns io.EOF only after the whole body.
 func (r *Response) Read(p []byte) (int, error) { return r.body.Read(p) }
 
-// Buffered returns how many bytes can be read without waiting, at least.
-func (r *Response) Buffered() int { return r.conn.reader.Buffered() }
-
 // Close ends the exchange. whole tells that the body was read to its end, so
 // that the connection may carry another request; otherwise it is closed, which
 // makes the upstream stop.
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -16,8 +16,8 @@
 const peerReportAge = 3 * time.Second
 
 // Board is what a router knows of each upstream beyond the catalog: requests in
-// progress here and at other routers, silence, and failures. All methods may be called
-// concurrently.
+// progress here and at other routers, silence, and failures. All methods may be
+// called concurrently.
 type Board struct {
 	start  time.Time
 	eject  eject.Options
@@ -32,10 +32,9 @@
 
 // upstreamState is guarded by the lock of its shard.
 type upstreamState struct {
-	own      int // requests in progress sent by this router
 	failures eject.Record
-	silence  eject.Silence
-	tally    eject.Tally // of answers to requests that name no prompt
+	silence  eject.Silence // and the requests in progress sent by this router
+	tally    eject.Tally   // of answers to requests that name no prompt
 	// unreachable tells that the last failure was one to reach the upstream, and
 	// that nothing has come from it since.
 	unreachable bool
@@ -73,20 +72,37 @@
 	f(u, now)
 }
 
+// read calls f with the state of an upstream under its lock, if there is any.
+func (b *Board) read(key catalog.Key, f func(*upstreamState, time.Duration)) {
+	now := b.now()
+	s := b.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u := s.upstreams[key]; u != nil {
+		f(u, now)
+	}
+}
+
+// each calls f with the state of every upstream under its lock.
+func (b *Board) each(f func(*boardShard, catalog.Key, *upstreamState)) {
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for key, u := range s.upstreams {
+			f(s, key, u)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Begin records that a request is sent to the upstream.
 func (b *Board) Begin(key catalog.Key) {
-	b.update(key, func(u *upstreamState, now time.Duration) {
-		u.own++
-		u.silence.Begin(now)
-	})
+	b.update(key, func(u *upstreamState, now time.Duration) { u.silence.Begin(now) })
 }
 
 // End records that a request at the upstream has ended.
 func (b *Board) End(key catalog.Key) {
-	b.update(key, func(u *upstreamState, _ time.Duration) {
-		u.own = max(0, u.own-1)
-		u.silence.End()
-	})
+	b.update(key, func(u *upstreamState, _ time.Duration) { u.silence.End() })
 }
 
 // Heard records that the upstream sent something, and tells whether that ends a
@@ -99,13 +115,6 @@
 	return again
 }
 
-// Silence returns for how long the upstream has owed this router answers
-// without sending anything.
-func (b *Board) Silence(key catalog.Key) (d time.Duration) {
-	b.update(key, func(u *upstreamState, now time.Duration) { d = u.silence.For(now) })
-	return d
-}
-
 // FellSilent notes that the upstream's silence is taken for a fault, and tells
 // whether that is new.
 func (b *Board) FellSilent(key catalog.Key) (first bool) {
@@ -136,16 +145,11 @@
 // OwnLoads returns this router's requests in progress.
 func (b *Board) OwnLoads() Loads {
 	out := make(Loads)
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for key, u := range s.upstreams {
-			if u.own > 0 {
-				out[key.Sum()] = u.own
-			}
+	b.each(func(_ *boardShard, key catalog.Key, u *upstreamState) {
+		if n := u.silence.Owed(); n > 0 {
+			out[key.Sum()] = n
 		}
-		s.mu.Unlock()
-	}
+	})
 	return out
 }
 
@@ -163,30 +167,21 @@
 
 // Known returns what is known of an upstream.
 func (b *Board) Known(key catalog.Key) Known {
-	s := b.shard(key)
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	k := Known{Load: b.peers.load(key)}
-	u := s.upstreams[key]
-	if u == nil {
-		return k
-	}
-	k.Load += u.own
-	k.Own, k.Failures, k.Silence, k.Unreachable = u.own, u.failures, u.silence.For(b.now()), u.unreachable
+	b.read(key, func(u *upstreamState, now time.Duration) {
+		k.Own = u.silence.Owed()
+		k.Load += k.Own
+		k.Failures, k.Silence, k.Unreachable = u.failures, u.silence.For(now), u.unreachable
+	})
 	return k
 }
 
 // Forget drops what is known of upstreams that are no longer listed and have no
 // request in progress.
 func (b *Board) Forget(listed func(catalog.Key) bool) {
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for key, u := range s.upstreams {
-			if u.own == 0 && !listed(key) {
-				delete(s.upstreams, key)
-			}
+	b.each(func(s *boardShard, key catalog.Key, u *upstreamState) {
+		if u.silence.Owed() == 0 && !listed(key) {
+			delete(s.upstreams, key)
 		}
-		s.mu.Unlock()
-	}
+	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,7 +77,7 @@
 	g.catalog.Store(noCatalog)
 	g.pool = forward.NewPool(forward.Options{
 		Matches: func(r *forward.Request, a *forward.Response) bool {
-			return opts.Protocol.ReadAnswer(a.Status, a.Header).AttemptID == r.ID
+			return opts.Protocol.AnswerAttempt(a.Header) == r.ID
 		},
 		Dialed: g.metrics.dialed,
 	})
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -72,6 +72,8 @@
 	// without those of the connection, the key and those that only the fleet
 	// sets, and the fleet's own.
 	UpstreamHeader(caller http.Header, s Send) http.Header
+	// AnswerAttempt returns the attempt that an upstream's answer belongs to.
+	AnswerAttempt(h http.Header) string
 	// ReadAnswer decodes the headers of an upstream's answer.
 	ReadAnswer(status int, h http.Header) Answer
 	// CallerHeader returns the headers of an upstream's answer that the caller
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -114,7 +114,7 @@
 func (w *silenceWatch) look() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	left := w.longest - w.board.Silence(w.key)
+	left := w.longest - w.board.Known(w.key).Silence
 	switch {
 	case left > 0:
 		w.confirmed = false
--- a/gateway/tallies.go
+++ b/gateway/tallies.go
@@ -24,7 +24,7 @@
 // Tally returns how many answers an upstream gave to all routers, as far as known.
 func (b *Board) Tally(key catalog.Key) Tally {
 	sum := b.peers.tally(key)
-	b.update(key, func(u *upstreamState, now time.Duration) { sum.add(u.tallyAt(now)) })
+	b.read(key, func(u *upstreamState, now time.Duration) { sum.add(u.tallyAt(now)) })
 	return sum
 }
 
@@ -38,16 +38,11 @@
 func (b *Board) OwnTallies() Tallies {
 	out := make(Tallies)
 	now := b.now()
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for key, u := range s.upstreams {
-			if t := u.tallyAt(now); t.Answers >= leastTally {
-				out[key.Sum()] = t
-			}
+	b.each(func(_ *boardShard, key catalog.Key, u *upstreamState) {
+		if t := u.tallyAt(now); t.Answers >= leastTally {
+			out[key.Sum()] = t
 		}
-		s.mu.Unlock()
-	}
+	})
 	return out
 }
 
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -211,20 +211,18 @@
 
 // replace changes spec and finalizers of an object.
 func (s *Server) replace(w http.ResponseWriter, r *http.Request) {
-	o, err := readObject(w, r)
-	if err != nil {
-		refuseObject(w, err)
-		return
-	}
-	s.update(w, r, o.Metadata.Revision, func(kind string, held object) object {
-		changed := held
+	s.write(w, r, func(changed *object, o object) {
 		changed.Spec, changed.Metadata.Finalizers = o.Spec, o.Metadata.Finalizers
-		return s.put(kind, held, changed)
 	})
 }
 
 // replaceStatus changes the status of an object.
 func (s *Server) replaceStatus(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, func(changed *object, o object) { changed.Status = o.Status })
+}
+
+// write takes from the object in the request what take copies.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, take func(changed *object, o object)) {
 	o, err := readObject(w, r)
 	if err != nil {
 		refuseObject(w, err)
@@ -232,7 +230,7 @@
 	}
 	s.update(w, r, o.Metadata.Revision, func(kind string, held object) object {
 		changed := held
-		changed.Status = o.Status
+		take(&changed, o)
 		return s.put(kind, held, changed)
 	})
 }
