--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -26,8 +26,10 @@
 	Address       string // IP:PORT
 	FailureDomain string
 	State         State
-	Slots         int   // requests processed concurrently; 0 if unknown
-	Born          int64 // start time in Unix milliseconds; 0 if unknown
+	Slots         int    // requests processed concurrently; 0 if unknown
+	Born          int64  // start time in Unix milliseconds; 0 if unknown
+	Revision      uint64 // of its entry
+	Restored      bool   // listed as ready only by an older copy from which the store returned
 	Hash          uint64
 }
 
@@ -107,6 +109,9 @@
 	}
 	current := make(map[string]Upstream, len(listed))
 	for _, u := range listed {
+		if u.Restored {
+			continue // says nothing about the upstream that is known by now
+		}
 		current[u.ID] = u
 		delete(m.retained, u.ID)
 	}
@@ -125,12 +130,28 @@
 			merged = append(merged, u)
 		}
 	}
-	return merged
+	return withoutReplaced(merged)
+}
+
+// withoutReplaced removes the restored entries whose address or ID now belongs to
+// another upstream.
+func withoutReplaced(upstreams []Upstream) []Upstream {
+	kept := make([]Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		replaced := u.Restored && slices.ContainsFunc(upstreams, func(other Upstream) bool {
+			return !other.Restored && (other.Address == u.Address || other.ID == u.ID)
+		})
+		if !replaced {
+			kept = append(kept, u)
+		}
+	}
+	return kept
 }
 
 // Retained returns the number of entries retained although they are not listed.
 func (m *MissingEntries) Retained() int { return len(m.retained) }
 
+// addressInUse reports whether an upstream that is not restored has the address.
 func addressInUse(listed []Upstream, address string) bool {
-	return slices.ContainsFunc(listed, func(u Upstream) bool { return u.Address == address })
+	return slices.ContainsFunc(listed, func(u Upstream) bool { return u.Address == address && !u.Restored })
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -63,3 +63,65 @@
 	must.Nil(t, c.Find("b"))
 	must.Eq(t, "a", c.Service("s")[0].ID)
 }
+
+// A store that returns from an older copy lists upstreams as ready that were seen
+// leaving or gone. They get no work until their own entries say that they are ready.
+func TestDepartedUpstreamsStayDeparted(t *testing.T) {
+	const window = 5 * time.Second
+	now := time.Now()
+	entry := func(id string, state State, revision uint64) Upstream {
+		u := newUpstream(id, "10.0.0."+id+":1")
+		u.State, u.Revision = state, revision
+		return u
+	}
+	ready, leaving := StateReady, StateLeaving
+	for _, test := range []struct {
+		name        string
+		then        []Upstream // listed after the return, at first
+		later       []Upstream // listed after that
+		sinceReturn time.Duration
+		want        map[string]State
+	}{
+		{"copy lists the leaving one as ready", []Upstream{entry("1", ready, 1), entry("2", ready, 2)}, nil, 0, map[string]State{"1": ready, "2": leaving}},
+		{"copy lists the one that is gone", []Upstream{entry("1", ready, 1), entry("3", ready, 3)}, nil, 0, map[string]State{"1": ready, "3": leaving}},
+		{"entry written again as leaving", []Upstream{entry("2", ready, 2)}, []Upstream{entry("2", leaving, 9)}, 0, map[string]State{"2": leaving}},
+		{"entry written again as ready", []Upstream{entry("2", ready, 2)}, []Upstream{entry("2", ready, 9)}, 0, map[string]State{"2": ready}},
+		{"entry kept alive beyond its lease", []Upstream{entry("2", ready, 2)}, []Upstream{entry("2", ready, 2)}, window, map[string]State{"2": ready}},
+		{"new upstream", []Upstream{entry("4", ready, 2)}, nil, 0, map[string]State{"4": ready}},
+	} {
+		d := &Departed{Window: window}
+		d.Record(now, d.Apply(1, []Upstream{entry("1", ready, 1), entry("2", ready, 2), entry("3", ready, 3)}, time.Hour))
+		d.Record(now, d.Apply(1, []Upstream{entry("1", ready, 1), entry("2", leaving, 5)}, time.Hour))
+		got := d.Apply(2, test.then, 0)
+		d.Record(now, got)
+		if test.later != nil {
+			got = d.Apply(2, test.later, test.sinceReturn)
+		}
+		states := make(map[string]State)
+		for _, u := range got {
+			states[u.ID] = u.State
+		}
+		must.Eq(t, test.want, states, must.Sprint(test.name))
+	}
+}
+
+// A heartbeat without a return must not hold an upstream back: one that left and is
+// ready again is used at once.
+func TestReadyEntryOfTheSameEraIsUsed(t *testing.T) {
+	d := &Departed{Window: time.Hour}
+	u := newUpstream("a", "10.0.0.1:1")
+	left := u
+	left.State = StateLeaving
+	d.Record(time.Now(), d.Apply(1, []Upstream{left}, time.Hour))
+	must.Eq(t, StateReady, d.Apply(1, []Upstream{u}, time.Hour)[0].State)
+}
+
+// The address of an upstream that the copy brought back belongs to another one by now.
+func TestRestoredEntryGivesWayToTheNewUpstreamAtItsAddress(t *testing.T) {
+	m := &MissingEntries{GracePeriod: time.Second}
+	a, old := newUpstream("a", "10.0.0.1:1"), newUpstream("old", "10.0.0.1:1")
+	m.Merge([]Upstream{a}, time.Hour)
+	old.Restored, old.State = true, StateLeaving
+	must.Eq(t, []string{"a"}, ids(m.Merge([]Upstream{old}, 0)))
+	must.Eq(t, []string{"old"}, ids(m.Merge([]Upstream{old}, time.Hour)))
+}
--- a/cli/versions.go
+++ b/cli/versions.go
@@ -28,11 +28,15 @@
 	config.Normalize(cfg)
 	version, err := v.store.Publish(ctx, cfg, base)
 	var conflict *revision.ConflictError
+	var lost *revision.LostVersionError
 	var invalid *config.InvalidError
 	var tooLarge *revision.TooLargeError
 	switch {
 	case errors.As(err, &conflict):
 		return 0, &admin.ConflictError{Base: conflict.Base, Newest: conflict.Newest, Findings: conflictFindings(conflict)}
+	case errors.As(err, &lost):
+		finding := problem.Finding{Place: "base", Value: strconv.FormatUint(base, 10), Message: lost.Error()}
+		return 0, &admin.ConflictError{Base: base, Newest: lost.Newest, Findings: []problem.Finding{finding}}
 	case errors.As(err, &invalid):
 		findings := make([]problem.Finding, 0, len(invalid.Findings))
 		for _, f := range invalid.Findings {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -17,6 +18,7 @@
 	"dandelionrill.example/fleet/gateway"
 	"dandelionrill.example/fleet/gossip"
 	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 )
@@ -36,6 +38,11 @@
 	// reregistrationWindow is how long after the store is available again entries
 	// that expired may still be registered again.
 	reregistrationWindow = 2200 * time.Millisecond
+	// leaseHeartbeats is the number of heartbeats without a write after which the
+	// store removes an upstream's entry.
+	leaseHeartbeats = 3
+	// defaultHeartbeat is assumed if the settings name no heartbeat.
+	defaultHeartbeat = 1200 * time.Millisecond
 	// softMemoryShare is the share of the memory limit above which the garbage
 	// collector runs more often.
 	softMemoryShare = 0.75
@@ -67,8 +74,13 @@
 	upstreams     *feed.Feed
 	routers       *feed.Feed
 
-	missingEntriesMu sync.Mutex // guards missingEntries
-	missingEntries   catalog.MissingEntries
+	eras       *store.Eras
+	held       *heldConfiguration
+	routerList routerList
+
+	upstreamsMu    sync.Mutex // guards the fields below
+	missingEntries catalog.MissingEntries
+	departed       catalog.Departed
 
 	idle *idleConns
 	stop stopState
@@ -77,8 +89,9 @@
 // New returns an entry host that is not running.
 func New(opts Options) (*Host, error) {
 	s := &opts.Settings
+	eras := &store.Eras{}
 	client, err := platform.NewClient(platform.ClientOptions{
-		BaseURL: "http://" + s.StoreAddress, Timeout: storeCallTimeout,
+		BaseURL: "http://" + s.StoreAddress, Timeout: storeCallTimeout, Eras: eras,
 		Malformed: func(kind string, err error) {
 			opts.Log.WithError(err).WithField("kind", kind).Warn("object in the store is malformed and ignored")
 		},
@@ -90,10 +103,13 @@
 		opts:           opts,
 		log:            opts.Log,
 		store:          client,
+		eras:           eras,
 		missingEntries: catalog.MissingEntries{GracePeriod: reregistrationWindow},
+		departed:       catalog.Departed{Window: reregistrationWindow + leaseHeartbeats*cmp.Or(s.Heartbeat, defaultHeartbeat)},
 		idle:           newIdleConns(),
 		stop:           stopState{limit: s.Bounds.Stop},
 	}
+	h.held = &heldConfiguration{host: h}
 	h.gateway = gateway.New(gateway.Options{
 		Protocol:             platform.Protocol{},
 		Log:                  opts.Log,
@@ -114,6 +130,8 @@
 		Feeds:   []*feed.Feed{h.configuration, h.upstreams, h.routers},
 		Board:   h.gateway.Board(),
 		Prompts: h.gateway.Prompts(),
+		Eras:    eras,
+		Held:    h.held,
 		Log:     opts.Log,
 	})
 	return h, errors.Wrap(err, "entry host")
@@ -121,7 +139,7 @@
 
 func (h *Host) newFeed(kind string, wait time.Duration, changed func(feed.Snapshot)) *feed.Feed {
 	return feed.New(feed.Options{
-		Kind: kind, Source: h.store, Wait: wait, Log: h.log,
+		Kind: kind, Source: h.store, Wait: wait, Log: h.log, Eras: h.eras,
 		Watcher: func() bool { return h.mesh.Watcher() },
 		Changed: func(s feed.Snapshot) {
 			changed(s)
@@ -219,12 +237,24 @@
 		return // does not happen: the settings were validated
 	}
 	expvar.Publish("gateway", h.gateway.Metrics())
+	expvar.Publish("store", expvar.Func(h.storeMetrics))
 	server := &http.Server{
 		Addr: net.JoinHostPort(host, h.opts.MetricsPort), Handler: expvar.Handler(), ReadHeaderTimeout: readHeaderTimeout,
 	}
 	h.serveInBackground("metrics", server.ListenAndServe)
 }
 
+// storeMetrics returns what is known of the store: its era, how often it has returned
+// from a copy, and the age of the content of each kind.
+func (h *Host) storeMetrics() any {
+	ages := make(map[string]int64)
+	for _, f := range []*feed.Feed{h.configuration, h.upstreams, h.routers} {
+		stamp := f.Stamp()
+		ages[f.Kind()] = stamp.Age.Milliseconds()
+	}
+	return map[string]any{"era": h.eras.Newest(), "returns": h.eras.Returns(), "content_age_ms": ages}
+}
+
 func (h *Host) serveInBackground(what string, run func() error) {
 	go func() {
 		if err := run(); err != nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -35,20 +35,43 @@
 	logLossAfter = 2 * time.Second
 )
 
-// Snapshot is all records of a kind at a revision of the store.
+// Snapshot is all records of a kind at a position of the store.
 type Snapshot struct {
+	Era      uint64 // 0 if the store reports no eras
 	Revision uint64
 	Records  []store.Record // sorted by name
 }
 
-// Stamp describes how recent a feed's content is.
+// Position returns the position of the store at which it had this content.
+func (s *Snapshot) Position() store.Position {
+	return store.Position{Era: s.Era, Revision: s.Revision}
+}
+
+// Bytes returns the total size of the values.
+func (s *Snapshot) Bytes() int {
+	n := 0
+	for _, r := range s.Records {
+		n += len(r.Value)
+	}
+	return n
+}
+
+// Stamp describes how recent a feed's content is. Routers of earlier versions send
+// neither Era nor Content.
 type Stamp struct {
+	Era      uint64        // of the store; 0 if the store reports no eras
 	Revision uint64        // of the store; 0 if the feed has no content
-	Digest   uint64        // of the content
+	Digest   uint64        // of the content's names and revisions, which identify it within an era
+	Content  uint64        // of names, revisions and values, which identify it in all eras
 	Age      time.Duration // since the content was last known to be the store's newest
 	Steady   time.Duration // how long the store has answered this router without an outage
 }
 
+// Position returns the position of the store at which it had the content.
+func (s *Stamp) Position() store.Position {
+	return store.Position{Era: s.Era, Revision: s.Revision}
+}
+
 // peerSteady is the longest time that the store has answered any other router
 // without an outage, according to recent reports.
 type peerSteady struct {
@@ -67,6 +90,9 @@
 	// watch is trusted.
 	Wait time.Duration
 	Log  log.Interface
+	// Eras tracks the eras of the store, also for the other feeds of this router;
+	// nil means a tracker of its own.
+	Eras *store.Eras
 	// Watcher reports whether this router watches the store continuously. The
 	// others do so only while no other router confirms their content. Nil means
 	// true.
@@ -81,9 +107,9 @@
 
 	mu           sync.Mutex
 	records      map[string]store.Record
-	revision     uint64 // 0 until there is content
+	position     store.Position // zero until there is content
 	recent       changeLog
-	digest       uint64
+	digest       digests
 	confirmed    time.Time // when the content was last known to be the store's newest
 	failingSince time.Time // start of the first failed call since the last successful one; zero if none failed
 	steadySince  time.Time // since when the store has answered this router without an outage
@@ -98,19 +124,22 @@
 	if opts.Watcher == nil {
 		opts.Watcher = func() bool { return true }
 	}
+	if opts.Eras == nil {
+		opts.Eras = &store.Eras{}
+	}
 	return &Feed{opts: opts, records: make(map[string]store.Record), steadySince: time.Now()}
 }
 
-// replace replaces the content if the revision is newer and reports whether it
-// did. At an equal revision it only renews the confirmation. age is how long ago
+// replace replaces the content if the position is newer and reports whether it
+// did. At an equal position it only renews the confirmation. age is how long ago
 // the records were known to be the store's newest.
-func (f *Feed) replace(records []store.Record, revision uint64, age time.Duration) bool {
+func (f *Feed) replace(records []store.Record, position store.Position, age time.Duration) bool {
 	f.publishMu.Lock()
 	defer f.publishMu.Unlock()
 	f.mu.Lock()
-	if revision <= f.revision && f.revision != 0 {
-		if at := time.Now().Add(-age); revision == f.revision && at.After(f.confirmed) {
-			f.confirmed = at
+	if order := position.Compare(f.position); order <= 0 && !f.position.IsZero() {
+		if order == 0 {
+			f.confirm(age)
 		}
 		f.mu.Unlock()
 		return false
@@ -119,31 +148,50 @@
 	for _, r := range records {
 		f.records[r.Name] = r
 	}
-	f.revision = revision
-	f.recent = changeLog{base: revision}
+	f.move(position)
 	f.confirmed = time.Now().Add(-age)
-	f.digest = digest(f.records)
-	if f.cancelWatch != nil {
-		f.cancelWatch()
-	}
+	f.digest = digestsOf(f.records)
 	s := f.snapshot()
 	f.mu.Unlock()
 	f.opts.Changed(s)
 	return true
 }
 
+// move sets the position of the content other than by changes, and ends the watch
+// at the previous one. f.mu must be held.
+func (f *Feed) move(position store.Position) {
+	f.position = position
+	f.recent = changeLog{base: position.Revision}
+	if f.cancelWatch != nil {
+		f.cancelWatch()
+	}
+}
+
+// confirm records that the content was the store's newest that long ago. f.mu must
+// be held.
+func (f *Feed) confirm(age time.Duration) {
+	if at := time.Now().Add(-age); at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
+
 // Adopt replaces the content by the snapshot of another router if that is newer,
 // and reports whether it did. stamp is the other router's stamp.
 func (f *Feed) Adopt(s Snapshot, stamp Stamp) bool {
+	f.opts.Eras.Observe(s.Era, 0)
 	f.mu.Lock()
 	f.recordPeerSteady(stamp)
 	f.mu.Unlock()
-	return f.replace(s.Records, s.Revision, stamp.Age)
+	return f.replace(s.Records, s.Position(), stamp.Age)
 }
 
 // recordPeerSteady records how long the store has answered another router without an
-// outage. f.mu must be held.
+// outage. A report from before the store's last return from a copy is ignored.
+// f.mu must be held.
 func (f *Feed) recordPeerSteady(stamp Stamp) {
+	if _, returned := f.opts.Eras.Since(); returned && stamp.Era < f.opts.Eras.Newest() {
+		return
+	}
 	now := time.Now()
 	since := now.Add(-stamp.Steady)
 	if now.Sub(f.peers.reported) > peerSteadyMaxAge || !since.After(f.peers.since) {
@@ -155,16 +203,36 @@
 // confirmation of this router's content. It reports whether the other router
 // holds newer content.
 func (f *Feed) Confirm(peer Stamp) (behind bool) {
+	f.opts.Eras.Observe(peer.Era, 0)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordPeerSteady(peer)
-	if peer.Digest == f.digest && f.revision != 0 {
-		if at := time.Now().Add(-peer.Age); at.After(f.confirmed) {
-			f.confirmed = at
-		}
+	if f.position.IsZero() {
+		return peer.Revision != 0
+	}
+	if peer.Era != f.position.Era && peer.Era != 0 {
+		return f.confirmAcrossEras(peer)
+	}
+	if peer.Digest == f.digest.revisions {
+		f.confirm(peer.Age)
 		return false
 	}
-	return peer.Revision > f.revision
+	return peer.Revision > f.position.Revision
+}
+
+// confirmAcrossEras evaluates the stamp of a router whose content belongs to another
+// era of the store. Content that the store's return did not change is moved to the
+// new era without being sent. f.mu must be held.
+func (f *Feed) confirmAcrossEras(peer Stamp) (behind bool) {
+	if peer.Era < f.position.Era {
+		return false
+	}
+	if peer.Content != f.digest.content {
+		return true
+	}
+	f.move(peer.Position())
+	f.confirm(peer.Age)
+	return false
 }
 
 // Kind returns the kind of objects that the feed keeps.
@@ -175,8 +243,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	s := Stamp{Revision: f.revision, Digest: f.digest, Steady: now.Sub(f.steadySince)}
-	if f.revision != 0 {
+	s := Stamp{
+		Era: f.position.Era, Revision: f.position.Revision,
+		Digest: f.digest.revisions, Content: f.digest.content,
+		Steady: now.Sub(f.steadyFrom()),
+	}
+	if !f.position.IsZero() {
 		s.Age = now.Sub(f.confirmed)
 	}
 	if !f.failingSince.IsZero() && now.Sub(f.failingSince) > minOutage {
@@ -185,6 +257,15 @@
 	return s
 }
 
+// steadyFrom returns since when the store has answered this router without an outage
+// or a return from a copy. f.mu must be held.
+func (f *Feed) steadyFrom() time.Time {
+	if at, returned := f.opts.Eras.Since(); returned && at.After(f.steadySince) {
+		return at
+	}
+	return f.steadySince
+}
+
 // Snapshot returns the content.
 func (f *Feed) Snapshot() Snapshot {
 	f.mu.Lock()
@@ -194,7 +275,7 @@
 
 // snapshot returns the content sorted by name. f.mu must be held.
 func (f *Feed) snapshot() Snapshot {
-	s := Snapshot{Revision: f.revision, Records: make([]store.Record, 0, len(f.records))}
+	s := Snapshot{Era: f.position.Era, Revision: f.position.Revision, Records: make([]store.Record, 0, len(f.records))}
 	for _, r := range f.records {
 		s.Records = append(s.Records, r)
 	}
@@ -202,14 +283,24 @@
 	return s
 }
 
-// digest returns a hash of the content that does not depend on the revision at
-// which it was read, nor on the order of the records.
-func digest(records map[string]store.Record) uint64 {
-	var sum uint64
+// digests are hashes of a content that depend neither on the position at which it
+// was read nor on the order of the records.
+type digests struct {
+	revisions uint64 // of names and revisions
+	content   uint64 // of names, revisions and values
+}
+
+func digestsOf(records map[string]store.Record) digests {
+	const multiplier = 0x9e3779b97f4a7c15 // odd, and without a short period in binary
+	var d digests
 	for name, r := range records {
-		sum += (xxhash.Sum64String(name) ^ r.Revision) * 0x9e3779b97f4a7c15
+		id := (xxhash.Sum64String(name) ^ r.Revision) * multiplier
+		d.revisions += id
+		d.content += (id ^ xxhash.Sum64(r.Value)) * multiplier
 	}
-	return sum ^ uint64(len(records))
+	d.revisions ^= uint64(len(records))
+	d.content ^= uint64(len(records))
+	return d
 }
 
 // Steady returns how long the store has answered this router or another one
@@ -223,5 +314,9 @@
 	if now.Sub(f.peers.reported) > peerSteadyMaxAge {
 		return own
 	}
-	return max(own, now.Sub(f.peers.since))
+	steady := now.Sub(f.peers.since)
+	if at, returned := f.opts.Eras.Since(); returned && f.peers.since.Before(at) {
+		steady = now.Sub(at) // the report is from before the store's return
+	}
+	return max(own, steady)
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -20,24 +20,29 @@
 	records  []store.Record
 	revision uint64
 	lists    int
+	era      uint64
 	watch    func(ctx context.Context, after uint64) ([]store.Change, uint64, error)
 }
 
-func (s *source) ListKind(context.Context, string) ([]store.Record, uint64, error) {
+func (s *source) ListKind(context.Context, string) ([]store.Record, store.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	return s.records, s.revision, nil
+	return s.records, store.Position{Era: s.era, Revision: s.revision}, nil
 }
 
-func (s *source) WatchKind(ctx context.Context, _ string, after uint64, _ time.Duration) ([]store.Change, uint64, error) {
+func (s *source) WatchKind(ctx context.Context, _ string, after store.Position, _ time.Duration) ([]store.Change, store.Position, error) {
 	s.mu.Lock()
-	watch := s.watch
+	watch, era := s.watch, s.era
 	s.mu.Unlock()
-	return watch(ctx, after)
+	if after.Era != era {
+		return nil, store.Position{}, store.ErrHistoryGone
+	}
+	changes, at, err := watch(ctx, after.Revision)
+	return changes, store.Position{Era: era, Revision: at}, err
 }
 
-func (*source) WriteRecord(context.Context, string, string, []byte) error { return io.EOF }
+func (*source) WriteRecord(context.Context, string, string, []byte) (uint64, error) { return 0, io.EOF }
 
 func hang(ctx context.Context, _ uint64) ([]store.Change, uint64, error) {
 	<-ctx.Done()
@@ -64,6 +69,9 @@
 	return f, changed
 }
 
+// at returns a position of a store that reports no eras.
+func at(revision uint64) store.Position { return store.Position{Revision: revision} }
+
 func record(name string, revision uint64) store.Record {
 	return store.Record{Name: name, Revision: revision, Value: []byte(name)}
 }
@@ -198,22 +206,22 @@
 	start := Snapshot{Revision: 5, Records: []store.Record{record("a", 1), record("b", 2)}}
 	must.True(t, sender.Adopt(start, Stamp{}))
 	must.True(t, receiver.Adopt(start, Stamp{}))
-	must.True(t, sender.apply(5, []store.Change{{Record: record("a", 1), Deleted: true}}, 7, 0))
-	must.True(t, sender.apply(7, []store.Change{{Record: record("a", 8)}, {Record: record("c", 9)}}, 9, 0))
+	must.True(t, sender.apply(at(5), []store.Change{{Record: record("a", 1), Deleted: true}}, at(7), 0))
+	must.True(t, sender.apply(at(7), []store.Change{{Record: record("a", 8)}, {Record: record("c", 9)}}, at(9), 0))
 
-	changes, at, ok := sender.Changes(5)
+	changes, to, ok := sender.Changes(at(5))
 	must.True(t, ok)
-	must.Eq(t, 9, at)
-	must.True(t, receiver.AdoptChanges(5, changes, at, Stamp{}))
+	must.Eq(t, at(9), to)
+	must.True(t, receiver.AdoptChanges(at(5), changes, to, Stamp{}))
 	must.Eq(t, sender.Snapshot(), receiver.Snapshot())
 	must.Eq(t, sender.Stamp().Digest, receiver.Stamp().Digest)
-	must.False(t, receiver.AdoptChanges(5, changes, at, Stamp{})) // no longer at that revision
+	must.False(t, receiver.AdoptChanges(at(5), changes, to, Stamp{})) // no longer at that revision
 
-	_, _, ok = sender.Changes(4) // before the oldest change kept
+	_, _, ok = sender.Changes(at(4)) // before the oldest change kept
 	must.False(t, ok)
 	big := store.Record{Name: "big", Revision: 10, Value: make([]byte, maxSentBytes+1)}
-	must.True(t, sender.apply(9, []store.Change{{Record: big}}, 10, 0))
-	_, _, ok = sender.Changes(9)
+	must.True(t, sender.apply(at(9), []store.Change{{Record: big}}, at(10), 0))
+	_, _, ok = sender.Changes(at(9))
 	must.False(t, ok)
 }
 
@@ -221,12 +229,12 @@
 	f := New(Options{Kind: "things", Log: &log.Logger{Handler: discard.New()}, Changed: func(Snapshot) {}})
 	must.True(t, f.Adopt(Snapshot{Revision: 1}, Stamp{}))
 	for i := uint64(1); i <= 2*maxRecentChanges; i++ {
-		must.True(t, f.apply(i, []store.Change{{Record: record("a", i+1)}}, i+1, 0))
+		must.True(t, f.apply(at(i), []store.Change{{Record: record("a", i+1)}}, at(i+1), 0))
 	}
 	must.Len(t, maxRecentChanges, f.recent.changes)
-	_, _, ok := f.Changes(f.revision - maxRecentChanges - 1)
+	_, _, ok := f.Changes(at(f.position.Revision - maxRecentChanges - 1))
 	must.False(t, ok)
-	changes, _, ok := f.Changes(f.revision - maxRecentChanges)
+	changes, _, ok := f.Changes(at(f.position.Revision - maxRecentChanges))
 	must.True(t, ok)
 	must.Len(t, maxRecentChanges, changes)
 }
--- a/feed/recent.go
+++ b/feed/recent.go
@@ -11,7 +11,7 @@
 	maxSentBytes = 32 << 10
 )
 
-// changeLog holds the most recent changes to the content.
+// changeLog holds the most recent changes to the content, all of one era.
 type changeLog struct {
 	base    uint64 // all changes after this revision are kept
 	changes []recentChange
@@ -35,30 +35,30 @@
 	}
 }
 
-// Changes returns the changes after a revision and the revision that results
-// from them. ok is false if they are no longer kept or are too large to send.
-// The content at that revision may already include some of them; applying all
+// Changes returns the changes after a position and the position that results
+// from them. ok is false if they are no longer kept, belong to another era of the
+// store or are too large to send. The content at that position may already include some of them; applying all
 // in order yields the same result.
-func (f *Feed) Changes(after uint64) (changes []store.Change, at uint64, ok bool) {
+func (f *Feed) Changes(after store.Position) (changes []store.Change, at store.Position, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.revision == 0 || after < f.recent.base {
-		return nil, 0, false
+	if f.position.IsZero() || after.Era != f.position.Era || after.Revision < f.recent.base {
+		return nil, store.Position{}, false
 	}
 	size := 0
 	for _, c := range f.recent.changes {
-		if c.revision > after {
+		if c.revision > after.Revision {
 			changes = append(changes, c.change)
 			size += len(c.change.Record.Value)
 		}
 	}
-	return changes, f.revision, size <= maxSentBytes
+	return changes, f.position, size <= maxSentBytes
 }
 
-// AdoptChanges applies the changes after revision from that another router sent,
-// and reports whether the content was at that revision. If it was not, the
+// AdoptChanges applies the changes after position from that another router sent,
+// and reports whether the content was at that position. If it was not, the
 // content stays as it is. stamp is the other router's stamp.
-func (f *Feed) AdoptChanges(from uint64, changes []store.Change, at uint64, stamp Stamp) bool {
+func (f *Feed) AdoptChanges(from store.Position, changes []store.Change, at store.Position, stamp Stamp) bool {
 	f.mu.Lock()
 	f.recordPeerSteady(stamp)
 	cancel := f.cancelWatch
--- a/feed/run.go
+++ b/feed/run.go
@@ -17,6 +17,10 @@
 		if listed && f.waitWhileConfirmed(ctx) {
 			continue
 		}
+		if !listed && f.awaitPeerContent(ctx) {
+			listed = true
+			continue
+		}
 		started := time.Now()
 		var err error
 		if !listed {
@@ -47,17 +51,17 @@
 // readChanges reads the changes that the store has now and applies them.
 func (f *Feed) readChanges(ctx context.Context) error {
 	f.mu.Lock()
-	from := f.revision
+	from := f.position
 	f.mu.Unlock()
-	if from == 0 {
+	if from.IsZero() {
 		return f.list(ctx)
 	}
 	return f.watchOnce(ctx, from, refreshWait)
 }
 
-// watchOnce watches the store once and applies its changes after revision from.
+// watchOnce watches the store once and applies its changes after position from.
 // If there are none, it returns after wait.
-func (f *Feed) watchOnce(ctx context.Context, from uint64, wait time.Duration) error {
+func (f *Feed) watchOnce(ctx context.Context, from store.Position, wait time.Duration) error {
 	changes, at, err := f.opts.Source.WatchKind(ctx, f.opts.Kind, from, wait)
 	if err != nil {
 		return err
@@ -81,6 +85,39 @@
 	return true
 }
 
+const (
+	// peerContentWait is the mean time for which a router that is not a watcher
+	// waits for the content of the store's new era from other routers before it
+	// lists. After the store's return from a copy all routers would list at once.
+	peerContentWait = time.Second
+	// peerContentPoll is how often it checks whether the content has arrived.
+	peerContentPoll = 20 * time.Millisecond
+)
+
+// awaitPeerContent makes a router that is not a watcher, and whose content belongs to
+// an earlier era of the store, wait for newer content of another router. It reports
+// whether this has arrived.
+func (f *Feed) awaitPeerContent(ctx context.Context) bool {
+	if f.opts.Watcher() || !f.FromEarlierEra() {
+		return false
+	}
+	for deadline := time.Now().Add(peerContentWait/2 + rand.N(peerContentWait)); time.Now().Before(deadline) && ctx.Err() == nil; {
+		sleep(ctx, peerContentPoll)
+		if !f.FromEarlierEra() {
+			return true
+		}
+	}
+	return false
+}
+
+// FromEarlierEra reports whether there is content, of an era of the store before the
+// newest known one.
+func (f *Feed) FromEarlierEra() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.position.IsZero() && f.position.Era < f.opts.Eras.Newest()
+}
+
 // refreshWait is how long the store may wait for a change that another router
 // has reported.
 const refreshWait = 20 * time.Millisecond
@@ -111,22 +148,23 @@
 
 // list reads the whole content from the store.
 func (f *Feed) list(ctx context.Context) error {
-	records, revision, err := f.opts.Source.ListKind(ctx, f.opts.Kind)
+	records, position, err := f.opts.Source.ListKind(ctx, f.opts.Kind)
 	if err != nil {
 		return err
 	}
+	f.opts.Eras.Observe(position.Era, 0)
 	f.recordSuccess()
-	f.replace(records, revision, 0)
+	f.replace(records, position, 0)
 	return nil
 }
 
-// watch waits for changes after the content's revision. It ends early, without
+// watch waits for changes after the content's position. It ends early, without
 // an error, if content from another router is adopted in the meantime.
 func (f *Feed) watch(ctx context.Context) error {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
-	from := f.revision
+	from := f.position
 	f.cancelWatch = cancel
 	f.mu.Unlock()
 	err := f.watchOnce(watchCtx, from, f.opts.Wait)
@@ -136,14 +174,14 @@
 	return err
 }
 
-// apply applies the changes after revision from, and reports whether the content
-// was at that revision. age is how long ago the result was known to be the
+// apply applies the changes after position from, and reports whether the content
+// was at that position. age is how long ago the result was known to be the
 // store's newest content.
-func (f *Feed) apply(from uint64, changes []store.Change, at uint64, age time.Duration) bool {
+func (f *Feed) apply(from store.Position, changes []store.Change, at store.Position, age time.Duration) bool {
 	f.publishMu.Lock()
 	defer f.publishMu.Unlock()
 	f.mu.Lock()
-	if f.revision != from {
+	if f.position != from || at.Era != from.Era {
 		f.mu.Unlock()
 		return false // other content was adopted in the meantime
 	}
@@ -154,16 +192,14 @@
 			f.records[c.Record.Name] = c.Record
 		}
 	}
-	f.revision = max(from, at)
-	f.recent.add(changes, f.revision)
-	if confirmed := time.Now().Add(-age); confirmed.After(f.confirmed) {
-		f.confirmed = confirmed
-	}
+	f.position.Revision = max(from.Revision, at.Revision)
+	f.recent.add(changes, f.position.Revision)
+	f.confirm(age)
 	if len(changes) == 0 {
 		f.mu.Unlock()
 		return true
 	}
-	f.digest = digest(f.records)
+	f.digest = digestsOf(f.records)
 	s := f.snapshot()
 	f.mu.Unlock()
 	f.opts.Changed(s)
@@ -204,11 +240,11 @@
 	if logLoss {
 		f.lossLogged = true
 	}
-	revision := f.revision
+	position := f.position
 	f.mu.Unlock()
 	if logLoss {
 		f.opts.Log.WithError(err).WithFields(log.Fields{
-			"kind": f.opts.Kind, "gap_ms": gap.Milliseconds(), "revision": revision,
+			"kind": f.opts.Kind, "gap_ms": gap.Milliseconds(), "era": position.Era, "revision": position.Revision,
 		}).Warn("store does not answer")
 	}
 }
--- a/gossip/catchup.go
+++ b/gossip/catchup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/store"
 	"github.com/apex/log"
 )
 
@@ -39,8 +40,9 @@
 
 // catchUp brings a kind up to date: with the peer's changes if they are small,
 // otherwise from the store, and with the peer's whole content if the store is
-// lost, fails, or does not answer within storeTimeout. While one call is doing so
-// for a kind, other calls for that kind return immediately.
+// lost, fails, or does not answer within storeTimeout. Content of a new era of the
+// store is fetched from the peer first, unless it is large. While one call is doing
+// so for a kind, other calls for that kind return immediately.
 func (m *Mesh) catchUp(ctx context.Context, client *link.Client, kind int) {
 	if !m.catchingUp[kind].CompareAndSwap(false, true) {
 		return
@@ -50,8 +52,11 @@
 	if m.fetchChanges(ctx, client, kind) {
 		return
 	}
+	if f.FromEarlierEra() && m.fetchContent(ctx, client, kind, maxPeerContentBytes) {
+		return
+	}
 	if f.Lost() {
-		m.fetchContent(ctx, client, kind)
+		m.fetchContent(ctx, client, kind, 0)
 		return
 	}
 	done := make(chan error, 1)
@@ -65,27 +70,28 @@
 		}
 	case <-timer.C:
 	}
-	m.fetchContent(ctx, client, kind)
+	m.fetchContent(ctx, client, kind, 0)
 }
 
 // fetchChanges fetches the changes of a kind from a peer and applies them. It
 // returns false if the content has to be read in another way.
 func (m *Mesh) fetchChanges(ctx context.Context, client *link.Client, kind int) bool {
 	f := m.opts.Feeds[kind]
-	from := f.Stamp().Revision
-	if from == 0 {
+	stamp := f.Stamp()
+	from := stamp.Position()
+	if from.IsZero() || f.FromEarlierEra() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply Changes
-	err := client.Call(ctx, service+".Changes", &ChangesArgs{Kind: kind, After: from}, &reply)
+	err := client.Call(ctx, service+".Changes", &ChangesArgs{Kind: kind, Era: from.Era, After: from.Revision}, &reply)
 	if err != nil || !reply.Known {
 		return false // read from the store, or fetch the peer's whole content
 	}
-	if f.AdoptChanges(from, reply.Changes, reply.At, reply.Stamp) {
+	if f.AdoptChanges(from, reply.Changes, store.Position{Era: reply.Era, Revision: reply.At}, reply.Stamp) {
 		m.opts.Log.WithFields(log.Fields{
-			"peer": client.Address(), "kind": f.Kind(), "revision": reply.At, "changes": len(reply.Changes),
+			"peer": client.Address(), "kind": f.Kind(), "era": reply.Era, "revision": reply.At, "changes": len(reply.Changes),
 			"age_ms": reply.Stamp.Age.Milliseconds(),
 		}).Info("changes adopted from another router")
 	}
@@ -93,19 +99,43 @@
 }
 
 // fetchContent fetches the whole content of a kind from a peer and adopts it if
-// it is newer.
-func (m *Mesh) fetchContent(ctx context.Context, client *link.Client, kind int) {
+// it is newer. It reports whether the content was sent; one larger than maxBytes is
+// not, where 0 means no limit.
+func (m *Mesh) fetchContent(ctx context.Context, client *link.Client, kind, maxBytes int) bool {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	f := m.opts.Feeds[kind]
 	fields := log.Fields{"peer": client.Address(), "kind": f.Kind()}
 	var content Content
-	if err := client.Call(ctx, service+".Fetch", &FetchArgs{Kind: kind}, &content); err != nil {
+	if err := client.Call(ctx, service+".Fetch", &FetchArgs{Kind: kind, MaxBytes: maxBytes}, &content); err != nil {
 		m.opts.Log.WithError(err).WithFields(fields).Warn("failed to fetch newer content from another router")
-		return
+		return false
+	}
+	if content.TooLarge {
+		return false
 	}
 	if f.Adopt(content.Snapshot, content.Stamp) {
-		fields["revision"], fields["age_ms"] = content.Snapshot.Revision, content.Stamp.Age.Milliseconds()
+		fields["era"], fields["revision"] = content.Snapshot.Era, content.Snapshot.Revision
+		fields["age_ms"] = content.Stamp.Age.Milliseconds()
 		m.opts.Log.WithFields(fields).Info("newer content adopted from another router")
 	}
+	return true
+}
+
+// fetchHeld fetches the configuration that is in force at a peer and puts it in force.
+func (m *Mesh) fetchHeld(ctx context.Context, client *link.Client) {
+	if !m.fetchingHeld.CompareAndSwap(false, true) {
+		return
+	}
+	defer m.fetchingHeld.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var held Held
+	if err := client.Call(ctx, service+".Held", &HeldArgs{}, &held); err != nil {
+		m.opts.Log.WithError(err).WithField("peer", client.Address()).Warn("failed to fetch the configuration in force at another router")
+		return
+	}
+	m.opts.Held.Adopt(held.Records)
+	m.opts.Log.WithFields(log.Fields{"peer": client.Address(), "config": m.opts.Held.Version()}).
+		Info("configuration in force at another router adopted, since the store returned with an older one")
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -38,6 +38,10 @@
 	// watchGracePeriod is how long a watcher leaves newer content of a peer to its own
 	// watch of the store.
 	watchGracePeriod = 150 * time.Millisecond
+	// maxPeerContentBytes is the size up to which a router takes the content of the
+	// store's new era from another router rather than from the store, which all
+	// routers would list at once.
+	maxPeerContentBytes = 128 << 10
 	// storeTimeout is how long a router that is behind waits for the store before
 	// it fetches the whole content from the peer: hosts have links of low
 	// bandwidth, the store does not.
@@ -63,6 +67,13 @@
 	Router  string
 	Address string       // of the router's listener for other routers
 	Stamps  []feed.Stamp // in the order of Options.Feeds
+	// Era is the newest era of the store that the router knows of; 0 if none.
+	Era uint64
+	// EraAge is how long ago that era began as far as the router knows; 0 if it has
+	// not seen the store return from a copy.
+	EraAge time.Duration
+	// Configuration is the version of the configuration in force.
+	Configuration uint64
 	// Upstreams and Requests are the router's requests in progress, as parallel
 	// slices. Upstreams holds short hashes of the upstreams' keys.
 	Upstreams []uint32
@@ -81,37 +92,68 @@
 }
 
 // FetchArgs are the arguments of a call for the content of a kind.
-type FetchArgs struct{ Kind int } // index in Options.Feeds
+type FetchArgs struct {
+	Kind     int // index in Options.Feeds
+	MaxBytes int // values of a greater total size are not sent; 0 means no limit
+}
 
 // ChangesArgs are the arguments of a call for the changes of a kind after a
-// revision.
+// position.
 type ChangesArgs struct {
-	Kind  int // index in Options.Feeds
-	After uint64
+	Kind  int    // index in Options.Feeds
+	Era   uint64 // of the position
+	After uint64 // revision of the position
 }
 
 // Changes are the changes of a kind.
 type Changes struct {
-	Known   bool // false if they are no longer kept or are too large to send
+	Known   bool // false if they are no longer kept, of another era or too large to send
 	Changes []store.Change
+	Era     uint64 // of the content after them
 	At      uint64 // revision of the content after them
 	Stamp   feed.Stamp
 }
 
 // Content is the content of a kind.
 type Content struct {
+	TooLarge bool // the snapshot is left out, because it exceeds FetchArgs.MaxBytes
 	Snapshot feed.Snapshot
 	Stamp    feed.Stamp
 }
 
+// Configuration is the configuration in force at this router.
+type Configuration interface {
+	// Version returns the version in force; 0 if there is none.
+	Version() uint64
+	// Records returns the store's records of the configuration in force.
+	Records() []store.Record
+	// Adopt puts the configuration of another router in force if it is newer.
+	Adopt(records []store.Record)
+}
+
+// noConfiguration is the Configuration of a router that has none.
+type noConfiguration struct{}
+
+func (noConfiguration) Version() uint64         { return 0 }
+func (noConfiguration) Records() []store.Record { return nil }
+func (noConfiguration) Adopt([]store.Record)    {}
+
+// HeldArgs are the arguments of a call for the configuration in force.
+type HeldArgs struct{}
+
+// Held is the configuration in force at a router.
+type Held struct{ Records []store.Record }
+
 // Options configures a Mesh.
 type Options struct {
 	Router  string       // name of this router
 	Address string       // of this router's listener, which the mesh never calls
 	Seeds   []string     // addresses to call while no other router is registered
-	Feeds   []*feed.Feed // in the same order at all routers
+	Feeds   []*feed.Feed // in the same order at all routers; the first is that of the configuration
 	Board   *gateway.Board
 	Prompts *gateway.Prompts
+	Eras    *store.Eras   // of the store, also used by the feeds; nil means a tracker of its own
+	Held    Configuration // nil means none
 	Log     log.Interface
 }
 
@@ -124,6 +166,7 @@
 
 	isWatcher     atomic.Bool
 	catchingUp    []atomic.Bool // by kind: whether a catchUp is in progress
+	fetchingHeld  atomic.Bool   // whether a fetchHeld is in progress
 	announcements chan struct{}
 
 	mu    sync.Mutex
@@ -142,6 +185,12 @@
 
 // New returns a mesh whose first peers are the seeds.
 func New(opts Options) (*Mesh, error) {
+	if opts.Eras == nil {
+		opts.Eras = &store.Eras{}
+	}
+	if opts.Held == nil {
+		opts.Held = noConfiguration{}
+	}
 	m := &Mesh{opts: opts, seeds: opts.Seeds, peers: make(map[string]*peer), announcements: make(chan struct{}, 1)}
 	m.catchingUp = make([]atomic.Bool, len(opts.Feeds))
 	m.clients = link.NewPool(link.ClientOptions{
@@ -177,6 +226,9 @@
 		return
 	}
 	m.applyReport(&reply)
+	if m.holdsNewerConfiguration(&reply) {
+		m.fetchHeld(ctx, client)
+	}
 	for _, p := range reply.News {
 		m.opts.Prompts.RecordReported(p)
 	}
@@ -212,7 +264,13 @@
 
 // report returns this router's report, without placements.
 func (m *Mesh) report() Report {
-	r := Report{Router: m.opts.Router, Address: m.opts.Address, Stamps: make([]feed.Stamp, len(m.opts.Feeds))}
+	r := Report{
+		Router: m.opts.Router, Address: m.opts.Address, Stamps: make([]feed.Stamp, len(m.opts.Feeds)),
+		Era: m.opts.Eras.Newest(), Configuration: m.opts.Held.Version(),
+	}
+	if at, returned := m.opts.Eras.Since(); returned {
+		r.EraAge = time.Since(at)
+	}
 	for i, f := range m.opts.Feeds {
 		r.Stamps[i] = f.Stamp()
 	}
@@ -227,8 +285,9 @@
 	return r
 }
 
-// applyReport applies the request counts and failure counts of a report.
+// applyReport applies the era, the request counts and the failure counts of a report.
 func (m *Mesh) applyReport(r *Report) {
+	m.opts.Eras.Observe(r.Era, r.EraAge)
 	loads := make(gateway.Loads, len(r.Upstreams))
 	for i, sum := range r.Upstreams[:min(len(r.Upstreams), len(r.Requests))] {
 		loads[sum] = int(min(r.Requests[i], maxReportedRequests))
@@ -244,6 +303,18 @@
 // accepted from a peer's report.
 const maxReportedRequests = 1 << 16
 
+// holdsNewerConfiguration reports whether the router that sent the report has a newer
+// version of the configuration in force although its copy of the store is not newer:
+// the store has returned from a copy with an older version.
+func (m *Mesh) holdsNewerConfiguration(r *Report) bool {
+	if r.Configuration <= m.opts.Held.Version() || len(r.Stamps) == 0 {
+		return false
+	}
+	own := m.opts.Feeds[0].Stamp()
+	peer := r.Stamps[0]
+	return !own.Position().IsZero() && peer.Position().Compare(own.Position()) <= 0
+}
+
 // receiver implements the methods that other routers call.
 type receiver struct{ mesh *Mesh }
 
@@ -272,7 +343,8 @@
 		return err
 	}
 	reply.Stamp = f.Stamp()
-	reply.Changes, reply.At, reply.Known = f.Changes(args.After)
+	changes, at, known := f.Changes(store.Position{Era: args.Era, Revision: args.After})
+	reply.Changes, reply.Era, reply.At, reply.Known = changes, at.Era, at.Revision, known
 	if !reply.Known {
 		reply.Changes = nil
 	}
@@ -287,6 +359,12 @@
 	return r.mesh.opts.Feeds[kind], nil
 }
 
+// Held returns the configuration in force.
+func (r *receiver) Held(_ *HeldArgs, reply *Held) error {
+	reply.Records = r.mesh.opts.Held.Records()
+	return nil
+}
+
 // Fetch returns the content of a kind.
 func (r *receiver) Fetch(args *FetchArgs, reply *Content) error {
 	f, err := r.feed(args.Kind)
@@ -295,5 +373,8 @@
 	}
 	reply.Stamp = f.Stamp()
 	reply.Snapshot = f.Snapshot()
+	if args.MaxBytes > 0 && reply.Snapshot.Bytes() > args.MaxBytes {
+		reply.Snapshot, reply.TooLarge = feed.Snapshot{}, true
+	}
 	return nil
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -19,16 +19,16 @@
 // unavailableStore is a store that is unavailable.
 type unavailableStore struct{}
 
-func (unavailableStore) ListKind(context.Context, string) ([]store.Record, uint64, error) {
-	return nil, 0, store.ErrUnavailable
+func (unavailableStore) ListKind(context.Context, string) ([]store.Record, store.Position, error) {
+	return nil, store.Position{}, store.ErrUnavailable
 }
 
-func (unavailableStore) WatchKind(context.Context, string, uint64, time.Duration) ([]store.Change, uint64, error) {
-	return nil, 0, store.ErrUnavailable
+func (unavailableStore) WatchKind(context.Context, string, store.Position, time.Duration) ([]store.Change, store.Position, error) {
+	return nil, store.Position{}, store.ErrUnavailable
 }
 
-func (unavailableStore) WriteRecord(context.Context, string, string, []byte) error {
-	return store.ErrUnavailable
+func (unavailableStore) WriteRecord(context.Context, string, string, []byte) (uint64, error) {
+	return 0, store.ErrUnavailable
 }
 
 type router struct {
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"sync"
 	"time"
 
 	"dandelionrill.example/fleet/controllers/configuration"
 	"dandelionrill.example/fleet/controllers/schedule"
+	"dandelionrill.example/fleet/revision"
 	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 	"github.com/cockroachdb/errors"
@@ -143,6 +145,41 @@
 	}
 }
 
+// maxLostVersionQueries is the number of processes that are asked for the version in
+// force before a publish.
+const maxLostVersionQueries = 8
+
+// checkNothingLost fails with *revision.LostVersionError if a process has a newer
+// version in force than the platform's newest one, base: the platform has returned
+// from an older copy, and publishing would drop the lost change unseen. An operator who
+// names the base has seen the loss. Processes that do not answer are passed over.
+func (o Options) checkNothingLost(ctx context.Context, base uint64) error {
+	if o.Fleet == nil || o.Base == base {
+		return nil
+	}
+	hosts, err := o.Fleet.Hosts(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read the host list")
+	}
+	processes := make([]ProcessVersion, 0, maxLostVersionQueries)
+	for _, host := range hosts[:min(len(hosts), maxLostVersionQueries)] {
+		processes = append(processes, ProcessVersion{Host: host})
+	}
+	newest := base
+	for _, p := range queryVersions(ctx, o.Fleet, processes, math.MaxUint64) {
+		newest = max(newest, p.Version)
+	}
+	if newest == base {
+		return nil
+	}
+	// Another operator may have published since base was read.
+	current, err := o.Store.Current(ctx)
+	if err != nil || current != nil && current.Version >= newest {
+		return err
+	}
+	return &revision.LostVersionError{Lost: newest, Newest: base}
+}
+
 // queryVersions queries processes, at most maxConcurrentQueries at a time, and
 // returns those that do not have version or a later one in force. If a query
 // fails because ctx has ended, the last known version of the process is kept.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -162,7 +162,8 @@
 // RunApply publishes a sheet as the next version and waits until the fleet has
 // it in force. A sheet without changes is not published again. A sheet that is
 // based on a version other than the current one is refused by the store with a
-// *revision.ConflictError.
+// *revision.ConflictError, and one whose base the platform has lost with a
+// *revision.LostVersionError.
 func RunApply(ctx context.Context, opts Options, in io.Reader, out io.Writer) error {
 	s, current, err := opts.readSheet(ctx, in)
 	if err != nil {
@@ -227,6 +228,9 @@
 	if err != nil {
 		return err
 	}
+	if err := o.checkNothingLost(ctx, base); err != nil {
+		return err
+	}
 	version, err := o.Store.Publish(ctx, cfg, base)
 	if err != nil {
 		return err
--- a/revision/publish.go
+++ b/revision/publish.go
@@ -20,7 +20,7 @@
 // identify which update was applied. It does not modify cfg otherwise.
 //
 // If the change was not made, Publish fails with *config.InvalidError,
-// *TooLargeError, *ConflictError or an error of the platform. If the change may
+// *TooLargeError, *ConflictError, *LostVersionError or an error of the platform. If the change may
 // have been made, it fails with *UnknownError. When an answer of the platform is lost, Publish repeats
 // the same conditional update: it succeeds at most once, and the change ID
 // shows whose update the platform has applied.
@@ -89,7 +89,7 @@
 	})
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		return &ConflictError{Base: base}
+		return &LostVersionError{Lost: base}
 	case err != nil:
 		return errors.Wrap(err, "revision: read current version")
 	case object.Version != base:
@@ -161,7 +161,17 @@
 	if err != nil {
 		return errors.Wrapf(err, "revision: version %d is not the current version, and reading later versions failed", base)
 	}
-	return newConflictError(base, published)
+	if len(published) > 0 {
+		return newConflictError(base, published)
+	}
+	newest := uint64(0)
+	switch current, err := s.Current(ctx); {
+	case err != nil:
+		return err
+	case current != nil:
+		newest = current.Version
+	}
+	return &LostVersionError{Lost: base, Newest: newest}
 }
 
 func newConflictError(base uint64, published []PublishedVersion) *ConflictError {
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -81,6 +81,19 @@
 	Since  []PublishedVersion // versions after Base, oldest first, as far as the history has them
 }
 
+// LostVersionError reports that the platform has returned from a copy that is older
+// than a version that was published. The change was not made.
+type LostVersionError struct {
+	Lost   uint64 // the newest version that is known to be lost
+	Newest uint64 // the platform's newest version; 0 if it has none
+}
+
+// Error says how to continue.
+func (e *LostVersionError) Error() string {
+	return fmt.Sprintf("version %d is lost: the platform has returned from a copy whose newest version is %d, and processes keep version %d in force; "+
+		"compare with version %d, then apply the sheet again with base %d", e.Lost, e.Newest, e.Lost, e.Newest, e.Newest)
+}
+
 // PublishedVersion is a version with its changes from the version before it.
 type PublishedVersion struct {
 	Entry
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -123,11 +123,12 @@
 	timer := time.NewTimer(min(maxWatchWait, time.Duration(millis)*time.Millisecond))
 	defer timer.Stop()
 	timedOut := false
+	eraAtStart := s.Era()
 	for {
 		s.mu.Lock()
 		answer := changes{Events: s.eventsAfter(r.PathValue("kind"), after), At: s.revision}
-		compacted := after < s.compactedRevision
-		changed, outage := s.changed, s.faults.Outage
+		compacted := after < s.compactedRevision || after > s.revision
+		changed, outage, era := s.changed, s.faults.Outage, s.era
 		s.mu.Unlock()
 		switch {
 		case outage == OutageRefuse:
@@ -136,7 +137,7 @@
 		case outage == OutageHang:
 			s.hangDuringOutage(r)
 			control.AbortConnection()
-		case compacted:
+		case compacted || era != eraAtStart:
 			http.Error(w, "history is gone", http.StatusGone)
 			return
 		case len(answer.Events) > 0 || timedOut:
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -89,6 +89,8 @@
 	mu                sync.Mutex
 	objects           map[string]map[string]object // by kind and name
 	revision          uint64
+	era               uint64     // rises each time the store returns from a copy
+	copied            *storeCopy // last taken by Copy
 	history           []event
 	compactedRevision uint64        // changes up to this revision are no longer in history
 	changed           chan struct{} // closed and replaced whenever objects or faults change
@@ -109,6 +111,7 @@
 		mux:     http.NewServeMux(),
 		objects: make(map[string]map[string]object),
 		changed: make(chan struct{}),
+		era:     1,
 		faults:  options.Faults,
 		hosts:   options.Hosts,
 	}
@@ -124,6 +127,14 @@
 	control.HandlePut(s.mux, "/control/faults", s.SetFaults)
 	control.HandlePut(s.mux, "/control/hosts", s.SetHosts)
 	s.mux.HandleFunc("PUT /control/values/{key...}", s.setValue)
+	s.mux.HandleFunc("PUT /control/copy", func(w http.ResponseWriter, _ *http.Request) {
+		s.Copy()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	s.mux.HandleFunc("PUT /control/restore", func(w http.ResponseWriter, _ *http.Request) {
+		s.Restore()
+		w.WriteHeader(http.StatusNoContent)
+	})
 	s.mux.HandleFunc("PUT /control/history", func(w http.ResponseWriter, _ *http.Request) {
 		s.CompactHistory()
 		w.WriteHeader(http.StatusNoContent)
@@ -133,7 +144,7 @@
 
 // ServeHTTP serves the object API, the host list and /control.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mux.ServeHTTP(w, r)
+	s.mux.ServeHTTP(&eraWriter{ResponseWriter: w, server: s, era: s.Era()}, r)
 }
 
 // Counts returns the calls received so far.
--- /dev/null
+++ b/store/era.go
@@ -0,0 +1,95 @@
+package store
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrEraPassed means that an answer belongs to an era of the store that has ended
+// since: what it says may no longer be true.
+var ErrEraPassed = errors.New("store: answer from an earlier era")
+
+// Position is a point in the sequence of changes of the store. A store that is
+// restored from an older copy begins a new era, in which revisions that were given
+// out before are given out again. Positions are therefore ordered by era first.
+type Position struct {
+	Era      uint64 // 0 if the store reports no eras
+	Revision uint64
+}
+
+// Compare returns -1, 0 or 1 if p is before q, equal to it or after it.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
+// IsZero reports whether p is no position.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Eras tracks the newest era of the store that this process knows of. The zero
+// value knows none. Its methods may be called concurrently.
+type Eras struct {
+	mu     sync.Mutex
+	newest uint64
+	rises  int       // observations of an era after the first known one
+	since  time.Time // when the newest era began as far as known; zero if it is the first known one
+	risen  chan struct{}
+}
+
+// Observe records that the store is or was in an era. began is how long ago that
+// era began, as far as the source knows; it matters only for an era that is newer
+// than the known ones. Observe reports whether this is the case and an earlier era
+// was known: the store has returned from a copy.
+func (e *Eras) Observe(era uint64, began time.Duration) (returned bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if era <= e.newest {
+		return false
+	}
+	returned = e.newest != 0
+	e.newest = era
+	if !returned {
+		return false
+	}
+	e.rises++
+	e.since = time.Now().Add(-began)
+	if e.risen != nil {
+		close(e.risen)
+		e.risen = nil
+	}
+	return true
+}
+
+// Newest returns the newest known era; 0 if none is known.
+func (e *Eras) Newest() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.newest
+}
+
+// Returns returns how many returns of the store from a copy were observed.
+func (e *Eras) Returns() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rises
+}
+
+// Since returns when the store returned from a copy the last time, as far as known.
+// ok is false if no return was observed.
+func (e *Eras) Since() (at time.Time, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.since, !e.since.IsZero()
+}
+
+// Risen returns a channel that is closed when the next return is observed.
+func (e *Eras) Risen() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.risen == nil {
+		e.risen = make(chan struct{})
+	}
+	return e.risen
+}
--- a/store/store.go
+++ b/store/store.go
@@ -60,7 +60,7 @@
 // Object is one versioned value.
 type Object struct {
 	Key     string
-	Version uint64 // greater after each update; never 0 for an existing object
+	Version uint64 // greater after each update, also across returns of the store from a copy; never 0 for an existing object
 	Value   []byte
 }
 
