--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -46,9 +46,10 @@
 	routers      []*router
 	reservation  *loopback.Reservation // of the routers' address; nil before the routers are started
 
-	mu        sync.Mutex
-	upstreams []*upstream // including those marked as leaving
-	version   uint64
+	mu            sync.Mutex
+	upstreams     []*upstream // including those marked as leaving
+	version       uint64
+	configuration []byte // the object of the newest version
 }
 
 // newFleet starts the store, the upstreams and the routers.
@@ -159,10 +160,22 @@
 			{Prefix: versionPath(f.version - 1), Kind: wire.RouteIdempotent},
 		},
 	}
-	f.store.SetObject(wire.KindConfiguration, wire.NameConfiguration, c.Spec())
+	f.configuration = c.Spec()
+	f.store.SetObject(wire.KindConfiguration, wire.NameConfiguration, f.configuration)
 	return f.version
 }
 
+// writeAgain writes the newest configuration and the entries of all upstreams again, as
+// the operator and the replicas do after the store has returned from a copy.
+func (f *fleet) writeAgain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store.SetObject(wire.KindConfiguration, wire.NameConfiguration, f.configuration)
+	for _, u := range f.upstreams {
+		f.register(u, !u.drainingSince.IsZero())
+	}
+}
+
 // versionPath returns the path prefix of the route specific to a version.
 func versionPath(version uint64) string { return fmt.Sprintf("/v%d/", version) }
 
--- /dev/null
+++ b/soak/restore.go
@@ -0,0 +1,65 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"dandelionrill.example/standin/platform"
+)
+
+const (
+	// awayTime is how long the store is away before it returns from a copy.
+	awayTime = 500 * time.Millisecond
+	// unwrittenTime is the time from the store's return until the operator and the
+	// replicas write again.
+	unwrittenTime = time.Second
+)
+
+// returnStore takes the store away for a time and returns it from its last copy.
+func (s *Soak) returnStore(away time.Duration) {
+	before := s.fleet.store.Faults()
+	s.fleet.store.SetFaults(platform.Faults{Outage: platform.OutageRefuse})
+	time.Sleep(away)
+	s.fleet.store.Restore()
+	s.fleet.store.SetFaults(before)
+}
+
+// runStoreReturn returns the store from a copy that has neither the newest version of
+// the configuration nor the newest state of an upstream. It checks that the version
+// stays in force at every router, and records the upstream's drain for check.
+func (s *Soak) runStoreReturn() {
+	from := time.Now()
+	s.fleet.store.Copy()
+	version := s.fleet.publishConfiguration()
+	var drained *upstream
+	if active := s.fleet.active(); len(active) > 3 {
+		drained = active[s.random.IntN(len(active))]
+		s.fleet.drain(drained)
+	}
+	time.Sleep(propagationLimit)
+	s.checkInForce(version, fmt.Sprintf("after %v", propagationLimit))
+	s.returnStore(awayTime)
+	for start := time.Now(); time.Since(start) < unwrittenTime; time.Sleep(unwrittenTime / 10) {
+		s.checkInForce(version, "after the store returned from a copy without it")
+	}
+	s.fleet.writeAgain()
+	time.Sleep(recoveryTime)
+	s.checkInForce(version, "after it was written again")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faultFree = append(s.faultFree, period{from, time.Now()})
+	if drained != nil {
+		s.drains = append(s.drains, upstreamDrain{drained, time.Now()})
+	}
+}
+
+// checkInForce checks that every router that answers has the version in force.
+func (s *Soak) checkInForce(version uint64, when string) {
+	c := &caller{soak: s}
+	for i := range s.fleet.routers {
+		if status := s.probe(c, i, version); status == http.StatusNotFound || status == http.StatusUnauthorized {
+			s.addViolation("CONFIG", fmt.Sprint("router-", i), "version %d is not in force %s: status %d", version, when, status)
+		}
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -100,6 +100,8 @@
 		s.logf("round %d: injecting faults", round)
 		s.injectFaults()
 		time.Sleep(recoveryTime)
+		s.logf("round %d: the store returns from a copy", round)
+		s.runStoreReturn()
 		s.logf("round %d: fault-free phase", round)
 		s.runFaultFreePhase()
 	}
@@ -176,6 +178,12 @@
 	{"store slow", func(s *Soak) func() { return s.storeFault(platform.Faults{DelayMillis: 300}) }},
 	{"store loses answers", func(s *Soak) func() { return s.storeFault(platform.Faults{LoseAnswers: 5}) }},
 	{"store drops its watch history", func(s *Soak) func() { s.fleet.store.CompactHistory(); return nothingToHeal }},
+	{"store returns from a copy", func(s *Soak) func() {
+		s.fleet.store.Copy()
+		time.Sleep(time.Duration(500+s.random.IntN(2000)) * time.Millisecond)
+		s.returnStore(time.Duration(200+s.random.IntN(1500)) * time.Millisecond)
+		return s.fleet.writeAgain
+	}},
 	{"network between a router and the store", func(s *Soak) func() { return s.proxyFault(s.randomRouter().storeProxy) }},
 	{"network to an upstream", func(s *Soak) func() { return s.proxyFault(s.randomUpstream().proxy) }},
 	{"network to an upstream", func(s *Soak) func() { return s.proxyFault(s.randomUpstream().proxy) }},
@@ -237,12 +245,7 @@
 		s.fleet.drain(drained)
 	}
 	time.Sleep(propagationLimit)
-	c := &caller{soak: s}
-	for i := range s.fleet.routers {
-		if status := s.probe(c, i, version); status == http.StatusNotFound || status == http.StatusUnauthorized {
-			s.addViolation("CONFIG", fmt.Sprint("router-", i), "version %d is not in force after %v: status %d", version, propagationLimit, status)
-		}
-	}
+	s.checkInForce(version, fmt.Sprintf("after %v", propagationLimit))
 	shutdown := routerShutdown{router: s.random.IntN(len(s.fleet.routers)), period: period{from: time.Now()}}
 	s.logf("graceful shutdown of router-%d", shutdown.router)
 	s.fleet.routers[shutdown.router].terminate()
