--- a/soak/restore.go
+++ b/soak/restore.go
@@ -14,6 +14,9 @@
 	// unwrittenTime is the time from the store's return until the operator and the
 	// replicas write again.
 	unwrittenTime = time.Second
+	// lostVersions is the number of further versions that the copy does not have. They
+	// are more than what is written again, so that revisions stay lower than before.
+	lostVersions = 20
 )
 
 // returnStore takes the store away for a time and returns it from its last copy.
@@ -27,11 +30,15 @@
 
 // runStoreReturn returns the store from a copy that has neither the newest version of
 // the configuration nor the newest state of an upstream. It checks that the version
-// stays in force at every router, and records the upstream's drain for check.
+// stays in force at every router, and that a version written after the return is in
+// force in time, and records the upstream's drain for check.
 func (s *Soak) runStoreReturn() {
 	from := time.Now()
 	s.fleet.store.Copy()
 	version := s.fleet.publishConfiguration()
+	for range lostVersions {
+		version = s.fleet.publishConfiguration()
+	}
 	var drained *upstream
 	if active := s.fleet.active(); len(active) > 3 {
 		drained = active[s.random.IntN(len(active))]
@@ -43,9 +50,11 @@
 	for start := time.Now(); time.Since(start) < unwrittenTime; time.Sleep(unwrittenTime / 10) {
 		s.checkInForce(version, "after the store returned from a copy without it")
 	}
+	// This version and the entries get revisions that were given out before.
+	version = s.fleet.publishConfiguration()
 	s.fleet.writeAgain()
 	time.Sleep(recoveryTime)
-	s.checkInForce(version, "after it was written again")
+	s.checkInForce(version, "after it was written in the store's new era")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faultFree = append(s.faultFree, period{from, time.Now()})
