feed: notice changes of two entries that cancel in the digest

Cause: the digest by which routers compare contents was a sum of (hash of the name XOR revision), so that changes of two revisions by like amounts cancel in one case of four; the router confirmed its old content by the others' and did not catch up until the next change. Ruled out: lost changes in the log of the peers, the order by era.

Each record is hashed as a whole now. Routers of earlier versions still get the sum. TestChangesThatCancelInTheSumAreNoticed fails with the sum.

--- a/feed/era_test.go
+++ b/feed/era_test.go
@@ -148,3 +148,13 @@
 	defer s.mu.Unlock()
 	must.Eq(t, 1, s.lists)
 }
+
+// Two entries change at once, as when replicas drain together. The sum of names and
+// revisions that routers of earlier versions compare is the same before and after; a
+// router that took the contents for equal would keep the old one until the next change.
+func TestChangesThatCancelInTheSumAreNoticed(t *testing.T) {
+	before := newPassiveFeed(Snapshot{Revision: 5, Records: []store.Record{record("i-3", 4), record("i-4", 5)}})
+	after := newPassiveFeed(Snapshot{Revision: 6, Records: []store.Record{record("i-3", 5), record("i-4", 6)}})
+	must.Eq(t, before.Stamp().Digest, after.Stamp().Digest)
+	must.True(t, before.Confirm(after.Stamp()))
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
@@ -61,8 +62,8 @@
 type Stamp struct {
 	Era      uint64        // of the store; 0 if the store reports no eras
 	Revision uint64        // of the store; 0 if the feed has no content
-	Digest   uint64        // of the content's names and revisions, which identify it within an era
-	Content  uint64        // of names, revisions and values, which identify it in all eras
+	Digest   uint64        // of names and revisions, for routers of earlier versions; differing contents can have the same
+	Content  uint64        // of names, revisions and values
 	Age      time.Duration // since the content was last known to be the store's newest
 	Steady   time.Duration // how long the store has answered this router without an outage
 }
@@ -213,7 +214,11 @@
 	if peer.Era != f.position.Era && peer.Era != 0 {
 		return f.confirmAcrossEras(peer)
 	}
-	if peer.Digest == f.digest.revisions {
+	equal := peer.Content == f.digest.content
+	if peer.Content == 0 {
+		equal = peer.Digest == f.digest.revisions // a router of an earlier version
+	}
+	if equal {
 		f.confirm(peer.Age)
 		return false
 	}
@@ -286,20 +291,23 @@
 // digests are hashes of a content that depend neither on the position at which it
 // was read nor on the order of the records.
 type digests struct {
-	revisions uint64 // of names and revisions
-	content   uint64 // of names, revisions and values
+	revisions uint64 // of names and revisions, as routers of earlier versions compute it
+	content   uint64 // of names, revisions and values; not 0 if there are records
 }
 
 func digestsOf(records map[string]store.Record) digests {
-	const multiplier = 0x9e3779b97f4a7c15 // odd, and without a short period in binary
 	var d digests
 	for name, r := range records {
-		id := (xxhash.Sum64String(name) ^ r.Revision) * multiplier
-		d.revisions += id
-		d.content += (id ^ xxhash.Sum64(r.Value)) * multiplier
+		d.revisions += (xxhash.Sum64String(name) ^ r.Revision) * 0x9e3779b97f4a7c15
+		// Each record is hashed as a whole: of the sum above, changes of two revisions
+		// can cancel each other.
+		h := xxhash.New()
+		_, _ = h.WriteString(name) // cannot fail
+		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, r.Revision))
+		_, _ = h.Write(r.Value)
+		d.content += h.Sum64()
 	}
 	d.revisions ^= uint64(len(records))
-	d.content ^= uint64(len(records))
 	return d
 }
 
