Exchange reports within failure domains and sums between them

Placements reach every router from every other, and each pair of routers exchanges reports once in 3.4 s, at 300 routers once in 15 s, after reports expire.

Fleets of 17 routers and more exchange reports within their failure domain. Two speakers of each domain exchange the sums of their domains, twice a second, and pass on sums and placements in their own; placements are sent as part and short hash. One router of each of the first three domains that report watches the store.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -53,6 +53,7 @@
 	Revision uint64
 	services map[string][]*Upstream
 	byID     map[string]*Upstream
+	bySum    map[uint32]*Upstream // by the short hash of the key
 }
 
 // New returns a catalog of the upstreams. It retains the slice and sets the Hash of
@@ -62,11 +63,13 @@
 		Revision: revision,
 		services: make(map[string][]*Upstream),
 		byID:     make(map[string]*Upstream, len(upstreams)),
+		bySum:    make(map[uint32]*Upstream, len(upstreams)),
 	}
 	for i := range upstreams {
 		u := &upstreams[i]
 		u.Hash = xxhash.Sum64String(u.ID)
 		c.byID[u.ID] = u
+		c.bySum[u.Key().Sum()] = u
 		c.services[u.Service] = append(c.services[u.Service], u)
 	}
 	for _, list := range c.services {
@@ -82,6 +85,9 @@
 // Find returns the upstream with the ID; nil if it is not listed.
 func (c *Catalog) Find(id string) *Upstream { return c.byID[id] }
 
+// FindSum returns the upstream whose key has the short hash; nil if none is listed.
+func (c *Catalog) FindSum(sum uint32) *Upstream { return c.bySum[sum] }
+
 // All calls f for every upstream.
 func (c *Catalog) All(f func(*Upstream)) {
 	for _, u := range c.byID {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -124,15 +124,17 @@
 	h.upstreams = h.newFeed(platform.KindUpstreams, upstreamsWatchTimeout, h.applyUpstreams)
 	h.routers = h.newFeed(platform.KindRouters, routersWatchTimeout, h.applyRouters)
 	h.mesh, err = gossip.New(gossip.Options{
-		Router:  s.Host,
-		Address: s.PeersAddress,
-		Seeds:   s.SeedAddresses,
-		Feeds:   []*feed.Feed{h.configuration, h.upstreams, h.routers},
-		Board:   h.gateway.Board(),
-		Prompts: h.gateway.Prompts(),
-		Eras:    eras,
-		Held:    h.held,
-		Log:     opts.Log,
+		Router:        s.Host,
+		Address:       s.PeersAddress,
+		FailureDomain: s.FailureDomain,
+		Seeds:         s.SeedAddresses,
+		Feeds:         []*feed.Feed{h.configuration, h.upstreams, h.routers},
+		Board:         h.gateway.Board(),
+		Prompts:       h.gateway.Prompts(),
+		Eras:          eras,
+		Held:          h.held,
+		UpstreamKey:   h.gateway.UpstreamKey,
+		Log:           opts.Log,
 	})
 	return h, errors.Wrap(err, "entry host")
 }
--- a/entry/routers.go
+++ b/entry/routers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionrill.example/fleet/feed"
+	"dandelionrill.example/fleet/gossip"
 	"dandelionrill.example/fleet/platform"
 	"github.com/apex/log"
 )
@@ -55,7 +56,7 @@
 	listed, findings := platform.DecodeRouters(s.Records)
 	h.logInvalidEntries("router", findings)
 	routers := h.routerList.merge(s.Era, listed, h.routers.Steady())
-	h.mesh.SetPeers(addresses(routers))
+	h.mesh.SetPeers(members(routers))
 	h.gateway.SetRouterCount(len(routers))
 	h.log.WithFields(log.Fields{
 		"era": s.Era, "revision": s.Revision, "routers": len(listed), "kept": len(routers) - len(listed),
@@ -69,6 +70,14 @@
 	}
 }
 
+func members(routers []platform.Router) []gossip.Member {
+	out := make([]gossip.Member, 0, len(routers))
+	for _, r := range routers {
+		out = append(out, gossip.Member{Address: r.Address, FailureDomain: r.FailureDomain})
+	}
+	return out
+}
+
 func addresses(routers []platform.Router) []string {
 	out := make([]string, 0, len(routers))
 	for _, r := range routers {
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -48,7 +48,8 @@
 // NewBoard returns an empty board.
 func NewBoard(opts eject.Options) *Board {
 	b := &Board{start: time.Now(), ejectOptions: opts}
-	b.peers.reports = make(map[string]peerReport)
+	b.peers.routers = make(map[string]peerReport)
+	b.peers.domains = make(map[string]peerReport)
 	b.peers.loads = make(map[uint32]int)
 	for i := range b.shards {
 		b.shards[i].upstreams = make(map[catalog.Key]*upstreamState)
@@ -160,8 +161,8 @@
 
 // UpstreamStatus is what the board has recorded of one upstream.
 type UpstreamStatus struct {
-	Load     int // requests in progress from all routers, as last reported
-	OwnLoad  int // requests in progress from this router
+	Load     float64 // requests in progress from all routers, as last reported
+	OwnLoad  int     // requests in progress from this router
 	Failures eject.Record
 	// Silence is how long the upstream has sent nothing while this router waited
 	// for answers.
@@ -176,7 +177,7 @@
 	status := UpstreamStatus{Load: b.peers.load(key)}
 	b.read(key, func(u *upstreamState, now time.Duration) {
 		status.OwnLoad = u.silence.Pending()
-		status.Load += status.OwnLoad
+		status.Load += float64(status.OwnLoad)
 		status.Failures, status.Silence, status.Unreachable = u.failures, u.silence.For(now), u.unreachable
 	})
 	return status
--- a/gateway/board_test.go
+++ b/gateway/board_test.go
@@ -13,12 +13,12 @@
 	b := NewBoard(eject.Options{})
 	x, y := catalog.Key{ID: "x", Born: 1}, catalog.Key{ID: "y"}
 	b.BeginRequest(x)
-	b.SetPeerReport("r1", Loads{x.Sum(): 2, y.Sum(): 1}, nil)
-	b.SetPeerReport("r2", Loads{x.Sum(): 3}, nil)
+	b.SetPeerReport("r1", "a", Loads{x.Sum(): 2, y.Sum(): 1}, nil)
+	b.SetPeerReport("r2", "a", Loads{x.Sum(): 3}, nil)
 	must.Eq(t, 6, b.Status(x).Load)
 	must.Eq(t, 1, b.Status(x).OwnLoad)
 	must.Eq(t, 1, b.Status(y).Load)
-	b.SetPeerReport("r1", Loads{}, nil) // a report replaces the previous one
+	b.SetPeerReport("r1", "a", Loads{}, nil) // a report replaces the previous one
 	must.Eq(t, 4, b.Status(x).Load)
 	must.Eq(t, 0, b.Status(y).Load)
 	must.Eq(t, Loads{x.Sum(): 1}, b.OwnLoads())
@@ -31,7 +31,7 @@
 func TestPeerReportsExpire(t *testing.T) {
 	b := NewBoard(eject.Options{})
 	x := catalog.Key{ID: "x"}
-	b.SetPeerReport("r1", Loads{x.Sum(): 2}, nil)
+	b.SetPeerReport("r1", "a", Loads{x.Sum(): 2}, nil)
 	b.ExpirePeerReports()
 	must.Eq(t, 2, b.Status(x).Load)
 	b.start = b.start.Add(-peerReportMaxAge - time.Second)
@@ -60,14 +60,16 @@
 	p.RecordSend(Placement{Part: 1, At: x})
 	p.RecordSend(Placement{Part: 1, At: x})
 	p.RecordSend(Placement{Part: 1, At: y})
-	placements, next := p.PlacementsSince(0)
+	placements, next := p.PlacementsSince(0, OriginOwn)
 	must.Eq(t, []Placement{{1, x}, {1, y}}, placements)
-	placements, next = p.PlacementsSince(next)
+	placements, next = p.PlacementsSince(next, OriginOwn)
 	must.SliceEmpty(t, placements)
-	p.RecordReported(Placement{Part: 2, At: x}) // placements learned from another router are not passed on
-	placements, _ = p.PlacementsSince(next)
+	p.Record(Placement{Part: 2, At: x}, OriginDomain)
+	placements, _ = p.PlacementsSince(next, OriginOwn)
 	must.SliceEmpty(t, placements)
-	placements, _ = p.PlacementsSince(1 << 40) // a number from before a restart of this process
+	placements, _ = p.PlacementsSince(next, OriginOwn|OriginDomain)
+	must.Eq(t, []Placement{{2, x}}, placements)
+	placements, _ = p.PlacementsSince(1<<40, OriginOwn) // a number from before a restart of this process
 	must.Len(t, 2, placements)
 	p.RemoveUnlisted(func(key catalog.Key) bool { return key == y })
 	var cachedAt []catalog.Key
@@ -85,8 +87,8 @@
 		total += len(p.shards[i].cachedAt)
 	}
 	must.LessEq(t, promptShards*maxPartsPerShard, total)
-	placements, _ := p.PlacementsSince(0)
-	must.LessEq(t, maxOwnPlacements, len(placements))
+	placements, _ := p.PlacementsSince(0, OriginOwn)
+	must.LessEq(t, maxLoggedPlacements, len(placements))
 	for i := range 3 * maxUpstreamsPerPart {
 		p.RecordSend(Placement{Part: 7, At: catalog.Key{ID: "x", Born: int64(i)}})
 	}
@@ -123,3 +125,46 @@
 	b.RecordActivity(x)
 	must.False(t, b.Status(x).Unreachable)
 }
+
+// The routers of a failure domain are counted by the report of their domain or one by
+// one, never both, and again one by one once the domain no longer reports.
+func TestDomainReportReplacesThoseOfItsRouters(t *testing.T) {
+	b := NewBoard(eject.Options{})
+	x := catalog.Key{ID: "x"}
+	b.SetPeerReport("r1", "near", Loads{x.Sum(): 1}, nil)
+	b.SetPeerReport("r2", "far", Loads{x.Sum(): 2}, nil)
+	b.SetDomainReport(DomainReport{Domain: "far", Age: time.Second, Loads: Loads{x.Sum(): 4 * LoadUnits}})
+	must.Eq(t, 5, b.Status(x).Load)
+	b.SetPeerReport("r2", "far", Loads{x.Sum(): 2}, nil)
+	must.Eq(t, 5, b.Status(x).Load)
+	b.SetDomainReport(DomainReport{Domain: "far", Age: time.Minute, Loads: Loads{x.Sum(): 9 * LoadUnits}})
+	must.Eq(t, 5, b.Status(x).Load, must.Sprint("an older report that came by another way"))
+	b.SetDomainReport(DomainReport{Domain: "far", Loads: Loads{x.Sum(): LoadUnits / 2}})
+	must.Eq(t, 1.5, b.Status(x).Load)
+	b.start = b.start.Add(-peerReportMaxAge - time.Second)
+	b.ExpirePeerReports()
+	b.SetPeerReport("r2", "far", Loads{x.Sum(): 2}, nil)
+	must.Eq(t, 2, b.Status(x).Load)
+}
+
+// All routers of the other domains act on the same report. With the loads of one moment
+// they would all send to the upstream that happened to have none.
+func TestDomainReportsHoldAverages(t *testing.T) {
+	var a loadAverage
+	const upstream = 7
+	now := time.Duration(0)
+	for i := range 400 {
+		now += loadAverageTime / 50
+		sample := Loads{}
+		if i%2 == 0 {
+			sample[upstream] = 4
+		}
+		a.add(sample, now)
+	}
+	must.Between(t, 2*LoadUnits-2, a.loads()[upstream], 2*LoadUnits+2)
+	for range 400 {
+		now += loadAverageTime / 50
+		a.add(Loads{}, now)
+	}
+	must.MapEmpty(t, a.values)
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -56,7 +56,7 @@
 		records = append(records, g.ejectionRecord(u.Key(), status, now))
 		replicas = append(replicas, place.Replica{
 			Seed:     u.Hash,
-			Load:     float64(status.Load),
+			Load:     status.Load,
 			Tried:    a.tried[u.Key()],
 			Local:    u.FailureDomain == g.opts.FailureDomain,
 			Draining: u.State != catalog.StateReady,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// UpstreamKey returns the key of the listed upstream whose key has the short hash.
+func (g *Gateway) UpstreamKey(sum uint32) (catalog.Key, bool) {
+	u := g.catalog.Load().FindSum(sum)
+	if u == nil {
+		return catalog.Key{}, false
+	}
+	return u.Key(), true
+}
+
 // Version returns the version of the configuration in force; 0 if none.
 func (g *Gateway) Version() uint64 {
 	if t := g.table.Load(); t != nil {
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -25,6 +25,22 @@
 	At   catalog.Key
 }
 
+// Origin is where a router has a placement from.
+type Origin uint8
+
+// Origins, which can be combined to select placements.
+const (
+	OriginOwn     Origin = 1 << iota // this router's own sends
+	OriginDomain                     // another router of this failure domain
+	OriginForeign                    // a router of another failure domain
+)
+
+// loggedPlacement is a placement that was new to this router.
+type loggedPlacement struct {
+	placement Placement
+	origin    Origin
+}
+
 // Prompts records which upstreams have recently read which shared prompt parts,
 // from this router's own sends and from the reports of other routers. All methods
 // may be called concurrently.
@@ -32,9 +48,9 @@
 	start  time.Time
 	shards [promptShards]promptShard
 
-	mu            sync.Mutex
-	ownPlacements []Placement // new placements of this router, newest last
-	firstNumber   uint64      // sequence number of ownPlacements[0]
+	mu          sync.Mutex
+	log         []loggedPlacement // newest last
+	firstNumber uint64            // sequence number of log[0]
 }
 
 type promptShard struct {
@@ -42,9 +58,9 @@
 	cachedAt map[uint64]map[catalog.Key]time.Duration
 }
 
-// maxOwnPlacements is the number of placements retained for other routers. A
+// maxLoggedPlacements is the number of placements retained for other routers. A
 // router that has missed more learns of them only by its own sends.
-const maxOwnPlacements = 2048
+const maxLoggedPlacements = 16384
 
 // NewPrompts returns a Prompts without any records.
 func NewPrompts() *Prompts {
@@ -56,23 +72,29 @@
 }
 
 // RecordSend records that this router has sent a prompt with the part to an
-// upstream. A placement that RecordReported reports as new is retained for the
-// other routers.
-func (p *Prompts) RecordSend(placement Placement) {
-	if p.RecordReported(placement) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.ownPlacements = append(p.ownPlacements, placement)
-		if over := len(p.ownPlacements) - maxOwnPlacements; over > 0 {
-			p.ownPlacements = append(p.ownPlacements[:0], p.ownPlacements[over:]...)
-			p.firstNumber += uint64(over)
-		}
+// upstream.
+func (p *Prompts) RecordSend(placement Placement) { p.Record(placement, OriginOwn) }
+
+// Record records a placement. If it is new, or its last use was longer ago than
+// cachedPartMaxAge, it is retained for other routers.
+func (p *Prompts) Record(placement Placement, origin Origin) {
+	if !p.use(placement) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log = append(p.log, loggedPlacement{placement, origin})
+	if over := len(p.log) - maxLoggedPlacements; over > 0 {
+		// Half of the log is dropped at once, so that entries are rarely moved.
+		over += maxLoggedPlacements / 2
+		p.log = append(p.log[:0], p.log[over:]...)
+		p.firstNumber += uint64(over)
 	}
 }
 
-// RecordReported records a placement and reports whether it was new or its last
-// use was longer ago than cachedPartMaxAge.
-func (p *Prompts) RecordReported(placement Placement) bool {
+// use records the use of a part at an upstream, and reports whether it is new or the
+// last use was longer ago than cachedPartMaxAge.
+func (p *Prompts) use(placement Placement) bool {
 	now := time.Since(p.start)
 	s := &p.shards[placement.Part%promptShards]
 	s.mu.Lock()
@@ -128,17 +150,22 @@
 	}
 }
 
-// PlacementsSince returns this router's placements with sequence numbers from
+// PlacementsSince returns the placements of the origins with sequence numbers from
 // after on, and the number to pass to the next call.
-func (p *Prompts) PlacementsSince(after uint64) ([]Placement, uint64) {
+func (p *Prompts) PlacementsSince(after uint64, origins Origin) ([]Placement, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	end := p.firstNumber + uint64(len(p.ownPlacements))
+	end := p.firstNumber + uint64(len(p.log))
 	if after > end {
 		after = p.firstNumber // a number from before this process restarted
 	}
-	from := max(after, p.firstNumber) - p.firstNumber
-	return append([]Placement(nil), p.ownPlacements[from:]...), end
+	var placements []Placement
+	for _, l := range p.log[max(after, p.firstNumber)-p.firstNumber:] {
+		if l.origin&origins != 0 {
+			placements = append(placements, l.placement)
+		}
+	}
+	return placements, end
 }
 
 // RemoveUnlisted removes the placements at upstreams for which listed returns
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/feed"
 	"dandelionrill.example/fleet/gateway"
 	"dandelionrill.example/fleet/link"
@@ -61,36 +63,6 @@
 // service is the net/rpc service name, the prefix of the method names in calls.
 const service = "Gossip"
 
-// Report is the state that a router sends to a peer. It is sent many times a
-// second, so its size matters.
-type Report struct {
-	Router  string
-	Address string       // of the router's listener for other routers
-	Stamps  []feed.Stamp // in the order of Options.Feeds
-	// Era is the newest era of the store that the router knows of; 0 if none.
-	Era uint64
-	// EraAge is how long ago that era began as far as the router knows; 0 if it has
-	// not seen the store return from a copy.
-	EraAge time.Duration
-	// Configuration is the version of the configuration in force.
-	Configuration uint64
-	// Upstreams and Requests are the router's requests in progress, as parallel
-	// slices. Upstreams holds short hashes of the upstreams' keys.
-	Upstreams []uint32
-	Requests  []uint
-	// Answered and Tallies are the failure counts of the upstreams that answered
-	// recently, as parallel slices. Answered holds the same kind of hashes.
-	Answered []uint32
-	Tallies  []gateway.Tally
-	// NewsAfter is the sequence number after which the router wants the peer's
-	// prompt placements.
-	NewsAfter uint64
-	// News holds prompt placements that the sender made itself. NewsNext is the
-	// value of NewsAfter that asks for the placements after them.
-	News     []gateway.Placement
-	NewsNext uint64
-}
-
 // FetchArgs are the arguments of a call for the content of a kind.
 type FetchArgs struct {
 	Kind     int // index in Options.Feeds
@@ -146,15 +118,20 @@
 
 // Options configures a Mesh.
 type Options struct {
-	Router  string       // name of this router
-	Address string       // of this router's listener, which the mesh never calls
-	Seeds   []string     // addresses to call while no other router is registered
-	Feeds   []*feed.Feed // in the same order at all routers; the first is that of the configuration
-	Board   *gateway.Board
-	Prompts *gateway.Prompts
-	Eras    *store.Eras   // of the store, also used by the feeds; nil means a tracker of its own
-	Held    Configuration // nil means none
-	Log     log.Interface
+	Router  string // name of this router
+	Address string // of this router's listener, which the mesh never calls
+	// FailureDomain of this router.
+	FailureDomain string
+	Seeds         []string     // addresses to call while no other router is registered
+	Feeds         []*feed.Feed // in the same order at all routers; the first is that of the configuration
+	Board         *gateway.Board
+	Prompts       *gateway.Prompts
+	Eras          *store.Eras   // of the store, also used by the feeds; nil means a tracker of its own
+	Held          Configuration // nil means none
+	// UpstreamKey returns the key of the upstream whose key has the short hash; nil
+	// means that no upstream is known.
+	UpstreamKey func(sum uint32) (catalog.Key, bool)
+	Log         log.Interface
 }
 
 // Mesh exchanges reports with the other routers. Its methods may be called
@@ -165,18 +142,27 @@
 	clients *link.Pool
 
 	isWatcher     atomic.Bool
+	key           uint64        // order among the routers
 	catchingUp    []atomic.Bool // by kind: whether a catchUp is in progress
 	fetchingHeld  atomic.Bool   // whether a fetchHeld is in progress
 	announcements chan struct{}
 
-	mu    sync.Mutex
-	seeds []string
-	peers map[string]*peer // by address
+	mu            sync.Mutex
+	seeds         []string
+	peers         map[string]*peer // by address
+	topology      *topology        // of the peers
+	role          role
+	domainEntries int // in the last report of this failure domain
 }
 
 // peer is the state of another router. It is guarded by the mutex of its Mesh.
 type peer struct {
+	address         string
+	domain          string    // failure domain; empty if unknown
+	key             uint64    // order among the routers
+	partner         bool      // this router exchanges reports with it
 	due             time.Time // when the next call is due; zero means immediately
+	sumsSent        time.Time // when the reports of other failure domains were last sent to it
 	calling         bool
 	unresponsive    bool // the last call failed
 	placementsAfter uint64
@@ -188,10 +174,13 @@
 	if opts.Eras == nil {
 		opts.Eras = &store.Eras{}
 	}
+	if opts.UpstreamKey == nil {
+		opts.UpstreamKey = func(uint32) (catalog.Key, bool) { return catalog.Key{}, false }
+	}
 	if opts.Held == nil {
 		opts.Held = noConfiguration{}
 	}
-	m := &Mesh{opts: opts, seeds: opts.Seeds, peers: make(map[string]*peer), announcements: make(chan struct{}, 1)}
+	m := &Mesh{opts: opts, key: place.Key(opts.Address), seeds: opts.Seeds, peers: make(map[string]*peer), announcements: make(chan struct{}, 1)}
 	m.catchingUp = make([]atomic.Bool, len(opts.Feeds))
 	m.clients = link.NewPool(link.ClientOptions{
 		PrivateNetwork:    true,
@@ -210,13 +199,13 @@
 
 // exchange sends this router's report to the peer, applies the peer's report, and
 // catches up on the kinds of which the peer has newer content.
-func (m *Mesh) exchange(ctx context.Context, address string, placementsAfter uint64) {
+func (m *Mesh) exchange(ctx context.Context, c dueCall) {
+	address := c.address
 	client, err := m.clients.Client(address)
 	if err != nil {
 		return // the mesh is closed
 	}
-	args := m.report()
-	args.NewsAfter = placementsAfter
+	args := m.reportFor(c)
 	var reply Report
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	err = client.Call(callCtx, service+".Exchange", &args, &reply)
@@ -229,14 +218,40 @@
 	if m.holdsNewerConfiguration(&reply) {
 		m.fetchHeld(ctx, client)
 	}
-	for _, p := range reply.News {
-		m.opts.Prompts.RecordReported(p)
-	}
 	for _, kind := range m.kindsBehind(address, &reply) {
 		m.catchUp(ctx, client, kind)
 	}
 }
 
+// reportFor returns the report for a call.
+func (m *Mesh) reportFor(c dueCall) Report {
+	var r Report
+	if c.crossesDomains {
+		r = m.domainReport()
+	} else {
+		r = m.ownReport(c.address)
+	}
+	r.NewsAfter = c.placementsAfter
+	return r
+}
+
+// beginRelay reports whether the reports of other failure domains are to be passed on
+// to a peer now, and returns when they last were.
+func (m *Mesh) beginRelay(address string) (last time.Time, relays bool) {
+	if !m.relaysTo(address) {
+		return time.Time{}, false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[address]
+	if p == nil || time.Since(p.sumsSent) < relayInterval {
+		return time.Time{}, false
+	}
+	last = p.sumsSent
+	p.sumsSent = time.Now()
+	return last, true
+}
+
 // recordCall records the result of a call, and logs when a peer stops answering or
 // answers again.
 func (m *Mesh) recordCall(address string, reply *Report, err error) {
@@ -262,47 +277,6 @@
 	}
 }
 
-// report returns this router's report, without placements.
-func (m *Mesh) report() Report {
-	r := Report{
-		Router: m.opts.Router, Address: m.opts.Address, Stamps: make([]feed.Stamp, len(m.opts.Feeds)),
-		Era: m.opts.Eras.Newest(), Configuration: m.opts.Held.Version(),
-	}
-	if at, returned := m.opts.Eras.Since(); returned {
-		r.EraAge = time.Since(at)
-	}
-	for i, f := range m.opts.Feeds {
-		r.Stamps[i] = f.Stamp()
-	}
-	for sum, n := range m.opts.Board.OwnLoads() {
-		r.Upstreams = append(r.Upstreams, sum)
-		r.Requests = append(r.Requests, uint(n))
-	}
-	for sum, counts := range m.opts.Board.OwnAnswerCounts() {
-		r.Answered = append(r.Answered, sum)
-		r.Tallies = append(r.Tallies, counts)
-	}
-	return r
-}
-
-// applyReport applies the era, the request counts and the failure counts of a report.
-func (m *Mesh) applyReport(r *Report) {
-	m.opts.Eras.Observe(r.Era, r.EraAge)
-	loads := make(gateway.Loads, len(r.Upstreams))
-	for i, sum := range r.Upstreams[:min(len(r.Upstreams), len(r.Requests))] {
-		loads[sum] = int(min(r.Requests[i], maxReportedRequests))
-	}
-	answerCounts := make(gateway.AnswerCountsByUpstream, len(r.Answered))
-	for i, sum := range r.Answered[:min(len(r.Answered), len(r.Tallies))] {
-		answerCounts[sum] = r.Tallies[i]
-	}
-	m.opts.Board.SetPeerReport(r.Router, loads, answerCounts)
-}
-
-// maxReportedRequests limits the number of requests in progress at one upstream that is
-// accepted from a peer's report.
-const maxReportedRequests = 1 << 16
-
 // holdsNewerConfiguration reports whether the router that sent the report has a newer
 // version of the configuration in force although its copy of the store is not newer:
 // the store has returned from a copy with an older version.
@@ -331,8 +305,12 @@
 			}()
 		}
 	}
-	*reply = m.report()
-	reply.News, reply.NewsNext = m.opts.Prompts.PlacementsSince(args.NewsAfter)
+	if args.OfDomain {
+		*reply = m.domainReport()
+	} else {
+		*reply = m.ownReport(args.Address)
+	}
+	m.addPlacements(args, reply)
 	return nil
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -40,6 +40,12 @@
 	changed chan feed.Snapshot
 }
 
+// knownUpstream finds the upstream that the tests use.
+func knownUpstream(sum uint32) (catalog.Key, bool) {
+	x := catalog.Key{ID: "x", Born: 5}
+	return x, sum == x.Sum()
+}
+
 // startRouter runs a router of a fleet whose store is unavailable. The router's feed is
 // not run, so its content comes only from its peers.
 func startRouter(t *testing.T, name string, seeds ...string) *router {
@@ -57,7 +63,7 @@
 	})
 	r.mesh, err = New(Options{
 		Router: name, Address: r.address, Seeds: seeds, Feeds: []*feed.Feed{r.feed},
-		Board: r.board, Prompts: r.prompts, Log: logger,
+		Board: r.board, Prompts: r.prompts, Log: logger, UpstreamKey: knownUpstream,
 	})
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -122,14 +128,14 @@
 // answering must be replaced.
 func TestStoppedWatcherIsReplaced(t *testing.T) {
 	var routers []*router
-	var addresses []string
+	var members []Member
 	for _, name := range []string{"r1", "r2", "r3", "r4", "r5"} {
 		r := startRouter(t, name)
 		routers = append(routers, r)
-		addresses = append(addresses, r.address)
+		members = append(members, Member{Address: r.address, FailureDomain: "a"})
 	}
 	for _, r := range routers {
-		r.mesh.SetPeers(addresses)
+		r.mesh.SetPeers(members)
 	}
 	count := func() (n int, first *router) {
 		for _, r := range routers {
--- /dev/null
+++ b/gossip/report.go
@@ -0,0 +1,238 @@
+package gossip
+
+import (
+	"time"
+
+	"dandelionrill.example/fleet/feed"
+	"dandelionrill.example/fleet/gateway"
+)
+
+// Report is the state that a router sends to a peer. It is sent many times a
+// second, so its size matters. Routers of earlier versions leave out the fields from
+// Era on.
+type Report struct {
+	Router  string
+	Address string       // of the router's listener for other routers
+	Stamps  []feed.Stamp // in the order of Options.Feeds
+	// Upstreams and Requests are the router's requests in progress, as parallel
+	// slices. Upstreams holds short hashes of the upstreams' keys. They are empty if
+	// the report is that of a failure domain.
+	Upstreams []uint32
+	Requests  []uint
+	// Answered and Tallies are the failure counts of the upstreams that answered
+	// recently, as parallel slices. Answered holds the same kind of hashes.
+	Answered []uint32
+	Tallies  []gateway.Tally
+	// NewsAfter is the sequence number after which the router wants the peer's
+	// prompt placements.
+	NewsAfter uint64
+	// News holds prompt placements that the sender made itself, or those made in its
+	// failure domain if the report is that of a domain. NewsNext is the value of
+	// NewsAfter that asks for the placements after them.
+	News     []gateway.Placement
+	NewsNext uint64
+	// Era is the newest era of the store that the router knows of; 0 if none.
+	Era uint64
+	// EraAge is how long ago that era began as far as the router knows; 0 if it has
+	// not seen the store return from a copy.
+	EraAge time.Duration
+	// Configuration is the version of the configuration in force.
+	Configuration uint64
+	// Domain is the failure domain of the router.
+	Domain string
+	// OfDomain says that the report is that of the router's failure domain, whose sum
+	// is the only element of Sums.
+	OfDomain bool
+	// Sums are the reports of failure domains: of others, if the router passes them
+	// on in its own.
+	Sums []DomainSum
+	// Compact says that the router reads placements of the compact form, which then
+	// replace those in News: Made are those that News would hold, and Relayed those made
+	// in other failure domains that the router passes on in its own.
+	Compact bool
+	Made    Placements
+	Relayed Placements
+}
+
+// Placements are prompt placements as parallel slices: the parts, and short hashes of
+// the keys of the upstreams that have read them.
+type Placements struct {
+	Parts []uint64
+	At    []uint32
+}
+
+func encodePlacements(placements []gateway.Placement) Placements {
+	var out Placements
+	for _, p := range placements {
+		out.Parts = append(out.Parts, p.Part)
+		out.At = append(out.At, p.At.Sum())
+	}
+	return out
+}
+
+// recordPlacements records the placements at upstreams that this router knows.
+func (m *Mesh) recordPlacements(p Placements, origin gateway.Origin) {
+	for i, part := range p.Parts[:min(len(p.Parts), len(p.At))] {
+		if key, ok := m.opts.UpstreamKey(p.At[i]); ok {
+			m.opts.Prompts.Record(gateway.Placement{Part: part, At: key}, origin)
+		}
+	}
+}
+
+// DomainSum is the sum of the reports of all routers of a failure domain.
+type DomainSum struct {
+	Domain    string
+	Age       time.Duration // since it was summed up
+	Upstreams []uint32
+	Requests  []uint // averages, in gateway.LoadUnits
+	Answered  []uint32
+	Tallies   []gateway.Tally
+}
+
+// newReport returns the parts of a report that all kinds have.
+func (m *Mesh) newReport() Report {
+	r := Report{
+		Router: m.opts.Router, Address: m.opts.Address, Domain: m.opts.FailureDomain, Stamps: make([]feed.Stamp, len(m.opts.Feeds)),
+		Era: m.opts.Eras.Newest(), Configuration: m.opts.Held.Version(), Compact: true,
+	}
+	if at, returned := m.opts.Eras.Since(); returned {
+		r.EraAge = time.Since(at)
+	}
+	for i, f := range m.opts.Feeds {
+		r.Stamps[i] = f.Stamp()
+	}
+	return r
+}
+
+// relayInterval is the minimum time between two reports to a peer in which a speaker
+// passes on those of other failure domains: they are large for hosts with links of low
+// bandwidth.
+const relayInterval = 400 * time.Millisecond
+
+// ownReport returns this router's report to a peer, without placements. A speaker passes
+// on the reports of other failure domains that are new to the peer.
+func (m *Mesh) ownReport(address string) Report {
+	r := m.newReport()
+	r.Upstreams, r.Requests = encodeLoads(m.opts.Board.OwnLoads())
+	r.Answered, r.Tallies = encodeAnswerCounts(m.opts.Board.OwnAnswerCounts())
+	sumsSent, relays := m.beginRelay(address)
+	if !relays {
+		return r
+	}
+	for _, d := range m.opts.Board.DomainReports() {
+		if d.Age < time.Since(sumsSent) {
+			r.Sums = append(r.Sums, encodeSum(d))
+		}
+	}
+	return r
+}
+
+// domainReport returns the report of this router's failure domain, without placements.
+func (m *Mesh) domainReport() Report {
+	r := m.newReport()
+	r.OfDomain = true
+	sum := m.opts.Board.SumDomain(m.opts.FailureDomain)
+	r.Sums = []DomainSum{encodeSum(sum)}
+	m.mu.Lock()
+	m.domainEntries = len(sum.Loads) + len(sum.AnswerCounts)
+	m.mu.Unlock()
+	return r
+}
+
+func encodeLoads(loads gateway.Loads) (upstreams []uint32, requests []uint) {
+	upstreams, requests = make([]uint32, 0, len(loads)), make([]uint, 0, len(loads))
+	for sum, n := range loads {
+		upstreams = append(upstreams, sum)
+		requests = append(requests, uint(n))
+	}
+	return upstreams, requests
+}
+
+func encodeAnswerCounts(counts gateway.AnswerCountsByUpstream) (answered []uint32, tallies []gateway.Tally) {
+	answered, tallies = make([]uint32, 0, len(counts)), make([]gateway.Tally, 0, len(counts))
+	for sum, c := range counts {
+		answered = append(answered, sum)
+		tallies = append(tallies, c)
+	}
+	return answered, tallies
+}
+
+func encodeSum(d gateway.DomainReport) DomainSum {
+	s := DomainSum{Domain: d.Domain, Age: d.Age}
+	s.Upstreams, s.Requests = encodeLoads(d.Loads)
+	s.Answered, s.Tallies = encodeAnswerCounts(d.AnswerCounts)
+	return s
+}
+
+// decodeLoads returns the loads in a report. Slices of different lengths are cut.
+func decodeLoads(upstreams []uint32, requests []uint) gateway.Loads {
+	loads := make(gateway.Loads, len(upstreams))
+	for i, sum := range upstreams[:min(len(upstreams), len(requests))] {
+		loads[sum] = int(min(requests[i], maxReportedRequests))
+	}
+	return loads
+}
+
+// decodeAnswerCounts returns the answer counts in a report. Slices of different lengths
+// are cut.
+func decodeAnswerCounts(answered []uint32, tallies []gateway.Tally) gateway.AnswerCountsByUpstream {
+	counts := make(gateway.AnswerCountsByUpstream, len(answered))
+	for i, sum := range answered[:min(len(answered), len(tallies))] {
+		counts[sum] = tallies[i]
+	}
+	return counts
+}
+
+// maxReportedRequests limits the number of requests in progress at one upstream that is
+// accepted from a peer's report.
+const maxReportedRequests = 1 << 16
+
+// applyReport applies the era, the request counts, the failure counts and the
+// placements of a report.
+func (m *Mesh) applyReport(r *Report) {
+	m.opts.Eras.Observe(r.Era, r.EraAge)
+	m.mu.Lock()
+	domain := m.domainOf(r.Address, r.Domain)
+	m.mu.Unlock()
+	own := m.opts.FailureDomain
+	if !r.OfDomain {
+		m.opts.Board.SetPeerReport(r.Router, domain, decodeLoads(r.Upstreams, r.Requests), decodeAnswerCounts(r.Answered, r.Tallies))
+	}
+	for _, s := range r.Sums {
+		// A router knows its own failure domain from the routers themselves.
+		if s.Domain != own && s.Domain != "" {
+			m.opts.Board.SetDomainReport(gateway.DomainReport{
+				Domain: s.Domain, Age: max(0, s.Age),
+				Loads: decodeLoads(s.Upstreams, s.Requests), AnswerCounts: decodeAnswerCounts(s.Answered, s.Tallies),
+			})
+		}
+	}
+	origin := gateway.OriginDomain
+	if domain != own {
+		origin = gateway.OriginForeign
+	}
+	for _, p := range r.News {
+		m.opts.Prompts.Record(p, origin)
+	}
+	m.recordPlacements(r.Made, origin)
+	m.recordPlacements(r.Relayed, gateway.OriginForeign)
+}
+
+// addPlacements adds the placements that the sender of args asks for to the reply.
+func (m *Mesh) addPlacements(args, reply *Report) {
+	made := gateway.OriginOwn
+	if args.OfDomain {
+		made |= gateway.OriginDomain
+	}
+	placements, next := m.opts.Prompts.PlacementsSince(args.NewsAfter, made)
+	reply.NewsNext = next
+	if !args.Compact {
+		reply.News = placements
+		return
+	}
+	reply.Made = encodePlacements(placements)
+	if !args.OfDomain && m.relaysTo(args.Address) {
+		relayed, _ := m.opts.Prompts.PlacementsSince(args.NewsAfter, gateway.OriginForeign)
+		reply.Relayed = encodePlacements(relayed)
+	}
+}
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"dandelionrill.example/fleet/decide/place"
-	"github.com/apex/log"
 )
 
 // SetSeeds changes the seeds. They take effect at the next call of SetPeers.
@@ -16,29 +15,35 @@
 	m.seeds = seeds
 }
 
-// SetPeers sets the addresses of the registered routers. If there is at most one
-// address, the seeds are used as well.
-func (m *Mesh) SetPeers(addresses []string) {
+// SetPeers sets the registered routers. If there is at most one, the seeds are used as
+// well.
+func (m *Mesh) SetPeers(members []Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(addresses) <= 1 {
-		addresses = append(append([]string(nil), addresses...), m.seeds...)
+	wanted := make(map[string]string, len(members)) // failure domain by address
+	if len(members) <= 1 {
+		for _, address := range m.seeds {
+			wanted[address] = ""
+		}
 	}
-	wanted := make(map[string]bool, len(addresses))
-	for _, a := range addresses {
-		wanted[a] = a != m.opts.Address
+	for _, member := range members {
+		wanted[member.Address] = member.FailureDomain
 	}
+	delete(wanted, m.opts.Address)
 	for address := range m.peers {
-		if !wanted[address] {
+		if _, ok := wanted[address]; !ok {
 			delete(m.peers, address)
 			m.clients.Remove(address)
 		}
 	}
-	for address, isPeer := range wanted {
-		if isPeer && m.peers[address] == nil {
-			m.peers[address] = &peer{behind: make(map[int]time.Time)}
+	for address, domain := range wanted {
+		if m.peers[address] == nil {
+			m.peers[address] = &peer{address: address, key: place.Key(address), behind: make(map[int]time.Time)}
 		}
+		m.peers[address].domain = domain
 	}
+	m.topology = newTopology(m.opts.FailureDomain, m.peers)
+	m.markPartners(m.role, time.Now())
 }
 
 // Run calls the peers at regular intervals, and to announce newer content, until
@@ -60,19 +65,22 @@
 			m.announceToPeers(ctx)
 			lastAnnounced = time.Now()
 		case <-ticker.C:
-			m.updateWatcher()
+			m.updateRole()
 			m.opts.Board.ExpirePeerReports()
-			if address, after, ok := m.nextDue(); ok {
-				go m.exchange(ctx, address, after)
+			if m.currentRole().speaker {
+				m.opts.Board.SampleDomain(m.opts.FailureDomain)
+			}
+			if call, ok := m.nextDue(); ok {
+				go m.exchange(ctx, call)
 			}
 		}
 	}
 }
 
-// Announce makes a watcher call its peers soon, because it has newer content. It
-// does nothing on other routers.
+// Announce makes a watcher or a speaker call its peers soon, because it has newer
+// content. It does nothing on other routers.
 func (m *Mesh) Announce() {
-	if !m.Watcher() {
+	if !m.Watcher() && !m.currentRole().speaker {
 		return
 	}
 	select {
@@ -81,86 +89,83 @@
 	}
 }
 
-// announceToPeers calls peers that answered the last call, announceSpacing apart:
-// all of them in a small fleet, maxAnnouncePeers of them in a large one.
+// announceToPeers calls peers that answered the last call, announceSpacing apart: the
+// partners in a small fleet or in this failure domain, maxAnnouncePeers of them at most,
+// and the partners in other domains if this router is a watcher.
 func (m *Mesh) announceToPeers(ctx context.Context) {
 	m.mu.Lock()
 	marked := 0
 	for _, p := range m.peers { // in random order
-		if !p.unresponsive && marked < maxAnnouncePeers {
-			p.due = time.Time{}
-			marked++
+		if !p.partner || p.unresponsive || marked >= maxAnnouncePeers || m.crossesDomains(p) && !m.role.watcher {
+			continue
 		}
+		p.due = time.Time{}
+		marked++
 	}
 	m.mu.Unlock()
 	for ctx.Err() == nil {
-		address, after, ok := m.nextToAnnounce()
+		call, ok := m.nextToAnnounce()
 		if !ok {
 			return
 		}
-		go m.exchange(ctx, address, after)
+		go m.exchange(ctx, call)
 		time.Sleep(announceSpacing)
 	}
 }
 
-// nextToAnnounce returns a peer that the current announcement has yet to reach,
-// and marks it as being called.
-func (m *Mesh) nextToAnnounce() (address string, placementsAfter uint64, ok bool) {
+// dueCall is a call that is to be made now.
+type dueCall struct {
+	address         string
+	placementsAfter uint64
+	crossesDomains  bool // the reports are those of failure domains
+}
+
+// nextToAnnounce returns a call that the current announcement has yet to make, and
+// marks its peer as being called.
+func (m *Mesh) nextToAnnounce() (dueCall, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for a, p := range m.peers {
-		if !p.calling && p.due.IsZero() && !p.unresponsive {
-			p.beginCall(time.Now(), len(m.peers))
-			return a, p.placementsAfter, true
+	for _, p := range m.peers {
+		if !p.calling && p.due.IsZero() && p.partner && !p.unresponsive {
+			return m.beginCall(p, time.Now()), true
 		}
 	}
-	return "", 0, false
+	return dueCall{}, false
 }
 
-// beginCall marks the peer as being called and sets when its next call is due, in
-// a mesh with that many peers. The mutex of the mesh must be held.
-func (p *peer) beginCall(now time.Time, peers int) {
+// beginCall marks the peer as being called and sets when its next call is due.
+// m.mu must be held.
+func (m *Mesh) beginCall(p *peer, now time.Time) dueCall {
 	p.calling = true
-	interval := max(minInterval, time.Duration(peers)*callSpacing)
+	interval := m.callInterval(p)
 	p.due = now.Add(interval*3/4 + rand.N(interval/2))
+	return dueCall{address: p.address, placementsAfter: p.placementsAfter, crossesDomains: m.crossesDomains(p)}
 }
 
 // Watcher reports whether this router is one of those that watch the store
-// continuously. These are the first few in an order that is the same at all
-// routers; routers that do not answer are skipped.
+// continuously.
 func (m *Mesh) Watcher() bool { return m.isWatcher.Load() }
 
-// updateWatcher updates whether this router is a watcher.
-func (m *Mesh) updateWatcher() {
-	own := place.Key(m.opts.Address)
-	before := 0
+func (m *Mesh) currentRole() role {
 	m.mu.Lock()
-	for address, p := range m.peers {
-		if key := place.Key(address); !p.unresponsive && key < own {
-			before++
-		}
-	}
-	m.mu.Unlock()
-	if isWatcher := before < maxWatchers; m.isWatcher.Swap(isWatcher) != isWatcher {
-		m.opts.Log.WithFields(log.Fields{"watcher": isWatcher, "before": before}).Info("watch of the store changed")
-	}
+	defer m.mu.Unlock()
+	return m.role
 }
 
-// nextDue returns the peer whose call has been due for longest, and marks it as
-// being called.
-func (m *Mesh) nextDue() (address string, placementsAfter uint64, ok bool) {
+// nextDue returns the call that has been due for longest, and marks its peer as being
+// called.
+func (m *Mesh) nextDue() (dueCall, bool) {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var chosen *peer
-	for a, p := range m.peers {
-		if !p.calling && !p.due.After(now) && (chosen == nil || p.due.Before(chosen.due)) {
-			chosen, address = p, a
+	for _, p := range m.peers {
+		if p.partner && !p.calling && !p.due.After(now) && (chosen == nil || p.due.Before(chosen.due)) {
+			chosen = p
 		}
 	}
 	if chosen == nil {
-		return "", 0, false
+		return dueCall{}, false
 	}
-	chosen.beginCall(now, len(m.peers))
-	return address, chosen.placementsAfter, true
+	return m.beginCall(chosen, now), true
 }
