--- a/gateway/board.go
+++ b/gateway/board.go
@@ -11,9 +11,8 @@
 // boardShards is the number of independently locked parts of a Board.
 const boardShards = 16
 
-// peerReportMaxAge is how long another router's report of its requests in progress
-// is used: twice the interval between two exchanges of a given pair of routers in
-// a fleet of 30.
+// peerReportMaxAge is how long a report of another router or failure domain on its
+// requests in progress is used: twice the longest interval between two reports.
 const peerReportMaxAge = 3 * time.Second
 
 // Board records the state of each upstream beyond what the catalog lists: requests
