--- a/gossip/topology.go
+++ b/gossip/topology.go
@@ -82,8 +82,11 @@
 	m.role = r
 	m.mu.Unlock()
 	m.isWatcher.Store(r.watcher)
-	if previous.watcher != r.watcher || previous.speaker != r.speaker {
-		m.opts.Log.WithFields(log.Fields{"watcher": r.watcher, "speaker": r.speaker, "before": r.rank}).Info("role among the routers changed")
+	if previous.watcher != r.watcher {
+		m.opts.Log.WithFields(log.Fields{"watcher": r.watcher, "before": r.rank}).Info("watch of the store changed")
+	}
+	if previous.speaker != r.speaker {
+		m.opts.Log.WithFields(log.Fields{"speaker": r.speaker, "before": r.rank}).Info("exchange with other failure domains changed")
 	}
 }
 
