--- a/entry/routers.go
+++ b/entry/routers.go
@@ -125,6 +125,7 @@
 			select {
 			case <-ctx.Done():
 			case <-risen:
+				h.log.WithField("era", h.eras.Newest()).Warn("the store has returned from a copy")
 			}
 			continue
 		}
