Fetch the configuration in force at others only if it stays newer

A router whose feed has a new version and has not put it in force yet looked like one whose store had returned with an older one, and fetched up to a megabyte from a peer. TestConfigurationOfOthersIsFetchedOnlyIfItStaysNewer fails without the delay.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -44,6 +44,9 @@
 	// store's new era from another router rather than from the store, which all
 	// routers would list at once.
 	maxPeerContentBytes = 128 << 10
+	// heldGracePeriod is how long a router leaves a newer version that others have in
+	// force to its own feed, which has the content some time before it is in force.
+	heldGracePeriod = 500 * time.Millisecond
 	// storeTimeout is how long a router that is behind waits for the store before
 	// it fetches the whole content from the peer: hosts have links of low
 	// bandwidth, the store does not.
@@ -152,7 +155,8 @@
 	peers         map[string]*peer // by address
 	topology      *topology        // of the peers
 	role          role
-	domainEntries int // in the last report of this failure domain
+	domainEntries int       // in the last report of this failure domain
+	newerSince    time.Time // when holdsNewerConfiguration first saw a newer version; zero if none
 }
 
 // peer is the state of another router. It is guarded by the mutex of its Mesh.
@@ -277,16 +281,29 @@
 	}
 }
 
-// holdsNewerConfiguration reports whether the router that sent the report has a newer
-// version of the configuration in force although its copy of the store is not newer:
-// the store has returned from a copy with an older version.
+// holdsNewerConfiguration reports whether other routers have had a newer version of the
+// configuration in force for heldGracePeriod although their copy of the store is not
+// newer: the store has returned from a copy with an older version. r is the report of one
+// of them.
 func (m *Mesh) holdsNewerConfiguration(r *Report) bool {
-	if r.Configuration <= m.opts.Held.Version() || len(r.Stamps) == 0 {
+	if len(r.Stamps) == 0 {
 		return false
 	}
-	own := m.opts.Feeds[0].Stamp()
-	peer := r.Stamps[0]
-	return !own.Position().IsZero() && peer.Position().Compare(own.Position()) <= 0
+	own, peer := m.opts.Feeds[0].Stamp(), r.Stamps[0]
+	version := m.opts.Held.Version()
+	newer := r.Configuration > version && !own.Position().IsZero() && peer.Position().Compare(own.Position()) <= 0
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case !newer:
+		if r.Configuration == version {
+			m.newerSince = time.Time{}
+		}
+		return false
+	case m.newerSince.IsZero():
+		m.newerSince = time.Now()
+	}
+	return time.Since(m.newerSince) >= heldGracePeriod
 }
 
 // receiver implements the methods that other routers call.
--- a/gossip/topology_test.go
+++ b/gossip/topology_test.go
@@ -221,3 +221,33 @@
 	must.Len(t, maxWatchers, now)
 	must.SliceNotContains(t, now, first[0])
 }
+
+// inForce is a configuration whose version the test sets.
+type inForce struct {
+	noConfiguration
+	version uint64
+}
+
+func (c *inForce) Version() uint64 { return c.version }
+
+// A router that is putting a new version in force must not fetch it from the others, who
+// already have it: that would send large configurations twice at each change.
+func TestConfigurationOfOthersIsFetchedOnlyIfItStaysNewer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := &inForce{version: 7}
+		m := newFleet(t, 1, 1)[0]
+		m.opts.Held = held
+		m.opts.Feeds[0].Adopt(feed.Snapshot{Era: 2, Revision: 5}, feed.Stamp{})
+		report := &Report{Configuration: 8, Stamps: []feed.Stamp{m.opts.Feeds[0].Stamp()}}
+		must.False(t, m.holdsNewerConfiguration(report))
+		held.version = 8
+		must.False(t, m.holdsNewerConfiguration(report))
+		held.version = 7
+		time.Sleep(heldGracePeriod)
+		must.False(t, m.holdsNewerConfiguration(report))
+		time.Sleep(heldGracePeriod)
+		must.True(t, m.holdsNewerConfiguration(report))
+		report.Stamps[0].Revision = 6 // left to the feed
+		must.False(t, m.holdsNewerConfiguration(report))
+	})
+}
