--- a/soak/restore.go
+++ b/soak/restore.go
@@ -39,11 +39,7 @@
 	for range lostVersions {
 		version = s.fleet.publishConfiguration()
 	}
-	var drained *upstream
-	if active := s.fleet.active(); len(active) > 3 {
-		drained = active[s.random.IntN(len(active))]
-		s.fleet.drain(drained)
-	}
+	drained := s.drainOne(3)
 	time.Sleep(propagationLimit)
 	s.checkInForce(version, fmt.Sprintf("after %v", propagationLimit))
 	s.returnStore(awayTime)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -232,6 +232,18 @@
 	drainLimit       = 2 * time.Second // until an upstream marked as leaving receives no more requests
 )
 
+// drainOne marks an upstream as leaving and returns it. If that would leave fewer than
+// the minimum active, it does nothing and returns nil.
+func (s *Soak) drainOne(minActive int) *upstream {
+	active := s.fleet.active()
+	if len(active) <= minActive {
+		return nil
+	}
+	drained := active[s.random.IntN(len(active))]
+	s.fleet.drain(drained)
+	return drained
+}
+
 // runFaultFreePhase publishes a configuration version, marks an upstream as
 // leaving and shuts a router down gracefully. It checks that the version is in
 // force at every router after propagationLimit, and records the shutdown and the
@@ -239,11 +251,7 @@
 func (s *Soak) runFaultFreePhase() {
 	from := time.Now()
 	version := s.fleet.publishConfiguration()
-	var drained *upstream
-	if active := s.fleet.active(); len(active) > 2 {
-		drained = active[s.random.IntN(len(active))]
-		s.fleet.drain(drained)
-	}
+	drained := s.drainOne(2)
 	time.Sleep(propagationLimit)
 	s.checkInForce(version, fmt.Sprintf("after %v", propagationLimit))
 	shutdown := routerShutdown{router: s.random.IntN(len(s.fleet.routers)), period: period{from: time.Now()}}
