--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -35,10 +35,10 @@
 	os.Exit(run(m))
 }
 
-func run(m *testing.M) int {
+func run(m *testing.M) (status int) {
 	directory, err := os.MkdirTemp("", "e2e")
 	if err == nil {
-		defer func() { _ = os.RemoveAll(directory) }()
+		defer func() { removeOrKeep(directory, status) }()
 		singleReplicaDirectory = filepath.Join(directory, "lone")
 		// The answer size limit is low, so that an endless answer reaches it soon.
 		sharedFleet, err = testfleet.Start(filepath.Join(directory, "shared"), testfleet.Options{
@@ -49,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	status := m.Run()
+	status = m.Run()
 	for _, f := range []*testfleet.Fleet{sharedFleet, singleReplicaFleet} {
 		if f == nil {
 			continue
@@ -62,6 +62,18 @@
 	return status
 }
 
+// removeOrKeep removes the directory with the logs of the fleets, or names it if a test
+// has failed.
+func removeOrKeep(directory string, status int) {
+	if status != 0 {
+		fmt.Fprintln(os.Stderr, "logs of the fleets:", directory)
+		return
+	}
+	if err := os.RemoveAll(directory); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
 // newTestContext returns a context that ends after testTimeout. When the test ends,
 // the faults of all engine and service stand-ins of the shared fleet are cleared.
 func newTestContext(t *testing.T) context.Context {
