gateway: cut a stream that is not continued in time

The log of the request: two sends, the first cut after 1,073 ms by silence, the second ended by the deadline with nothing received. Cause: the end of a send that meets the deadline is 'failed' with status 504; part of the answer was delivered, so the status was not written, and the handler returned, which ends a chunked body as complete. Whatever ends a request after part of its answer was delivered cuts it now. TestStreamThatIsNotContinuedInTimeIsCut fails without the change.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -45,7 +45,7 @@
 		}
 		e, failure := g.attempt(ctx, w, req, chosen, a)
 		if failure == 0 {
-			return e
+			return req.afterDelivery(e)
 		}
 		if !g.allowRetry(req, a, failure) {
 			return g.endWithoutRetry(ctx, req, e, failure)
@@ -53,6 +53,15 @@
 	}
 }
 
+// afterDelivery returns the end of a request in view of what was delivered: an answer of
+// which part was delivered is cut, since anything else would make it look complete.
+func (req *request) afterDelivery(e end) end {
+	if req.headWritten && e.kind != endAnswered && e.kind != endCallerLeft {
+		return end{kind: endCut, reason: e.reason}
+	}
+	return e
+}
+
 // endWithoutUpstream returns the end of a request for which no upstream is left.
 func (g *Gateway) endWithoutUpstream(req *request, a *attempts) end {
 	switch {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -75,6 +75,30 @@
 	must.Eq(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", body)
 }
 
+// A stream breaks off, and the upstream that is to continue it sends nothing until the
+// timeout. What was delivered must not look like the whole answer.
+func TestStreamThatIsNotContinuedInTimeIsCut(t *testing.T) {
+	var first atomic.Bool
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			w.Header().Set(signature, "first")
+			events(w, 1, 1)
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a disconnect only after the body
+		<-r.Context().Done()
+	}
+	f := newFixture(t, newReplica(t, "i-1", handle), newReplica(t, "i-2", handle))
+	request := f.newRequest(t, http.MethodPost, "/resume/", "{}")
+	request.Header.Set(deadline, "300")
+	response, err := f.server.Client().Do(request)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	must.Eq(t, "id: 1\ndata: piece 1\n\n", string(body))
+}
+
 func TestCallerDisconnectCancelsTheUpstreamRequest(t *testing.T) {
 	ended := make(chan struct{})
 	up := newReplica(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
