--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -1,8 +1,9 @@
 // Package gossip exchanges state between the routers of a fleet: how recent their
 // copies of the store's kinds are, their requests in progress at each upstream,
 // which upstreams have read which prompt parts, and how many answers of plain
-// upstreams failed. Reports from peers are optional: a router without peers still
-// works.
+// upstreams failed. Large fleets exchange reports within failure domains, and sums of
+// whole domains between them. Reports from peers are optional: a router without peers
+// still works.
 package gossip
 
 import (
@@ -331,7 +332,7 @@
 	return nil
 }
 
-// Changes returns the changes of a kind after a revision.
+// Changes returns the changes of a kind after a position.
 func (r *receiver) Changes(args *ChangesArgs, reply *Changes) error {
 	f, err := r.feed(args.Kind)
 	if err != nil {
