gateway: keep the request at a silent upstream until another one continues it

Callers saw resumable streams cut in mid-answer, and repeatable requests fail with 502, while their upstream was sound and silent for a second or so.

Cause: after a second of silence the request was canceled at the upstream, and only then another one was looked for. The only condition was that an untried upstream was listed; it could be draining or ejected, refuse, fail or break off, and the retry budget could be empty. The class of fault: a live attempt given up for a replacement that is not secured.

Now a standby attempt is made beside the first one (decided by the same limits as any retry). It takes over only once it has something to deliver, a whole event of a stream or a whole answer; the first attempt is canceled at that moment, and the standby attempt is canceled as soon as the first one sends anything. Nothing is done while the request delivers, so that both never see different events delivered.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -12,27 +13,73 @@
 	"github.com/cockroachdb/errors"
 )
 
-// attempt sends the request to one upstream and delivers its answer. failure is 0
-// if the request has ended.
+// send is one send of a request to an upstream.
+type send struct {
+	target target
+	record sendRecord
+	start  time.Time
+	// ctx ends with the request, or when the send is canceled.
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	response *forward.Response // nil until its head has arrived
+	body     io.Reader         // of response
+}
+
+func (s *send) key() catalog.Key { return s.target.upstream.Key() }
+
+// canceled returns the cause with which the send was canceled; nil if it was not.
+func (s *send) canceled() error {
+	if cause := context.Cause(s.ctx); cause == errSuperseded || cause == errNotNeeded {
+		return cause
+	}
+	return nil
+}
+
+// attempt sends the request to one upstream and delivers its answer, or that of a standby
+// attempt that took over. failure is 0 if the request has ended.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, req *request, t target, a *attempts) (end, retry.Failure) {
-	key := t.upstream.Key()
-	a.tried[key] = true
-	start := time.Now()
-	record := sendRecord{upstream: t.upstream.ID + "@" + t.upstream.FailureDomain, load: t.load, cachedParts: t.cachedParts, failureExcess: t.failureExcess}
+	s := g.beginSend(ctx, t, a)
+	for {
+		watch := g.watchSilence(ctx, req, s, a)
+		e, failure, result := g.exchange(ctx, w, req, s, a, watch)
+		next := watch.stop(failure != 0)
+		g.endSend(req, s, a, failure, result)
+		switch {
+		case next == nil:
+			return e, failure
+		case failure == 0: // the caller left, or the request timed out
+			next.response.Close(false)
+			g.endSend(req, next, a, retry.FailureMayHaveRun, resultNotNeeded)
+			return e, failure
+		}
+		s = next
+	}
+}
+
+// beginSend records that the request is sent to the target. The send must be ended.
+func (g *Gateway) beginSend(ctx context.Context, t target, a *attempts) *send {
+	s := &send{target: t, start: time.Now()}
+	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	s.record = sendRecord{upstream: t.upstream.ID + "@" + t.upstream.FailureDomain, load: t.load, cachedParts: t.cachedParts, failureExcess: t.failureExcess}
 	if t.fetchSource != nil {
-		record.fetchSource = t.fetchSource.ID
+		s.record.fetchSource = t.fetchSource.ID
 	}
-	g.board.BeginRequest(key)
-	e, failure, result := g.exchange(ctx, w, req, t, a)
-	g.board.EndRequest(key)
+	a.tried[s.key()] = true
+	g.board.BeginRequest(s.key())
+	return s
+}
+
+// endSend records the result of a send.
+func (g *Gateway) endSend(req *request, s *send, a *attempts, failure retry.Failure, result string) {
+	g.board.EndRequest(s.key())
+	s.cancel(nil)
 	if failure == retry.FailureNotSent {
 		a.failedDials++
 	} else {
 		a.sent++
 	}
-	record.result, record.took = result, time.Since(start)
-	req.sends = append(req.sends, record)
-	return e, failure
+	s.record.result, s.record.took = result, time.Since(s.start)
+	req.sends = append(req.sends, s.record)
 }
 
 // Results of sends as logged and counted, in addition to the outcomes of package
@@ -44,22 +91,58 @@
 	resultCut             = "cut"
 	resultUpstreamFailure = "upstream-failure"
 	resultCallerLeft      = "caller-left"
+	resultSuperseded      = "superseded" // a standby attempt took over
+	resultNotNeeded       = "not-needed" // a standby attempt that did not take over
 )
 
-// exchange sends the request and acts on the status and headers of the answer.
-func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, req *request, t target, a *attempts) (end, retry.Failure, string) {
-	key := t.upstream.Key()
-	out := g.upstreamRequest(req, t)
+// exchange sends the request, unless the send is already open, and acts on the answer.
+func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, req *request, s *send, a *attempts, watch *standbyWatch) (end, retry.Failure, string) {
+	opened := s.response != nil
+	if !opened {
+		if e, failure, result := g.open(ctx, req, s); failure != 0 || e.kind != 0 {
+			return e, failure, result
+		}
+	}
+	if !watch.proceed() {
+		s.response.Close(false)
+		return g.superseded(req, s)
+	}
+	if !opened {
+		if e, failure, result := g.screen(req, s); failure != 0 {
+			return e, failure, result
+		}
+	}
+	response := s.response
+	switch {
+	case response.Status >= http.StatusInternalServerError && !req.headWritten && g.reserveRetry(req, a):
+		response.Close(drainBody(response))
+		return failed(http.StatusBadGateway, "upstream failed"), retry.FailureMayHaveRun, resultUpstreamFailure
+	case req.headWritten && response.Status >= http.StatusMultipleChoices:
+		response.Close(drainBody(response))
+		return end{kind: endCut, reason: "upstream did not continue the stream"}, retry.FailureMayHaveRun, resultUpstreamFailure
+	}
+	return g.deliver(ctx, w, req, s, watch)
+}
+
+// open sends the request and reads the head of the answer. If there is none, it returns
+// how the send ended.
+func (g *Gateway) open(ctx context.Context, req *request, s *send) (end, retry.Failure, string) {
 	for _, part := range req.parts {
-		g.prompts.RecordSend(Placement{Part: part, At: key})
+		g.prompts.RecordSend(Placement{Part: part, At: s.key()})
 	}
-	watched, stop := g.watchSilence(ctx, key, req, a)
-	defer stop()
-	response, err := g.pool.Send(watched, t.upstream.Address, out)
+	response, err := g.pool.Send(s.ctx, s.target.upstream.Address, g.upstreamRequest(req, s.target))
 	if err != nil {
-		return g.sendFailed(ctx, req, key, err)
+		return g.sendFailed(ctx, req, s, err)
 	}
-	g.recordActivity(key)
+	g.recordActivity(s.key())
+	s.response, s.body = response, response
+	return end{}, 0, ""
+}
+
+// screen acts on an answer that is not the upstream's answer to the request: a refusal, or
+// one that is not valid. failure is 0 for all others.
+func (g *Gateway) screen(req *request, s *send) (end, retry.Failure, string) {
+	key, response := s.key(), s.response
 	answer := g.opts.Protocol.ReadAnswer(response.Status, response.Header)
 	if answer.Signed && len(req.parts) == 0 {
 		g.board.RecordAnswer(key, response.Status >= http.StatusInternalServerError)
@@ -75,17 +158,23 @@
 			g.board.BackOff(key, refusalBackoff)
 		}
 		return refused("upstream refused", retryAfterShort), retry.FailureRefused, resultRefused
-	case answer.Encoded, !answer.Signed && (response.Status < 300 || impliesNotRun(response.Status)):
+	case answer.Encoded, !answer.Signed && (response.Status < http.StatusMultipleChoices || impliesNotRun(response.Status)):
 		response.Close(false)
 		return failed(http.StatusBadGateway, "upstream's answer is not valid"), retry.FailureMayHaveRun, resultInvalidAnswer
-	case response.Status >= http.StatusInternalServerError && !req.headWritten && g.reserveRetry(req, a):
-		response.Close(drainBody(response))
-		return failed(http.StatusBadGateway, "upstream failed"), retry.FailureMayHaveRun, resultUpstreamFailure
-	case req.headWritten && response.Status >= 300:
-		response.Close(drainBody(response))
-		return end{kind: endCut, reason: "upstream did not continue the stream"}, retry.FailureMayHaveRun, resultUpstreamFailure
 	}
-	return g.deliver(ctx, w, req, key, response)
+	return end{}, 0, ""
+}
+
+// superseded returns how a send ends when a standby attempt has taken over.
+func (g *Gateway) superseded(req *request, s *send) (end, retry.Failure, string) {
+	if tooSilent(g.board.Status(s.key())) {
+		g.recordFailure(s.key(), false, errSilent)
+	}
+	failure := retry.FailureMayHaveRun
+	if req.headWritten {
+		failure = retry.FailureCut
+	}
+	return failed(http.StatusBadGateway, errSilent.Error()), failure, resultSuperseded
 }
 
 // recordFailure records a failure attributed to an upstream, and whether the
@@ -125,14 +214,22 @@
 }
 
 // sendFailed classifies a send that got no answer.
-func (g *Gateway) sendFailed(ctx context.Context, req *request, key catalog.Key, err error) (end, retry.Failure, string) {
+func (g *Gateway) sendFailed(ctx context.Context, req *request, s *send, err error) (end, retry.Failure, string) {
 	var failure *forward.Error
 	if !errors.As(err, &failure) {
 		return failed(http.StatusBadGateway, err.Error()), retry.FailureMayHaveRun, err.Error()
 	}
-	err = g.attributeFailure(ctx, key, err)
+	switch cause := s.canceled(); {
+	case cause == errSuperseded:
+		return g.superseded(req, s)
+	case cause == errNotNeeded && failure.Outcome == forward.MayHaveRun:
+		return end{}, retry.FailureMayHaveRun, resultNotNeeded
+	case cause == errNotNeeded:
+		return end{}, retry.FailureNotSent, failure.Outcome.String()
+	}
+	err = g.attributeFailure(ctx, s.key(), err)
 	if failure.Outcome == forward.MayHaveRun && ctx.Err() == nil && len(req.parts) == 0 {
-		g.board.RecordAnswer(key, true)
+		g.board.RecordAnswer(s.key(), true)
 	}
 	if failure.Outcome == forward.NotSent {
 		return refused(err.Error(), retryAfterShort), retry.FailureNotSent, failure.Outcome.String()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -61,6 +61,8 @@
 	dials          expvar.Int
 	dialErrors     expvar.Int
 	silences       expvar.Int // silences of upstreams that were treated as faults
+	standbys       expvar.Int // standby attempts while an upstream was silent
+	standbysUsed   expvar.Int // standby attempts that took over
 	firstByte      *histogram // time until the first byte of an answer was ready to deliver
 	completeAnswer *histogram // time until the end of a complete answer
 	dialTime       *histogram
@@ -73,6 +75,8 @@
 	m.vars.Set("dials", &m.dials)
 	m.vars.Set("dial_errors", &m.dialErrors)
 	m.vars.Set("silences", &m.silences)
+	m.vars.Set("standbys", &m.standbys)
+	m.vars.Set("standbys_used", &m.standbysUsed)
 	m.vars.Set("first_byte", m.firstByte)
 	m.vars.Set("whole", m.completeAnswer)
 	m.vars.Set("dial_time", m.dialTime)
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -80,6 +80,9 @@
 		if s.fetchSource != "" {
 			b.WriteString(" fetch=" + s.fetchSource)
 		}
+		if s.standby {
+			b.WriteString(" standby")
+		}
 		fmt.Fprintf(&b, " %s %dms", s.result, s.took.Milliseconds())
 	}
 	return b.String()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"dandelionrill.example/fleet/catalog"
 	"dandelionrill.example/fleet/decide/retry"
 	"dandelionrill.example/fleet/forward"
 )
@@ -33,23 +32,24 @@
 }
 
 // deliver delivers the answer to the caller.
-func (g *Gateway) deliver(ctx context.Context, w http.ResponseWriter, req *request, key catalog.Key, r *forward.Response) (end, retry.Failure, string) {
-	if req.route.IsStream() && r.Status < 300 {
-		return g.deliverStream(ctx, w, req, key, r)
+func (g *Gateway) deliver(ctx context.Context, w http.ResponseWriter, req *request, s *send, watch *standbyWatch) (end, retry.Failure, string) {
+	body := answerReader{g, s, watch}
+	if req.route.IsStream() && s.response.Status < http.StatusMultipleChoices {
+		return g.deliverStream(ctx, w, req, s, body)
 	}
-	return g.deliverBuffered(ctx, w, req, key, r)
+	return g.deliverBuffered(ctx, w, req, s, body)
 }
 
 // deliverBuffered delivers an answer once it is complete, or piece by piece if it
 // exceeds bufferedAnswerBytes.
-func (g *Gateway) deliverBuffered(ctx context.Context, w http.ResponseWriter, req *request, key catalog.Key, r *forward.Response) (end, retry.Failure, string) {
+func (g *Gateway) deliverBuffered(ctx context.Context, w http.ResponseWriter, req *request, s *send, body io.Reader) (end, retry.Failure, string) {
+	r := s.response
 	var buffered bytes.Buffer
-	body := activityReader{g, key, r}
 	_, err := io.Copy(&buffered, io.LimitReader(body, bufferedAnswerBytes))
 	req.firstByte = time.Since(req.arrived)
 	if err != nil {
 		r.Close(false)
-		return g.classifyBrokenAnswer(ctx, req, key, err)
+		return g.classifyBrokenAnswer(ctx, req, s, err)
 	}
 	complete := buffered.Len() < bufferedAnswerBytes
 	g.writeHead(w, req, r)
@@ -81,8 +81,14 @@
 }
 
 // classifyBrokenAnswer classifies an answer that ended before it was complete.
-func (g *Gateway) classifyBrokenAnswer(ctx context.Context, req *request, key catalog.Key, err error) (end, retry.Failure, string) {
-	err = g.attributeFailure(ctx, key, err)
+func (g *Gateway) classifyBrokenAnswer(ctx context.Context, req *request, s *send, err error) (end, retry.Failure, string) {
+	switch s.canceled() {
+	case errSuperseded:
+		return g.superseded(req, s)
+	case errNotNeeded:
+		return end{}, retry.FailureMayHaveRun, resultNotNeeded
+	}
+	err = g.attributeFailure(ctx, s.key(), err)
 	switch {
 	case req.http.Context().Err() != nil:
 		return end{kind: endCallerLeft, reason: "caller left"}, 0, resultCallerLeft
@@ -100,12 +106,12 @@
 
 // deliverStream delivers events as they arrive, each once it is complete. Status
 // and headers are written with the first of them.
-func (g *Gateway) deliverStream(ctx context.Context, w http.ResponseWriter, req *request, key catalog.Key, r *forward.Response) (end, retry.Failure, string) {
+func (g *Gateway) deliverStream(ctx context.Context, w http.ResponseWriter, req *request, s *send, body io.Reader) (end, retry.Failure, string) {
+	r := s.response
 	controller := http.NewResponseController(w)
 	_ = controller.SetWriteDeadline(req.deadline.Add(writeDeadlineSlack)) // if this fails, the context still ends the request
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	var events eventBuffer
-	body := activityReader{g, key, r}
 	chunk := make([]byte, relayBufferBytes)
 	lastRead := time.Now()
 	for {
@@ -132,7 +138,7 @@
 			return end{kind: endAnswered}, 0, resultAnswered
 		case err != nil:
 			r.Close(false)
-			return g.classifyBrokenAnswer(ctx, req, key, err)
+			return g.classifyBrokenAnswer(ctx, req, s, err)
 		case len(events.partial) > maxEventBytes:
 			r.Close(false)
 			return end{kind: endCut, reason: "event over the limit"}, 0, resultInvalidAnswer
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,6 +54,7 @@
 	cachedParts   int     // leading shared parts of the prompt that it was known to have cached
 	failureExcess float64 // failure rate in excess of its pool's
 	fetchSource   string
+	standby       bool // made while another upstream was silent
 	result        string
 	took          time.Duration
 }
--- a/gateway/silence_end_test.go
+++ b/gateway/silence_end_test.go
@@ -78,3 +78,56 @@
 		}
 	}
 }
+
+// The upstream goes on while a standby attempt has nothing to deliver yet. The answer must
+// come from the upstream alone, and the standby attempt must be canceled: otherwise events
+// are delivered twice, or two upstreams work on the request.
+func TestStandbyAttemptIsCanceledWhenTheUpstreamGoesOn(t *testing.T) {
+	canceled := make(chan struct{})
+	silent := newReplica(t, "i-silent", pausing)
+	other := newReplica(t, "i-other", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(signature, "second")
+		_, _ = io.WriteString(w, "id: 3\nda") // no whole event
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		close(canceled)
+	})
+	f := newFixture(t, silent)
+	go listLater(f, silent, other)
+	_, body := f.do(t, f.newRequest(t, http.MethodPost, "/resume/", "{}"))
+	must.Eq(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", body)
+	must.Eq(t, 1, other.runs.Load())
+	<-canceled
+}
+
+// The silent upstream breaks off while a standby attempt is in progress. That attempt must
+// continue the stream: another one would exceed the attempts that the route allows.
+func TestStandbyAttemptContinuesAfterTheUpstreamBreaksOff(t *testing.T) {
+	asked := make(chan struct{})
+	silent := newReplica(t, "i-silent", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(signature, "first")
+		events(w, 1, 2)
+		<-asked
+		panic(http.ErrAbortHandler)
+	})
+	other := newReplica(t, "i-other", func(w http.ResponseWriter, r *http.Request) {
+		close(asked)
+		time.Sleep(300 * time.Millisecond) // until after the silent upstream has broken off
+		resuming(w, r)
+	})
+	f := newFixture(t, silent)
+	go listLater(f, silent, other)
+	response, body := f.do(t, f.newRequest(t, http.MethodPost, "/resume/", "{}"))
+	must.Eq(t, "first", response.Header.Get(signature))
+	must.Eq(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", body)
+	must.Eq(t, 1, other.runs.Load())
+}
+
+// listLater lists the other upstream once the first one has a request.
+func listLater(f *fixture, first, other *replica) {
+	for first.runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.setUpstreams(first, other)
+}
