gateway: a failing test for a standby attempt at a silent upstream

While a standby attempt is in progress nothing watches it: check() does nothing in phaseStandby, and stop() waits for the attempt without a limit once the first upstream has broken off. If the second upstream is silent as well, the attempts that the route still allows are not made and the request waits for its deadline.

--- /dev/null
+++ b/gateway/standby_end_test.go
@@ -0,0 +1,83 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"dandelionrill.example/fleet/routing"
+	"github.com/shoenig/test/must"
+)
+
+// wholeStream is the stream that events(w, 1, 4) writes.
+const wholeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+
+// setRoutes replaces the routes by the default ones with the attempts and the timeout.
+func (f *fixture) setRoutes(maxAttempts int, timeout time.Duration) {
+	routes := defaultRoutes()
+	for i := range routes {
+		routes[i].MaxAttempts, routes[i].Timeout = maxAttempts, timeout
+	}
+	f.gateway.SetTable(routing.NewTable(&routing.Configuration{
+		Version: 2, Routes: routes, Limits: routing.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
+		Customers: []routing.Customer{{Name: "c1", Keys: []string{"key"}}},
+	}))
+}
+
+// listInTurn lists each upstream once the one before it has a request.
+func listInTurn(f *fixture, replicas ...*replica) {
+	for i := 1; i < len(replicas); i++ {
+		for replicas[i-1].runs.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.setUpstreams(replicas[:i+1]...)
+	}
+}
+
+// mute reads a request and sends nothing.
+func mute(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+// The standby attempt is at an upstream that is silent as well. A further attempt that the
+// route allows must be made, instead of waiting for the deadline; also if the first
+// upstream breaks off meanwhile.
+func TestStandbyAttemptThatIsSilentIsNotTheLast(t *testing.T) {
+	for _, path := range []string{"/resume/", "/safe/"} {
+		for _, breaksOff := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s first breaks off %v", path, breaksOff), func(t *testing.T) {
+				t.Parallel()
+				second, third := newReplica(t, "i-2", mute), newReplica(t, "i-3", resuming)
+				first := newReplica(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+					if !breaksOff {
+						stalling(w, r)
+						return
+					}
+					w.Header().Set(signature, "first")
+					if path == "/resume/" {
+						events(w, 1, 2)
+					}
+					for second.runs.Load() == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					panic(http.ErrAbortHandler)
+				})
+				f := newFixture(t, first)
+				f.setRoutes(3, 5*time.Second)
+				go listInTurn(f, first, second, third)
+				response, err := f.server.Client().Do(f.newRequest(t, http.MethodPost, path, "{}"))
+				must.NoError(t, err)
+				defer response.Body.Close()
+				body, err := io.ReadAll(response.Body)
+				must.NoError(t, err)
+				must.Eq(t, http.StatusOK, response.StatusCode)
+				if path == "/resume/" {
+					must.Eq(t, wholeStream, string(body))
+				}
+			})
+		}
+	}
+}
