gateway: a failing test for standby answers that are dropped

openStandby drops every answer of 300 and more. For a plain request that may be repeated, a 404 or 409 is the upstream's whole answer; the upstream is then marked as tried, the attempt counts, and the request waits for the silent upstream until its deadline.

--- a/gateway/standby_end_test.go
+++ b/gateway/standby_end_test.go
@@ -81,3 +81,22 @@
 		}
 	}
 }
+
+// The standby attempt gets a whole answer whose status is not a success, such as not
+// found. It must be delivered instead of dropped: the silent upstream may never go on.
+func TestStandbyAnswerIsDeliveredWhateverItsStatus(t *testing.T) {
+	for _, status := range []int{http.StatusNotModified, http.StatusNotFound, http.StatusConflict} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			t.Parallel()
+			silent := newReplica(t, "i-silent", mute)
+			other := newReplica(t, "i-other", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(signature, "second")
+				w.WriteHeader(status)
+			})
+			f := newFixture(t, silent)
+			go listLater(f, silent, other)
+			response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/safe/", "{}"))
+			must.Eq(t, status, response.StatusCode)
+		})
+	}
+}
