gateway: a failing test for a failure whose body does not come

exchange drains the body of a refusal or of a failure that is retried, in phaseProceeding, where the watch does nothing. The former watch covered the drain by its context; since then an upstream that falls silent after the head holds the request until the deadline.

--- a/gateway/standby_end_test.go
+++ b/gateway/standby_end_test.go
@@ -100,3 +100,28 @@
 		})
 	}
 }
+
+// An upstream sends the head of a refusal or failure and no more. The request must go on
+// at another upstream instead of waiting until its deadline for a body that is dropped.
+func TestFailureWithoutItsBodyDoesNotHoldTheRequest(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			t.Parallel()
+			first := newReplica(t, "i-first", func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.Header().Set(signature, "first")
+				if status == http.StatusServiceUnavailable {
+					w.Header().Set(notRun, "1")
+				}
+				w.WriteHeader(status)
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			})
+			f := newFixture(t, first)
+			go listLater(f, first, newReplica(t, "i-other", answering("ok")))
+			response, body := f.do(t, f.newRequest(t, http.MethodPost, "/safe/", "{}"))
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.Eq(t, "ok", body)
+		})
+	}
+}
