gateway: a failing test for an active upstream that counts as silent

readAhead reads the answer of a standby attempt past answerReader, so that no activity is recorded. An upstream that sends such an answer piece by piece counts as silent: it gets no new requests, and if the attempt fails it is ejected for silence.

--- a/gateway/standby_end_test.go
+++ b/gateway/standby_end_test.go
@@ -125,3 +125,38 @@
 		})
 	}
 }
+
+// A standby attempt whose answer arrives in small pieces shows that its upstream is alive.
+// Otherwise the upstream counts as silent and other requests leave it.
+func TestUpstreamOfAStandbyAttemptIsActive(t *testing.T) {
+	silent := newReplica(t, "i-silent", mute)
+	pieces := make(chan struct{})
+	other := newReplica(t, "i-other", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(signature, "second")
+		w.(http.Flusher).Flush()
+		for range pieces {
+			_, _ = io.WriteString(w, "x")
+			w.(http.Flusher).Flush()
+		}
+	})
+	f := newFixture(t, silent)
+	go listLater(f, silent, other)
+	falls := make(chan int, 1) // how often the recorded silence fell: once for the head, and for each piece
+	go func() {
+		defer close(pieces)
+		n, last := 0, time.Duration(0)
+		for range 20 {
+			pieces <- struct{}{}
+			time.Sleep(50 * time.Millisecond)
+			silence := f.gateway.Board().Status(other.upstreamKey()).Silence
+			if silence < last {
+				n++
+			}
+			last = silence
+		}
+		falls <- n
+	}()
+	_, body := f.do(t, f.newRequest(t, http.MethodPost, "/safe/", "{}"))
+	must.Eq(t, 20, len(body))
+	must.Greater(t, 1, <-falls)
+}
