gateway: a failing test for two upstreams working on one request

A standby attempt takes over once it has a whole event or answer, and only then is the first upstream stopped. Until then both may work: as long as the request takes at the second one.

--- a/gateway/standby_end_test.go
+++ b/gateway/standby_end_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -160,3 +161,42 @@
 	must.Eq(t, 20, len(body))
 	must.Greater(t, 1, <-falls)
 }
+
+// The upstream that had the request goes on working while another one works on it too. One
+// of them must be stopped before the other has a whole answer or event, which may take as
+// long as the request itself.
+func TestTwoUpstreamsDoNotWorkOnARequestUntilItsEnd(t *testing.T) {
+	for _, path := range []string{"/safe/", "/resume/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			stopped := make(chan struct{}, 2)
+			working := func(w http.ResponseWriter, r *http.Request) {
+				mute(w, r)
+				stopped <- struct{}{}
+			}
+			silent, other := newReplica(t, "i-silent", working), newReplica(t, "i-other", working)
+			f := newFixture(t, silent)
+			f.setRoutes(2, time.Minute)
+			go listLater(f, silent, other)
+			ctx, leave := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				response, err := f.server.Client().Do(f.newRequest(t, http.MethodPost, path, "{}").WithContext(ctx))
+				if err == nil {
+					_ = response.Body.Close()
+				}
+			}()
+			for other.runs.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			select {
+			case <-stopped:
+			case <-time.After(10 * time.Second):
+				t.Error("both upstreams still work on the request")
+			}
+			leave()
+			<-ended
+		})
+	}
+}
