gateway: limit the time to read the rest of an answer that is dropped

An upstream that sends the head of a refusal or failure and then nothing held a repeatable request until its deadline: the rest of the answer was read outside of any watch, only to use the connection again. The read is limited to 100 ms; after it the connection is reset.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -35,6 +35,19 @@
 	return nil
 }
 
+// drainTimeout limits the time to read the rest of an answer that is dropped, so that its
+// connection can be used again.
+const drainTimeout = 100 * time.Millisecond
+
+// drain reads the rest of an answer that is dropped, if that is small and arrives in time,
+// and ends the exchange.
+func (s *send) drain() {
+	timer := time.AfterFunc(drainTimeout, func() { s.cancel(errNotNeeded) })
+	drained := drainBody(s.response)
+	timer.Stop()
+	s.response.Close(drained)
+}
+
 // attempt sends the request to one upstream and delivers its answer, or that of a standby
 // attempt that took over. failure is 0 if the request has ended.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, req *request, t target, a *attempts) (end, retry.Failure) {
@@ -115,10 +128,10 @@
 	response := s.response
 	switch {
 	case response.Status >= http.StatusInternalServerError && !req.headWritten && g.reserveRetry(req, a):
-		response.Close(drainBody(response))
+		s.drain()
 		return failed(http.StatusBadGateway, "upstream failed"), retry.FailureMayHaveRun, resultUpstreamFailure
 	case req.headWritten && response.Status >= http.StatusMultipleChoices:
-		response.Close(drainBody(response))
+		s.drain()
 		return end{kind: endCut, reason: "upstream did not continue the stream"}, retry.FailureMayHaveRun, resultUpstreamFailure
 	}
 	return g.deliver(ctx, w, req, s, watch)
@@ -149,8 +162,7 @@
 	}
 	switch {
 	case answer.NotRun:
-		drained := drainBody(response)
-		response.Close(drained)
+		s.drain()
 		if answer.WrongHost {
 			g.board.BackOff(key, wrongAddressBackoff)
 			g.logOutOfPlacement(key, wrongAddressBackoff, "its address belongs to another upstream")
