gateway: limit a standby attempt, deliver all its answers, record its activity

After 1.5 s it is given up: for the first upstream if that is still open, otherwise only for another attempt. - For as long both upstreams could work on one request. The same limit bounds it; it is above the time to read the longest prompts. - A whole answer of 3xx or 4xx of a standby attempt was dropped. - What a standby attempt received did not count as activity of its upstream. When the send has ended without a failure, a check that is due can no longer start a standby attempt beside the end of the request. Open (users' question on maxAttempts): a refused standby attempt counts as an attempt.

--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -12,9 +12,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// standbyInterval is how long a request waits until it looks again for an upstream for a
-// standby attempt, when none could be made.
-const standbyInterval = 100 * time.Millisecond
+const (
+	// standbyInterval is how long a request waits until it looks again for an upstream
+	// for a standby attempt, when none could be made.
+	standbyInterval = 100 * time.Millisecond
+	// standbyLimit is how long a standby attempt may take until it has something to
+	// deliver: both upstreams may be working on the request meanwhile. It leaves time to
+	// read a long prompt.
+	standbyLimit = 1500 * time.Millisecond
+)
 
 // Causes with which the context of a send is canceled.
 var (
@@ -38,6 +44,7 @@
 	phase     standbyPhase
 	timer     *time.Timer
 	confirmed bool          // the last check found the silence too long as well
+	failed    bool          // the send has failed, and waits for the standby attempt
 	standby   *send         // in progress, or the one that took over
 	done      chan struct{} // closed when standby has ended or taken over
 }
@@ -46,7 +53,8 @@
 type standbyPhase uint8
 
 const (
-	// phaseWaiting: the request waits for bytes, and reads and changes nothing else.
+	// phaseWaiting: the request waits for bytes, or its send has failed; it changes
+	// neither its own state nor its attempts.
 	phaseWaiting standbyPhase = iota
 	// phaseProceeding: the request delivers what has arrived.
 	phaseProceeding
@@ -80,17 +88,24 @@
 }
 
 // check starts a standby attempt if the upstream has been silent for too long, is still so
-// after silenceConfirmation, and an attempt can be made. Otherwise it schedules the next
-// check.
+// after silenceConfirmation, and an attempt can be made. It ends one that has exceeded its
+// limit, and schedules the next check.
 func (w *standbyWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.phase == phaseStopped || w.phase == phaseSuperseded {
+	switch w.phase {
+	case phaseStopped, phaseSuperseded:
+		return
+	case phaseStandby:
+		if time.Since(w.standby.start) >= standbyLimit && w.canReplaceStandby() {
+			w.standby.cancel(errNotNeeded)
+		}
+		w.timer.Reset(standbyInterval)
 		return
 	}
 	left := w.tolerance - w.gateway.board.Status(w.send.key()).Silence
 	switch {
-	case left > 0 || w.phase != phaseWaiting:
+	case left > 0 || w.phase != phaseWaiting || w.failed:
 		w.confirmed = false
 		w.timer.Reset(max(left, standbyInterval))
 	case !w.confirmed:
@@ -101,6 +116,12 @@
 	}
 }
 
+// canReplaceStandby reports whether the standby attempt can be given up: the first send
+// is still open, or yet another attempt is allowed. w.mu must be held.
+func (w *standbyWatch) canReplaceStandby() bool {
+	return !w.failed || w.attempts.sent+2 < w.req.route.MaxAttempts
+}
+
 // start starts a standby attempt, if another upstream can be chosen and the limits of
 // attempts and retries allow it. w.mu must be held.
 func (w *standbyWatch) start() bool {
@@ -114,6 +135,7 @@
 	w.standby, w.done = w.gateway.beginSend(w.ctx, t, w.attempts), make(chan struct{})
 	w.standby.record.standby = true
 	w.phase = phaseStandby
+	w.timer.Reset(standbyInterval)
 	w.gateway.metrics.standbys.Add(1)
 	go w.run(w.standby)
 	return true
@@ -151,7 +173,9 @@
 }
 
 // openStandby sends the request and reads the answer up to where it can be delivered: the
-// first event of a stream, or the end of another answer. failure is 0 if it got so far.
+// first event of a stream, or the end of another answer, but at most bufferedAnswerBytes.
+// failure is 0 if it got so far. A failure answer is not delivered, since the first
+// upstream may still succeed.
 func (g *Gateway) openStandby(ctx context.Context, req *request, s *send) (retry.Failure, string) {
 	if e, failure, result := g.open(ctx, req, s); failure != 0 {
 		return failure, result
@@ -161,11 +185,12 @@
 	if _, failure, result := g.screen(req, s); failure != 0 {
 		return failure, result
 	}
-	if s.response.Status >= http.StatusMultipleChoices {
-		s.response.Close(drainBody(s.response))
+	success := s.response.Status < http.StatusMultipleChoices
+	if s.response.Status >= http.StatusInternalServerError || req.headWritten && !success {
+		s.drain()
 		return retry.FailureMayHaveRun, resultUpstreamFailure
 	}
-	if err := s.readAhead(req.route.IsStream()); err != nil {
+	if err := g.readAhead(s, req.route.IsStream() && success); err != nil {
 		s.response.Close(false)
 		_, _, result := g.classifyBrokenAnswer(ctx, req, s, err)
 		return retry.FailureMayHaveRun, result
@@ -175,12 +200,15 @@
 
 // readAhead reads the first event of a stream, or up to bufferedAnswerBytes of another
 // answer, which are read again by the next reads of s.body.
-func (s *send) readAhead(stream bool) error {
+func (g *Gateway) readAhead(s *send, stream bool) error {
 	var ahead bytes.Buffer
 	chunk := make([]byte, relayBufferBytes)
 	for ahead.Len() < bufferedAnswerBytes && !(stream && bytes.Contains(ahead.Bytes(), eventEnd)) {
 		n, err := s.response.Read(chunk)
-		ahead.Write(chunk[:n])
+		if n > 0 {
+			g.recordActivity(s.key())
+			ahead.Write(chunk[:n])
+		}
 		if err == io.EOF {
 			break
 		}
@@ -232,25 +260,26 @@
 // has taken over, if there is one.
 func (w *standbyWatch) stop(failed bool) *send {
 	w.mu.Lock()
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+	w.failed = failed
 	inProgress := w.phase == phaseStandby
-	if !inProgress || !failed {
-		if w.phase == phaseSuperseded {
-			defer w.mu.Unlock()
-			return w.standby
-		}
+	if !failed && w.phase != phaseSuperseded {
 		w.phase = phaseStopped
 	}
 	w.mu.Unlock()
 	switch {
-	case !inProgress:
-		return nil
-	case !failed:
+	case inProgress && failed:
+		<-w.done
+	case inProgress:
 		w.cancelStandby()
-		return nil
 	}
-	<-w.done
-	return w.stop(true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	if w.phase == phaseSuperseded {
+		return w.standby
+	}
+	w.phase = phaseStopped
+	return nil
 }
