gateway: keep the place in a stream across events without an identifier

A continuation whose first event has no identifier (a comment) set the last delivered one to none; when it broke off too, the next continuation began at the start, and the caller got events twice. The test failed before (events 1 and 2 delivered twice) and passes now.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -125,7 +125,9 @@
 			if ready := events.add(chunk[:n]); len(ready) > 0 {
 				g.writeEvents(w, req, r, ready)
 				_ = controller.Flush() // a caller that disconnected is noticed through the context
-				req.deliveredEventID = events.lastID
+				if events.lastID != "" {
+					req.deliveredEventID = events.lastID
+				}
 			}
 		}
 		switch {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -75,6 +76,34 @@
 	must.Eq(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", body)
 }
 
+// A continuation begins with an event without an identifier, such as a comment, and breaks
+// off. The next one must still continue after the last event delivered, instead of
+// delivering the stream from its start again.
+func TestEventWithoutIdentifierKeepsThePlaceInTheStream(t *testing.T) {
+	var runs atomic.Int64
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(signature, "sig")
+		last := r.Header.Get("Last-Event-Id")
+		switch {
+		case runs.Add(1) == 1:
+			events(w, 1, 2)
+			panic(http.ErrAbortHandler)
+		case runs.Load() == 2:
+			_, _ = io.WriteString(w, ": continued\n\n")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		case last == "2":
+			events(w, 3, 4)
+		default:
+			events(w, 1, 4)
+		}
+	}
+	f := newFixture(t, newReplica(t, "i-1", handle), newReplica(t, "i-2", handle), newReplica(t, "i-3", handle))
+	f.setRoutes(3, time.Minute)
+	_, body := f.do(t, f.newRequest(t, http.MethodPost, "/resume/", "{}"))
+	must.Eq(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n: continued\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", body)
+}
+
 // A stream breaks off, and the upstream that is to continue it sends nothing until the
 // timeout. What was delivered must not look like the whole answer.
 func TestStreamThatIsNotContinuedInTimeIsCut(t *testing.T) {
