gateway: software versions of upstreams in the log lines of requests

The lines of requests did not tell at which version a stream began and went on, nor which attempt of the caller a request takes up. Upstreams now have the version of their entry (missing: empty), each send names it, and a request that takes up a stream has last_event and resumes. No decision reads them yet.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -25,6 +25,7 @@
 	Service       string
 	Address       string // IP:PORT
 	FailureDomain string
+	Version       string // of its software; versions have no order
 	State         State
 	Slots         int    // requests processed concurrently; 0 if unknown
 	Born          int64  // start time in Unix milliseconds; 0 if unknown
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,7 +18,7 @@
 	key := t.upstream.Key()
 	a.tried[key] = true
 	start := time.Now()
-	record := sendRecord{upstream: t.upstream.ID + "@" + t.upstream.FailureDomain, load: t.load, cachedParts: t.cachedParts, failureExcess: t.failureExcess}
+	record := sendRecord{upstream: t.upstream.ID + "@" + t.upstream.FailureDomain, version: t.upstream.Version, load: t.load, cachedParts: t.cachedParts, failureExcess: t.failureExcess}
 	if t.fetchSource != nil {
 		record.fetchSource = t.fetchSource.ID
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -27,6 +27,7 @@
 	PromptTokens    int
 	MaxOutputTokens int
 	LastEventID     string // last event received of a stream to resume; empty if none
+	Resumes         string // AttemptID of the attempt that brought the first event of that stream; empty if not named
 }
 
 // Send is what the router adds to a request for an upstream.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -36,6 +36,12 @@
 		fields["route"] = f.req.route.Name
 		fields["service"] = f.req.service
 	}
+	if f.req.LastEventID != "" {
+		fields["last_event"] = f.req.LastEventID
+	}
+	if f.req.Resumes != "" {
+		fields["resumes"] = f.req.Resumes
+	}
 	if f.req.customer != nil {
 		fields["customer"] = f.req.customer.Name
 	}
@@ -60,8 +66,8 @@
 	return fields
 }
 
-// describeSends formats the sends of a request: upstream, its load when it was
-// chosen, how many of the prompt's shared parts it had cached, its failure rate in
+// describeSends formats the sends of a request: upstream, its software version, its
+// load when it was chosen, how many of the prompt's shared parts it had cached, its failure rate in
 // excess of its pool's, the upstream from which more of the prompt was fetched,
 // result, and duration.
 func describeSends(sends []sendRecord, parts int) string {
@@ -70,7 +76,11 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		fmt.Fprintf(&b, "%s load=%d", s.upstream, s.load)
+		b.WriteString(s.upstream)
+		if s.version != "" {
+			b.WriteString(" version=" + s.version)
+		}
+		fmt.Fprintf(&b, " load=%d", s.load)
 		if parts > 0 {
 			fmt.Fprintf(&b, " held=%d/%d", s.cachedParts, parts)
 		}
--- a/gateway/record_test.go
+++ b/gateway/record_test.go
@@ -10,9 +10,9 @@
 func TestDescribeSends(t *testing.T) {
 	sends := []sendRecord{
 		{upstream: "i-1@a", load: 3, cachedParts: 1, fetchSource: "i-2", result: resultRefused, took: 4 * time.Millisecond},
-		{upstream: "i-2@b", load: 1, cachedParts: 2, result: resultAnswered, took: 30 * time.Millisecond},
+		{upstream: "i-2@b", version: "v1.1", load: 1, cachedParts: 2, result: resultAnswered, took: 30 * time.Millisecond},
 	}
-	must.Eq(t, "i-1@a load=3 held=1/2 fetch=i-2 refused 4ms; i-2@b load=1 held=2/2 answered 30ms", describeSends(sends, 2))
+	must.Eq(t, "i-1@a load=3 held=1/2 fetch=i-2 refused 4ms; i-2@b version=v1.1 load=1 held=2/2 answered 30ms", describeSends(sends, 2))
 	plain := []sendRecord{{upstream: "i-3@a", load: 2, failureExcess: 0.314, result: resultAnswered, took: time.Millisecond}}
 	must.Eq(t, "i-3@a load=2 failing=0.31 answered 1ms", describeSends(plain, 0))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -50,6 +50,7 @@
 // sendRecord describes one attempt at an upstream, for the log.
 type sendRecord struct {
 	upstream      string
+	version       string  // of the upstream
 	load          int     // requests in progress at the upstream when it was chosen
 	cachedParts   int     // leading shared parts of the prompt that it was known to have cached
 	failureExcess float64 // failure rate in excess of its pool's
