--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -36,6 +36,7 @@
 // requests that it receives.
 type replica struct {
 	id       string
+	version  string
 	server   *httptest.Server
 	runs     atomic.Int64
 	mu       sync.Mutex
@@ -65,7 +66,8 @@
 
 func (r *replica) upstream() catalog.Upstream {
 	return catalog.Upstream{
-		ID: r.id, Service: "s", Address: r.server.Listener.Addr().String(), FailureDomain: "a", State: catalog.StateReady,
+		ID: r.id, Service: "s", Address: r.server.Listener.Addr().String(), FailureDomain: "a", Version: r.version,
+		State: catalog.StateReady,
 	}
 }
 
