gateway: continue a stream only at the version that began it

An answer that broke off went on at any upstream of the service, whatever its version. The first delivered event now binds the request to the version of its upstream; choose passes over the others, which still count in mean loads and as sources of cached parts. Without any left the answer is cut as before. Among the few upstreams of one version, an ejected one that can be reached is used rather than none.

What callers take up in a new attempt still goes on anywhere.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -32,6 +32,7 @@
 	Revision      uint64 // of its entry
 	Restored      bool   // listed as ready only by an older copy from which the store returned
 	Hash          uint64
+	VersionSum    uint32 // short hash of Version
 }
 
 // Key identifies one process start of an upstream. The ID alone is not enough, since
@@ -57,8 +58,8 @@
 	bySum    map[uint32]*Upstream // by the short hash of the key
 }
 
-// New returns a catalog of the upstreams. It retains the slice and sets the Hash of
-// each element.
+// New returns a catalog of the upstreams. It retains the slice and sets Hash and
+// VersionSum of each element.
 func New(revision uint64, upstreams []Upstream) *Catalog {
 	c := &Catalog{
 		Revision: revision,
@@ -69,6 +70,7 @@
 	for i := range upstreams {
 		u := &upstreams[i]
 		u.Hash = xxhash.Sum64String(u.ID)
+		u.VersionSum = uint32(xxhash.Sum64String(u.Version))
 		c.byID[u.ID] = u
 		c.bySum[u.Key().Sum()] = u
 		c.services[u.Service] = append(c.services[u.Service], u)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -57,7 +57,7 @@
 		replicas = append(replicas, place.Replica{
 			Seed:     u.Hash,
 			Load:     status.Load,
-			Tried:    a.tried[u.Key()],
+			Tried:    a.tried[u.Key()] || req.version.excludes(u),
 			Local:    u.FailureDomain == g.opts.FailureDomain,
 			Draining: u.State != catalog.StateReady,
 
@@ -68,6 +68,9 @@
 		replicas[i].Weight = weight
 	}
 	index, source := g.rank(req, list, replicas)
+	if index < 0 && req.version.bound && admitEjected(replicas) {
+		index, source = g.rank(req, list, replicas)
+	}
 	if index < 0 {
 		return target{}, false
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -85,7 +85,7 @@
 		response.Close(drainBody(response))
 		return end{kind: endCut, reason: "upstream did not continue the stream"}, retry.FailureMayHaveRun, resultUpstreamFailure
 	}
-	return g.deliver(ctx, w, req, key, response)
+	return g.deliver(ctx, w, req, t.upstream, response)
 }
 
 // recordFailure records a failure attributed to an upstream, and whether the
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -33,11 +33,11 @@
 }
 
 // deliver delivers the answer to the caller.
-func (g *Gateway) deliver(ctx context.Context, w http.ResponseWriter, req *request, key catalog.Key, r *forward.Response) (end, retry.Failure, string) {
+func (g *Gateway) deliver(ctx context.Context, w http.ResponseWriter, req *request, u *catalog.Upstream, r *forward.Response) (end, retry.Failure, string) {
 	if req.route.IsStream() && r.Status < 300 {
-		return g.deliverStream(ctx, w, req, key, r)
+		return g.deliverStream(ctx, w, req, u, r)
 	}
-	return g.deliverBuffered(ctx, w, req, key, r)
+	return g.deliverBuffered(ctx, w, req, u.Key(), r)
 }
 
 // deliverBuffered delivers an answer once it is complete, or piece by piece if it
@@ -100,11 +100,12 @@
 
 // deliverStream delivers events as they arrive, each once it is complete. Status
 // and headers are written with the first of them.
-func (g *Gateway) deliverStream(ctx context.Context, w http.ResponseWriter, req *request, key catalog.Key, r *forward.Response) (end, retry.Failure, string) {
+func (g *Gateway) deliverStream(ctx context.Context, w http.ResponseWriter, req *request, u *catalog.Upstream, r *forward.Response) (end, retry.Failure, string) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetWriteDeadline(req.deadline.Add(writeDeadlineSlack)) // if this fails, the context still ends the request
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	var events eventBuffer
+	key := u.Key()
 	body := activityReader{g, key, r}
 	chunk := make([]byte, relayBufferBytes)
 	lastRead := time.Now()
@@ -117,7 +118,7 @@
 			}
 			lastRead = now
 			if ready := events.add(chunk[:n]); len(ready) > 0 {
-				g.writeEvents(w, req, r, ready)
+				g.writeEvents(w, req, u, r, ready)
 				_ = controller.Flush() // a caller that disconnected is noticed through the context
 				req.deliveredEventID = events.lastID
 			}
@@ -140,9 +141,10 @@
 	}
 }
 
-func (g *Gateway) writeEvents(w http.ResponseWriter, req *request, r *forward.Response, ready []byte) {
+func (g *Gateway) writeEvents(w http.ResponseWriter, req *request, u *catalog.Upstream, r *forward.Response, ready []byte) {
 	if !req.headWritten {
 		g.writeHead(w, req, r)
+		g.bindVersion(req, u)
 		req.firstByte = time.Since(req.arrived)
 	}
 	_, _ = w.Write(ready) // a caller that disconnected is noticed through the context
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -42,6 +42,7 @@
 	// Progress and result.
 	sends            []sendRecord
 	headWritten      bool // status and headers of an answer were delivered
+	version          boundVersion
 	deliveredEventID string
 	maxEventPause    time.Duration // longest pause between two reads of the stream
 	firstByte        time.Duration // time until the first byte of the answer was ready to deliver
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -160,3 +161,19 @@
 	f.refused(t, f.newResumable(t, "b", "unknown"))
 	must.Eq(t, 0, second.runs.Load())
 }
+
+// The only other upstream of the version gets no new requests for a while, as after a
+// refusal. Ending the stream would be worse than trying it.
+func TestStreamVersionIsKeptAtAnEjectedUpstream(t *testing.T) {
+	var f *fixture
+	ejected := newVersion(t, "i-2", "v1", breaking)
+	others := []*replica{newVersion(t, "i-3", "v2", breaking), newVersion(t, "i-4", "v2", breaking)}
+	first := newVersion(t, "i-1", "v1", func(w http.ResponseWriter, r *http.Request) {
+		f.setUpstreams(append(others, ejected)...)
+		f.gateway.Board().BackOff(ejected.upstreamKey(), time.Hour)
+		breaking(w, r)
+	})
+	f = newFixture(t, first)
+	_, body := f.do(t, f.newResumable(t, "a", ""))
+	must.Eq(t, wholeText, body)
+}
