gateway: take up callers' streams at the version that began them

What a caller took up in a new attempt was placed like a new request. A router now records the version of a resumable stream when its first event is delivered, by the attempt that Resumes names, and binds an attempt that takes the stream up to it. Without a record it goes on at the only version listed within the last minute, else waits for the record for 300 ms at most and asks through Options.LookUpStream, else refuses (503, not run). Counters under gateway.resumed.

TestStreamVersionIsThatOfTheFirstEvent was wrong: it also listed the second version at the retry, and failed at the first check if that got it. TestStreamVersionIsLearntFromOtherRouters fails without the lookup and without the look at the records meanwhile.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -70,6 +70,9 @@
 	case a.sent > 0 && !req.neverRan():
 		return failed(http.StatusBadGateway, "no other upstream to try")
 	}
+	if req.version.bound {
+		return g.versionGone()
+	}
 	return refused("no upstream of the service is available", retryAfterUnknown)
 }
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -109,6 +110,7 @@
 	gateway          *gateway.Gateway
 	server           *httptest.Server
 	configurationAge atomic.Int64 // in nanoseconds
+	lookUp           func(attempt uint64) (uint32, bool)
 }
 
 func defaultRoutes() []routing.Route {
@@ -138,6 +140,12 @@
 	f := &fixture{}
 	f.gateway = gateway.New(gateway.Options{
 		Protocol: platform.Protocol{}, Log: &log.Logger{Handler: discard.New()}, FailureDomain: "a", MaxBufferedBodyBytes: 1 << 20,
+		LookUpStream: func(_ context.Context, attempt uint64) (uint32, bool) {
+			if f.lookUp == nil {
+				return 0, false
+			}
+			return f.lookUp(attempt)
+		},
 		ConfirmationAges: func() (time.Duration, time.Duration) { return time.Duration(f.configurationAge.Load()), 0 },
 		Policy: gateway.Policy{
 			Prompt: place.PromptOptions{Multiple: 2, Slack: 4}, Least: place.LeastOptions{RemoteCost: 1, FailureCost: 20}, RetryRatio: 0.1, RetryExtra: 20,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	// ConfirmationAges returns how long ago the configuration and the list of
 	// upstreams were last confirmed to be the newest; nil means just now.
 	ConfirmationAges func() (configuration, upstreams time.Duration)
+	// LookUpStream asks other routers for the version that began a stream, by its
+	// StreamKey; nil means that none knows. It returns when ctx ends.
+	LookUpStream func(ctx context.Context, attempt uint64) (version uint32, known bool)
 }
 
 // Policy holds the parameters of a gateway's placement, retry and ejection
@@ -44,6 +48,7 @@
 	pool    *forward.Pool
 	board   *Board
 	prompts *Prompts
+	streams *Streams
 	metrics *metrics
 
 	policy            atomic.Pointer[Policy]
@@ -55,6 +60,7 @@
 	draining          atomic.Pointer[drainState] // nil until a drain begins
 	activeRequests    atomic.Int64               // requests being served
 	bufferedBodyBytes atomic.Int64               // total size of the request bodies in memory
+	versions          versionHistory
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Budget // keyed by service
@@ -66,10 +72,14 @@
 	if opts.ConfirmationAges == nil {
 		opts.ConfirmationAges = func() (configuration, upstreams time.Duration) { return 0, 0 }
 	}
+	if opts.LookUpStream == nil {
+		opts.LookUpStream = func(context.Context, uint64) (uint32, bool) { return 0, false }
+	}
 	g := &Gateway{
 		opts:         opts,
 		board:        NewBoard(opts.Policy.Eject),
 		prompts:      NewPrompts(),
+		streams:      NewStreams(),
 		metrics:      newMetrics(),
 		retryBudgets: make(map[string]*retry.Budget),
 		configured:   make(chan struct{}),
@@ -103,6 +113,9 @@
 // Prompts returns the record of which upstreams have cached which prompt parts.
 func (g *Gateway) Prompts() *Prompts { return g.prompts }
 
+// Streams returns the record of the versions that began resumable streams.
+func (g *Gateway) Streams() *Streams { return g.streams }
+
 // SetTable puts a configuration in force for requests that arrive from now on, and
 // reports whether it did. A version that is not newer than the one in force is
 // ignored.
@@ -147,7 +160,7 @@
 
 // SetCatalog replaces the list of upstreams for requests that arrive from now on.
 func (g *Gateway) SetCatalog(c *catalog.Catalog) {
-	g.catalog.Store(c)
+	g.versions.Update(g.catalog.Swap(c), c)
 	g.markConfigured()
 	listed := func(key catalog.Key) bool {
 		u := c.Find(key.ID)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -61,6 +61,7 @@
 	dials          expvar.Int
 	dialErrors     expvar.Int
 	silences       expvar.Int // silences of upstreams that were treated as faults
+	resumed        expvar.Map // streams that callers took up, by how their version was found
 	firstByte      *histogram // time until the first byte of an answer was ready to deliver
 	completeAnswer *histogram // time until the end of a complete answer
 	dialTime       *histogram
@@ -73,6 +74,7 @@
 	m.vars.Set("dials", &m.dials)
 	m.vars.Set("dial_errors", &m.dialErrors)
 	m.vars.Set("silences", &m.silences)
+	m.vars.Set("resumed", &m.resumed)
 	m.vars.Set("first_byte", m.firstByte)
 	m.vars.Set("whole", m.completeAnswer)
 	m.vars.Set("dial_time", m.dialTime)
--- /dev/null
+++ b/gateway/resume.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"dandelionrill.example/fleet/catalog"
+)
+
+const (
+	// streamWait is how long a request waits until the version that began its stream is
+	// known.
+	streamWait = 300 * time.Millisecond
+	// streamPollInterval is the time between two looks at the records meanwhile.
+	streamPollInterval = 10 * time.Millisecond
+)
+
+// Results of finding the version of a stream that a caller takes up, as counted.
+const (
+	resumedKnown       = "known"
+	resumedOnlyVersion = "only-version"
+	resumedAwaited     = "awaited"
+	resumedUnknown     = "unknown"      // refused
+	resumedVersionGone = "version-gone" // refused, in addition to one of the above
+)
+
+// streamKey returns the key under which the version of a request's stream is recorded.
+func (req *request) streamKey() uint64 {
+	if req.Resumes != "" {
+		return StreamKey(req.Resumes)
+	}
+	return StreamKey(req.AttemptID)
+}
+
+// resumable reports whether callers can take up the stream of a request.
+func (req *request) resumable() bool { return req.route.IsStream() && req.route.Resumable }
+
+// takesUp reports whether a request takes up the stream of an earlier attempt.
+func (req *request) takesUp() bool {
+	return req.resumable() && (req.LastEventID != "" || req.Resumes != "")
+}
+
+// bindVersion binds a stream to the version of the upstream whose first event is
+// delivered, and records it for the caller's further attempts.
+func (g *Gateway) bindVersion(req *request, u *catalog.Upstream) {
+	req.version = boundVersion{sum: u.VersionSum, bound: true}
+	if req.resumable() {
+		g.streams.Record(Stream{Attempt: req.streamKey(), Version: u.VersionSum}, OriginOwn)
+	}
+}
+
+// bindResumed binds a request that takes up a stream to the version that began it. If
+// that is not known, the request is refused.
+func (g *Gateway) bindResumed(ctx context.Context, req *request) (end, bool) {
+	if !req.takesUp() {
+		return end{}, true
+	}
+	sum, result := g.findVersion(ctx, req)
+	g.metrics.resumed.Add(result, 1)
+	if result == resumedUnknown {
+		return refused("the version that began the stream is not known", retryAfterShort), false
+	}
+	req.version = boundVersion{sum: sum, bound: true}
+	return end{}, true
+}
+
+// findVersion returns the version that began the stream that a request takes up.
+func (g *Gateway) findVersion(ctx context.Context, req *request) (sum uint32, result string) {
+	if req.Resumes != "" {
+		if sum, known := g.streams.Version(req.streamKey()); known {
+			return sum, resumedKnown
+		}
+	}
+	if sum, ok := g.versions.Only(req.service, g.catalog.Load().Service(req.service)); ok {
+		return sum, resumedOnlyVersion
+	}
+	if req.Resumes != "" {
+		if sum, known := g.awaitVersion(ctx, req.streamKey()); known {
+			return sum, resumedAwaited
+		}
+	}
+	return 0, resumedUnknown
+}
+
+// awaitVersion waits until the record of a stream arrives, and asks other routers for it.
+func (g *Gateway) awaitVersion(ctx context.Context, attempt uint64) (sum uint32, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, streamWait)
+	defer cancel()
+	found := make(chan uint32, 1)
+	go func() {
+		if sum, known := g.opts.LookUpStream(ctx, attempt); known {
+			found <- sum
+		}
+	}()
+	ticker := time.NewTicker(streamPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return 0, false
+		case sum = <-found:
+			return sum, true
+		case <-ticker.C:
+			if sum, known = g.streams.Version(attempt); known {
+				return sum, true
+			}
+		}
+	}
+}
+
+// versionGone returns the end of a request that takes up a stream whose version has no
+// upstream to choose.
+func (g *Gateway) versionGone() end {
+	g.metrics.resumed.Add(resumedVersionGone, 1)
+	return refused("no upstream of the version that began the stream is available", retryAfterShort)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -88,6 +88,9 @@
 	}
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
+	if e, ok := g.bindResumed(ctx, req); !ok {
+		return e
+	}
 	return g.dispatch(ctx, w, req)
 }
 
--- /dev/null
+++ b/gateway/streams.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits of Streams.
+const (
+	streamShards = 16
+	// maxStreamsPerShard is the number of streams recorded in one shard.
+	maxStreamsPerShard = 4096
+	// streamMaxAge is how long a stream can be taken up after its record was made or
+	// renewed.
+	streamMaxAge = time.Minute
+	// maxLoggedStreams is the number of records retained for other routers.
+	maxLoggedStreams = 16384
+)
+
+// Stream states at which software version a resumable stream began.
+type Stream struct {
+	Attempt uint64 // StreamKey of the caller's attempt that brought its first event
+	Version uint32 // short hash of the version
+}
+
+// StreamKey returns the hash by which routers name a caller's attempt.
+func StreamKey(attemptID string) uint64 { return xxhash.Sum64String(attemptID) }
+
+// Streams records which version began which resumable streams, from the streams that
+// this router delivers and from the reports of other routers. All methods may be called
+// concurrently.
+type Streams struct {
+	start  time.Time
+	shards [streamShards]streamShard
+
+	mu          sync.Mutex
+	log         []loggedStream // newest last
+	firstNumber uint64         // sequence number of log[0]
+}
+
+type streamShard struct {
+	mu      sync.Mutex
+	records map[uint64]streamRecord
+	order   []streamUse // oldest first; holds the last use of each record, and earlier ones
+}
+
+type streamRecord struct {
+	version uint32
+	used    time.Duration
+}
+
+// streamUse is the time at which a record was made or renewed.
+type streamUse struct {
+	attempt uint64
+	at      time.Duration
+}
+
+// loggedStream is a record that was new to this router.
+type loggedStream struct {
+	stream Stream
+	origin Origin
+	at     time.Duration
+}
+
+// NewStreams returns a Streams without any records.
+func NewStreams() *Streams {
+	s := &Streams{start: time.Now()}
+	for i := range s.shards {
+		s.shards[i].records = make(map[uint64]streamRecord)
+	}
+	return s
+}
+
+// Record records the version of a stream; a version that is already known stays. A
+// record that is new, or has reached half of streamMaxAge, is retained for other routers.
+func (s *Streams) Record(stream Stream, origin Origin) {
+	now := time.Since(s.start)
+	if !s.shards[stream.Attempt%streamShards].use(&stream, now) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, loggedStream{stream: stream, origin: origin, at: now})
+	if over := len(s.log) - maxLoggedStreams; over > 0 {
+		// Half of the log is dropped at once, so that entries are rarely moved.
+		over += maxLoggedStreams / 2
+		s.log = append(s.log[:0], s.log[over:]...)
+		s.firstNumber += uint64(over)
+	}
+}
+
+// use makes or renews a record, sets stream to what is recorded, and reports whether
+// other routers have to be told.
+func (s *streamShard) use(stream *Stream, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	record, known := s.records[stream.Attempt]
+	if known {
+		stream.Version = record.version
+		if now-record.used < streamMaxAge/2 {
+			return false
+		}
+	}
+	s.records[stream.Attempt] = streamRecord{version: stream.Version, used: now}
+	s.order = append(s.order, streamUse{attempt: stream.Attempt, at: now})
+	if len(s.records) > maxStreamsPerShard {
+		s.dropOldest()
+	}
+	return true
+}
+
+// expire drops the records that are older than streamMaxAge. s.mu must be held.
+func (s *streamShard) expire(now time.Duration) {
+	for len(s.order) > 0 && now-s.order[0].at > streamMaxAge {
+		s.dropFirst()
+	}
+}
+
+// dropOldest drops the oldest record. s.mu must be held.
+func (s *streamShard) dropOldest() {
+	for before := len(s.records); len(s.records) == before; {
+		s.dropFirst()
+	}
+}
+
+// dropFirst removes the first use, and its record unless that was renewed. s.mu must be
+// held.
+func (s *streamShard) dropFirst() {
+	first := s.order[0]
+	s.order = s.order[1:]
+	if s.records[first.attempt].used == first.at {
+		delete(s.records, first.attempt)
+	}
+}
+
+// Version returns the short hash of the version that began a stream.
+func (s *Streams) Version(attempt uint64) (version uint32, known bool) {
+	shard := &s.shards[attempt%streamShards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.expire(time.Since(s.start))
+	record, known := shard.records[attempt]
+	return record.version, known
+}
+
+// StreamsSince returns the newest records of the origins with sequence numbers from
+// after on, limit at most, and the number to pass to the next call. Older ones beyond the
+// limit are left out for good.
+func (s *Streams) StreamsSince(after uint64, origins Origin, limit int) ([]Stream, uint64) {
+	oldest := time.Since(s.start) - streamMaxAge
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := s.firstNumber + uint64(len(s.log))
+	if after > end {
+		after = s.firstNumber // a number from before this process restarted
+	}
+	logged := s.log[max(after, s.firstNumber)-s.firstNumber:]
+	var streams []Stream
+	for i := len(logged) - 1; i >= 0 && len(streams) < limit && logged[i].at >= oldest; i-- {
+		if logged[i].origin&origins != 0 {
+			streams = append(streams, logged[i].stream)
+		}
+	}
+	return streams, end
+}
--- /dev/null
+++ b/gateway/streams_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A record must not change once made, and must not outlive what it is good for.
+func TestStreamRecordStaysUntilItExpires(t *testing.T) {
+	s := NewStreams()
+	s.Record(Stream{Attempt: 1, Version: 7}, OriginOwn)
+	s.Record(Stream{Attempt: 1, Version: 8}, OriginDomain)
+	version, known := s.Version(1)
+	must.True(t, known)
+	must.Eq(t, 7, version)
+	_, next := s.StreamsSince(0, OriginOwn|OriginDomain, 9)
+	must.Eq(t, 1, next)
+	s.start = s.start.Add(-2 * streamMaxAge / 3)
+	s.Record(Stream{Attempt: 1, Version: 8}, OriginOwn) // renewed, and told to others again
+	renewed, next := s.StreamsSince(next, OriginOwn, 9)
+	must.Eq(t, []Stream{{Attempt: 1, Version: 7}}, renewed)
+	must.Eq(t, 2, next)
+	s.start = s.start.Add(-2 * streamMaxAge / 3)
+	_, known = s.Version(1)
+	must.True(t, known)
+	s.start = s.start.Add(-streamMaxAge)
+	_, known = s.Version(1)
+	must.False(t, known)
+	expired, _ := s.StreamsSince(0, OriginOwn, 9)
+	must.SliceEmpty(t, expired)
+}
+
+// The memory for records is limited; the oldest are dropped first.
+func TestStreamRecordsAreLimited(t *testing.T) {
+	s := NewStreams()
+	const made = 2 * streamShards * maxStreamsPerShard
+	for i := range made {
+		s.Record(Stream{Attempt: uint64(i)}, OriginOwn)
+	}
+	_, known := s.Version(made/2 - 1)
+	must.False(t, known)
+	_, known = s.Version(made / 2)
+	must.True(t, known)
+	newest, next := s.StreamsSince(0, OriginOwn, 2)
+	must.Eq(t, []Stream{{Attempt: made - 1}, {Attempt: made - 2}}, newest)
+	must.Eq(t, uint64(made), next)
+	must.LessEq(t, maxLoggedStreams, len(s.log))
+}
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -15,12 +15,6 @@
 // excludes reports whether the stream cannot go on at an upstream.
 func (v boundVersion) excludes(u *catalog.Upstream) bool { return v.bound && u.VersionSum != v.sum }
 
-// bindVersion binds a stream to the version of the upstream whose first event is
-// delivered.
-func (g *Gateway) bindVersion(req *request, u *catalog.Upstream) {
-	req.version = boundVersion{sum: u.VersionSum, bound: true}
-}
-
 // admitEjected gives weight to the ejected replicas that can be reached, and reports
 // whether there are any: a stream that can go on only among few replicas is better sent
 // to one whose answers failed than ended.
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"dandelionrill.example/fleet/gateway"
 	"github.com/shoenig/test/must"
 )
 
@@ -112,12 +114,13 @@
 	began := newVersion(t, "i-1", "v1", breaking)
 	unused := newVersion(t, "i-2", "v2", breaking)
 	other := newVersion(t, "i-3", "v2", func(w http.ResponseWriter, r *http.Request) {
-		f.setUpstreams(began, unused)
+		f.setUpstreams(began)
 		breakingOff(w, r)
 	})
 	f = newFixture(t, other)
 	f.cut(t, f.newResumable(t, "a", ""))
 	must.Eq(t, 1, began.runs.Load())
+	f.setUpstreams(began, unused)
 	for _, attempt := range []string{"b", "c", "d", "e", "f"} {
 		_, body := f.do(t, f.newResumable(t, attempt, "a"))
 		must.Eq(t, endText, body)
@@ -177,3 +180,34 @@
 	_, body := f.do(t, f.newResumable(t, "a", ""))
 	must.Eq(t, wholeText, body)
 }
+
+// A caller's stream is taken up at another router, which learns the version from the
+// reports of the first, from a report that arrives meanwhile, or by asking.
+func TestStreamVersionIsLearntFromOtherRouters(t *testing.T) {
+	first, second := newVersion(t, "i-1", "v1", breaking), newVersion(t, "i-2", "v2", breaking)
+	began := newFixture(t, second)
+	began.cut(t, began.newResumable(t, "a", ""))
+	made, _ := began.gateway.Streams().StreamsSince(0, gateway.OriginOwn, 10)
+	must.Len(t, 1, made)
+	for result, lookUp := range map[string]func(*gateway.Streams) bool{
+		"known":   nil,
+		"awaited": func(s *gateway.Streams) bool { s.Record(made[0], gateway.OriginDomain); return false },
+		"asked":   func(*gateway.Streams) bool { return true },
+	} {
+		for range 5 {
+			f := newFixture(t, first, second)
+			if lookUp == nil {
+				f.gateway.Streams().Record(made[0], gateway.OriginDomain)
+			} else {
+				f.lookUp = func(attempt uint64) (uint32, bool) {
+					must.Eq(t, made[0].Attempt, attempt)
+					return made[0].Version, lookUp(f.gateway.Streams())
+				}
+			}
+			_, body := f.do(t, f.newResumable(t, "b", "a"))
+			must.Eq(t, endText, body)
+			must.StrContains(t, f.gateway.Metrics().String(), `"resumed": {"`+strings.Replace(result, "asked", "awaited", 1)+`": 1}`)
+		}
+	}
+	must.Eq(t, 0, first.runs.Load())
+}
