gossip: tell other routers which version began a stream

The records of a router are handed on with its replies as prompt placements are, as parallel slices, the newest 512 in each part; a router that has just started gets those of all origins. Streams is a new call for what has not arrived: to 16 responsive partners at most, 250 ms, 32 lookups in progress. Routers of earlier versions leave the fields out and have no such call, which counts as not knowing.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,6 +119,9 @@
 		ConfirmationAges: func() (configuration, upstreams time.Duration) {
 			return h.configuration.Stamp().Age, h.upstreams.Stamp().Age
 		},
+		LookUpStream: func(ctx context.Context, attempt uint64) (uint32, bool) {
+			return h.mesh.LookUpStream(ctx, attempt)
+		},
 	})
 	h.configuration = h.newFeed(platform.KindConfiguration, configurationWatchTimeout, h.applyConfiguration)
 	h.upstreams = h.newFeed(platform.KindUpstreams, upstreamsWatchTimeout, h.applyUpstreams)
@@ -131,6 +134,7 @@
 		Feeds:         []*feed.Feed{h.configuration, h.upstreams, h.routers},
 		Board:         h.gateway.Board(),
 		Prompts:       h.gateway.Prompts(),
+		Streams:       h.gateway.Streams(),
 		Eras:          eras,
 		Held:          h.held,
 		UpstreamKey:   h.gateway.UpstreamKey,
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -1,7 +1,7 @@
 // Package gossip exchanges state between the routers of a fleet: how recent their
 // copies of the store's kinds are, their requests in progress at each upstream,
-// which upstreams have read which prompt parts, and how many answers of plain
-// upstreams failed. Large fleets exchange reports within failure domains, and sums of
+// which upstreams have read which prompt parts, which software version began which
+// stream, and how many answers of plain upstreams failed. Large fleets exchange reports within failure domains, and sums of
 // whole domains between them. Reports from peers are optional: a router without peers
 // still works.
 package gossip
@@ -130,8 +130,9 @@
 	Feeds         []*feed.Feed // in the same order at all routers; the first is that of the configuration
 	Board         *gateway.Board
 	Prompts       *gateway.Prompts
-	Eras          *store.Eras   // of the store, also used by the feeds; nil means a tracker of its own
-	Held          Configuration // nil means none
+	Streams       *gateway.Streams // nil means a record of its own
+	Eras          *store.Eras      // of the store, also used by the feeds; nil means a tracker of its own
+	Held          Configuration    // nil means none
 	// UpstreamKey returns the key of the upstream whose key has the short hash; nil
 	// means that no upstream is known.
 	UpstreamKey func(sum uint32) (catalog.Key, bool)
@@ -150,6 +151,7 @@
 	catchingUp    []atomic.Bool // by kind: whether a catchUp is in progress
 	fetchingHeld  atomic.Bool   // whether a fetchHeld is in progress
 	announcements chan struct{}
+	lookups       chan struct{} // holds an element for each lookup in progress
 
 	mu            sync.Mutex
 	seeds         []string
@@ -171,6 +173,7 @@
 	calling         bool
 	unresponsive    bool // the last call failed
 	placementsAfter uint64
+	streamsAfter    uint64
 	behind          map[int]time.Time // when the peer was first seen with newer content, by kind
 }
 
@@ -182,10 +185,14 @@
 	if opts.UpstreamKey == nil {
 		opts.UpstreamKey = func(uint32) (catalog.Key, bool) { return catalog.Key{}, false }
 	}
+	if opts.Streams == nil {
+		opts.Streams = gateway.NewStreams()
+	}
 	if opts.Held == nil {
 		opts.Held = noConfiguration{}
 	}
 	m := &Mesh{opts: opts, key: place.Key(opts.Address), seeds: opts.Seeds, peers: make(map[string]*peer), announcements: make(chan struct{}, 1)}
+	m.lookups = make(chan struct{}, maxLookups)
 	m.catchingUp = make([]atomic.Bool, len(opts.Feeds))
 	m.clients = link.NewPool(link.ClientOptions{
 		PrivateNetwork:    true,
@@ -236,7 +243,7 @@
 	} else {
 		r = m.ownReport(c.address)
 	}
-	r.NewsAfter = c.placementsAfter
+	r.NewsAfter, r.StreamsAfter = c.placementsAfter, c.streamsAfter
 	return r
 }
 
@@ -272,7 +279,7 @@
 	if err != nil {
 		p.due = time.Now().Add(unresponsiveDelay/2 + rand.N(unresponsiveDelay))
 	} else {
-		p.placementsAfter = reply.NewsNext
+		p.placementsAfter, p.streamsAfter = reply.NewsNext, reply.StreamsNext
 	}
 	m.mu.Unlock()
 	if changed && err != nil {
@@ -329,6 +336,7 @@
 		*reply = m.ownReport(args.Address)
 	}
 	m.addPlacements(args, reply)
+	m.addStreams(args, reply)
 	return nil
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -36,6 +36,7 @@
 	feed    *feed.Feed
 	board   *gateway.Board
 	prompts *gateway.Prompts
+	streams *gateway.Streams
 	address string
 	changed chan feed.Snapshot
 }
@@ -46,15 +47,15 @@
 	return x, sum == x.Sum()
 }
 
-// startRouter runs a router of a fleet whose store is unavailable. The router's feed is
-// not run, so its content comes only from its peers.
-func startRouter(t *testing.T, name string, seeds ...string) *router {
+// newRouter returns a router of a fleet whose store is unavailable, without calls of its
+// own. Its feed is not run, so its content comes only from its peers.
+func newRouter(t *testing.T, name string, seeds ...string) *router {
 	t.Helper()
 	logger := &log.Logger{Handler: discard.New()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	r := &router{
-		board: gateway.NewBoard(eject.Options{}), prompts: gateway.NewPrompts(),
+		board: gateway.NewBoard(eject.Options{}), prompts: gateway.NewPrompts(), streams: gateway.NewStreams(),
 		address: listener.Addr().String(), changed: make(chan feed.Snapshot, 16),
 	}
 	r.feed = feed.New(feed.Options{
@@ -63,23 +64,35 @@
 	})
 	r.mesh, err = New(Options{
 		Router: name, Address: r.address, Seeds: seeds, Feeds: []*feed.Feed{r.feed},
-		Board: r.board, Prompts: r.prompts, Log: logger, UpstreamKey: knownUpstream,
+		Board: r.board, Prompts: r.prompts, Streams: r.streams, Log: logger, UpstreamKey: knownUpstream,
 	})
 	must.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	served, ran := make(chan struct{}), make(chan struct{})
+	served := make(chan struct{})
 	go func() {
 		defer close(served)
 		_ = r.mesh.Server().Serve(listener)
 	}()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = r.mesh.Server().Shutdown(ctx)
+		<-served
+	})
+	return r
+}
+
+// startRouter returns a router as newRouter does, and runs it.
+func startRouter(t *testing.T, name string, seeds ...string) *router {
+	t.Helper()
+	r := newRouter(t, name, seeds...)
+	ctx, cancel := context.WithCancel(context.Background())
+	ran := make(chan struct{})
 	go func() {
 		defer close(ran)
 		r.mesh.Run(ctx)
 	}()
 	t.Cleanup(func() {
 		cancel()
-		_ = r.mesh.Server().Shutdown(ctx)
-		<-served
 		<-ran
 	})
 	return r
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -52,6 +52,14 @@
 	Compact bool
 	Made    Placements
 	Relayed Placements
+	// StreamsAfter is the sequence number after which the router wants the peer's records
+	// of the versions that began streams; 0 asks for those of all origins. Streams and
+	// StreamsRelayed are such records, as Made and Relayed are placements, and StreamsNext
+	// is the value of StreamsAfter that asks for the records after them.
+	StreamsAfter   uint64
+	Streams        StreamRecords
+	StreamsRelayed StreamRecords
+	StreamsNext    uint64
 }
 
 // Placements are prompt placements as parallel slices: the parts, and short hashes of
@@ -187,8 +195,8 @@
 // accepted from a peer's report.
 const maxReportedRequests = 1 << 16
 
-// applyReport applies the era, the request counts, the failure counts and the
-// placements of a report.
+// applyReport applies the era, the request counts, the failure counts, the placements
+// and the records of streams in a report.
 func (m *Mesh) applyReport(r *Report) {
 	m.opts.Eras.Observe(r.Era, r.EraAge)
 	m.mu.Lock()
@@ -216,6 +224,8 @@
 	}
 	m.recordPlacements(r.Made, origin)
 	m.recordPlacements(r.Relayed, gateway.OriginForeign)
+	m.recordStreams(r.Streams, origin)
+	m.recordStreams(r.StreamsRelayed, gateway.OriginForeign)
 }
 
 // addPlacements adds the placements that the sender of args asks for to the reply.
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -117,6 +117,7 @@
 type dueCall struct {
 	address         string
 	placementsAfter uint64
+	streamsAfter    uint64
 	crossesDomains  bool // the reports are those of failure domains
 }
 
@@ -139,7 +140,7 @@
 	p.calling = true
 	interval := m.callInterval(p)
 	p.due = now.Add(interval*3/4 + rand.N(interval/2))
-	return dueCall{address: p.address, placementsAfter: p.placementsAfter, crossesDomains: m.crossesDomains(p)}
+	return dueCall{address: p.address, placementsAfter: p.placementsAfter, streamsAfter: p.streamsAfter, crossesDomains: m.crossesDomains(p)}
 }
 
 // Watcher reports whether this router is one of those that watch the store
