--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -63,6 +63,7 @@
 	silences       expvar.Int // silences of upstreams that were treated as faults
 	standbys       expvar.Int // standby attempts while an upstream was silent
 	standbysUsed   expvar.Int // standby attempts that took over
+	resumed        expvar.Map // streams that callers took up, by how their version was found
 	firstByte      *histogram // time until the first byte of an answer was ready to deliver
 	completeAnswer *histogram // time until the end of a complete answer
 	dialTime       *histogram
@@ -77,6 +78,7 @@
 	m.vars.Set("silences", &m.silences)
 	m.vars.Set("standbys", &m.standbys)
 	m.vars.Set("standbys_used", &m.standbysUsed)
+	m.vars.Set("resumed", &m.resumed)
 	m.vars.Set("first_byte", m.firstByte)
 	m.vars.Set("whole", m.completeAnswer)
 	m.vars.Set("dial_time", m.dialTime)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -123,7 +123,7 @@
 			}
 			lastRead = now
 			if ready := events.add(chunk[:n]); len(ready) > 0 {
-				g.writeEvents(w, req, r, ready)
+				g.writeEvents(w, req, s, ready)
 				_ = controller.Flush() // a caller that disconnected is noticed through the context
 				if events.lastID != "" {
 					req.deliveredEventID = events.lastID
@@ -148,9 +148,10 @@
 	}
 }
 
-func (g *Gateway) writeEvents(w http.ResponseWriter, req *request, r *forward.Response, ready []byte) {
+func (g *Gateway) writeEvents(w http.ResponseWriter, req *request, s *send, ready []byte) {
 	if !req.headWritten {
-		g.writeHead(w, req, r)
+		g.writeHead(w, req, s.response)
+		g.bindVersion(req, s.target.upstream)
 		req.firstByte = time.Since(req.arrived)
 	}
 	_, _ = w.Write(ready) // a caller that disconnected is noticed through the context
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -42,6 +42,7 @@
 	// Progress and result.
 	sends            []sendRecord
 	headWritten      bool // status and headers of an answer were delivered
+	version          boundVersion
 	deliveredEventID string
 	maxEventPause    time.Duration // longest pause between two reads of the stream
 	firstByte        time.Duration // time until the first byte of the answer was ready to deliver
@@ -50,6 +51,7 @@
 // sendRecord describes one attempt at an upstream, for the log.
 type sendRecord struct {
 	upstream      string
+	version       string  // of the upstream
 	load          int     // requests in progress at the upstream when it was chosen
 	cachedParts   int     // leading shared parts of the prompt that it was known to have cached
 	failureExcess float64 // failure rate in excess of its pool's
@@ -87,6 +89,9 @@
 	}
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
+	if e, ok := g.bindResumed(ctx, req); !ok {
+		return e
+	}
 	return g.dispatch(ctx, w, req)
 }
 
