testfleet: wait for all threads of a killed process before its port is used again

Restart now waits until the process is gone from /proc or a zombie with one thread; the last thread closes the files before it ends.

--- a/testfleet/control.go
+++ b/testfleet/control.go
@@ -13,10 +13,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// statStartTime is the index of a process's start time among the fields of
-// /proc/<id>/stat after the command name, counted from 0 (proc(5)).
-const statStartTime = 19
-
 // Signal sends a signal to the named process.
 func (f *Fleet) Signal(name string, signal syscall.Signal) error {
 	return errors.Wrapf(syscall.Kill(f.ids[name], signal), "testfleet: signal %s", name)
@@ -38,16 +34,9 @@
 	return f.startProcess(name, strings.Split(string(bytes.TrimRight(raw, "\x00")), "\x00"))
 }
 
-// awaitExit waits until a killed process has released its ports. It watches the
-// process's command line in /proc, which is empty once its memory is freed.
+// awaitExit waits until a killed process has released its ports.
 func awaitExit(id int) {
-	for {
-		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", id))
-		if err != nil || len(raw) == 0 {
-			// The kernel closes files after it frees the memory, within the same exit.
-			time.Sleep(exitPollInterval)
-			return
-		}
+	for !hasEnded(id) {
 		time.Sleep(exitPollInterval)
 	}
 }
@@ -72,11 +61,10 @@
 }
 
 func (f *Fleet) recordProcess(name string, id int) error {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
+	fields, err := readStat(id)
 	if err != nil {
 		return errors.Wrapf(err, "testfleet: record process %s", name)
 	}
-	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
 	list, err := os.OpenFile(filepath.Join(f.directory, "ids"), os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return errors.Wrapf(err, "testfleet: record process %s", name)
--- a/testfleet/process.go
+++ b/testfleet/process.go
@@ -14,19 +14,40 @@
 // clockTick is the unit of CPU time in /proc.
 const clockTick = 10 * time.Millisecond
 
-// Fields of /proc/<id>/stat after the command name, counted from 0.
+// Fields of /proc/<id>/stat after the command name, counted from 0 (proc(5)).
 const (
+	statState      = 0
 	statUserTime   = 11
 	statSystemTime = 12
+	statThreads    = 17
+	statStartTime  = 19
 )
 
+// stateZombie is the state of a process whose first thread has ended.
+const stateZombie = "Z"
+
+// readStat returns the fields of /proc/<id>/stat after the command name.
+func readStat(id int) ([]string, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
+	if err != nil {
+		return nil, err
+	}
+	return strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:])), nil
+}
+
+// hasEnded reports whether all threads of process id have ended, the last of which
+// closed its files. Nobody may have waited for the process yet.
+func hasEnded(id int) bool {
+	fields, err := readStat(id)
+	return err != nil || fields[statState] == stateZombie && fields[statThreads] == "1"
+}
+
 // ProcessorTime returns the user and system CPU time that process id has used.
 func ProcessorTime(id int) (time.Duration, error) {
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
+	fields, err := readStat(id)
 	if err != nil {
 		return 0, errors.Wrap(err, "testfleet: processor time")
 	}
-	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
 	var ticks int
 	for _, field := range []int{statUserTime, statSystemTime} {
 		n, err := strconv.Atoi(fields[field])
