testfleet, e2e: say which process has ended, and what the others report

A fleet one of whose processes has ended by itself was seen only as requests that failed until their time was up, and its logs had to be found. Fleet.CheckRunning names such processes with the end of their logs; Stop returns its error, so that a run does not pass with one; issueTicket prints it with the last answer and the status of the routers and the agent when it gives up.

TestCheckRunningNamesEndedProcesses fails if the check finds nothing.

--- a/e2e/kill_test.go
+++ b/e2e/kill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"syscall"
 	"testing"
@@ -59,16 +60,33 @@
 
 // issueTicket requests a ticket, and retries until the agent can be reached.
 func issueTicket(ctx context.Context, t *testing.T, router string) string {
+	var last testfleet.Answer
 	for {
 		answer, err := singleReplicaFleet.Call(ctx, router, http.MethodPost, "/v1/tickets", nil, `{"service":"share-ledger"}`)
 		if err == nil && answer.Status == http.StatusCreated {
 			return answer.Header.Get("Dandelionrill-Ticket")
 		}
-		must.NoError(t, ctx.Err())
+		if err == nil {
+			last = answer
+		}
+		must.NoError(t, ctx.Err(), must.Func(func() string { return describeSingleReplicaFleet(last) }))
 		time.Sleep(50 * time.Millisecond)
 	}
 }
 
+// describeSingleReplicaFleet returns what shows why a request keeps failing: its last
+// answer, the processes that have ended, and what the others report.
+func describeSingleReplicaFleet(last testfleet.Answer) string {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	description := fmt.Sprintf("last answer: %d %s\n%v\n", last.Status, last.Body, singleReplicaFleet.CheckRunning())
+	for _, name := range []string{"router-1", "router-2", agentProcess} {
+		status, err := readStatus(ctx, singleReplicaFleet, name)
+		description += fmt.Sprintf("%s: %+v, error: %v\n", name, status, err)
+	}
+	return description
+}
+
 // startTransfer sends a transfer and waits until the service has begun to run it.
 // The service delays its answer by callDelay.
 func startTransfer(ctx context.Context, t *testing.T, router, operation, headerName, headerValue string) <-chan testfleet.Answer {
--- a/e2e/versions_test.go
+++ b/e2e/versions_test.go
@@ -14,28 +14,34 @@
 	"dandelionrill.example/fleet/admin"
 	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/revision"
+	"dandelionrill.example/fleet/testfleet"
 	standin "dandelionrill.example/standin/platform"
 )
 
 var observedProcesses = []string{"router-1", "router-2", "agent-engine-1", "agent-engine-2", "agent-engine-3", "agent-ledger-1", "agent-ledger-2"}
 
-// configurationVersion returns the configuration version in force at a process, or 0
-// if the process does not answer.
-func configurationVersion(ctx context.Context, name string) uint64 {
+// readStatus reads the status of a process, for at most a second.
+func readStatus(ctx context.Context, fleet *testfleet.Fleet, name string) (status admin.Status, err error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+sharedFleet.Address(name+"-admin")+admin.PathStatus, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+fleet.Address(name+"-admin")+admin.PathStatus, nil)
 	if err != nil {
-		return 0
+		return status, err
 	}
-	request.Header.Set("Authorization", "Bearer "+sharedFleet.AdminToken())
+	request.Header.Set("Authorization", "Bearer "+fleet.AdminToken())
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0
+		return status, err
 	}
 	defer response.Body.Close()
-	var status admin.Status
-	if json.NewDecoder(response.Body).Decode(&status) != nil {
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// configurationVersion returns the configuration version in force at a process, or 0
+// if the process does not answer.
+func configurationVersion(ctx context.Context, name string) uint64 {
+	status, err := readStatus(ctx, sharedFleet, name)
+	if err != nil {
 		return 0
 	}
 	return status.Configuration.Version
--- a/testfleet/control.go
+++ b/testfleet/control.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -18,6 +20,33 @@
 	return errors.Wrapf(syscall.Kill(f.ids[name], signal), "testfleet: signal %s", name)
 }
 
+// maxLogEndBytes bounds the part of a log that CheckRunning quotes.
+const maxLogEndBytes = 500
+
+// CheckRunning returns an error if processes have ended by themselves. It names each
+// of them with the end of its log.
+func (f *Fleet) CheckRunning() error {
+	var ended []string
+	for _, name := range slices.Sorted(maps.Keys(f.ids)) {
+		if hasEnded(f.ids[name]) {
+			ended = append(ended, name+": "+f.logEnd(name))
+		}
+	}
+	if len(ended) == 0 {
+		return nil
+	}
+	return errors.Newf("testfleet: processes that have ended by themselves: %s", strings.Join(ended, "; "))
+}
+
+// logEnd returns the end of the log of a process, or why it cannot be read.
+func (f *Fleet) logEnd(name string) string {
+	raw, err := os.ReadFile(filepath.Join(f.directory, name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(string(raw[max(0, len(raw)-maxLogEndBytes):]))
+}
+
 const exitPollInterval = 20 * time.Millisecond
 
 // Restart kills the named process and starts a new one with the same command line
--- a/testfleet/control_test.go
+++ b/testfleet/control_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -76,3 +77,18 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a process that ends by itself and is seen only as requests that fail.
+func TestCheckRunningNamesEndedProcesses(t *testing.T) {
+	directory := t.TempDir()
+	must.NoError(t, os.WriteFile(filepath.Join(directory, "agent-1.log"), []byte("address already in use\n"), 0o600))
+	process := exec.Command("true")
+	must.NoError(t, process.Start())
+	fleet := &Fleet{directory: directory, ids: map[string]int{"agent-1": process.Process.Pid, "router-1": os.Getpid()}}
+	awaitExit(process.Process.Pid) // it is a zombie until Wait
+	err := fleet.CheckRunning()
+	must.ErrorContains(t, err, "agent-1: address already in use")
+	must.StrNotContains(t, err.Error(), "router-1")
+	must.NoError(t, process.Wait())
+	must.ErrorContains(t, fleet.CheckRunning(), "agent-1")
+}
--- a/testfleet/testfleet.go
+++ b/testfleet/testfleet.go
@@ -65,12 +65,14 @@
 	return f, nil
 }
 
-// Stop ends the processes that Start started.
+// Stop ends the processes of the fleet. It returns an error if some had ended by
+// themselves before.
 func (f *Fleet) Stop() error {
+	ended := f.CheckRunning()
 	if err := f.runScript("down", "FLEET_RUN="+f.directory); err != nil {
-		return err // processes may still use the address
+		return errors.CombineErrors(ended, err) // processes may still use the address
 	}
-	return f.reservation.Release()
+	return errors.CombineErrors(ended, f.reservation.Release())
 }
 
 // Address returns the value that the script recorded under name, such as the
