claims: refuse keys that a store which returned from a copy may have lost

Cause: a claim that was written in the seconds which a return of the store loses is gone. The next call with its key was bound to another ticket and ran a second time.

Change: a Binder that knows the eras of the store's answers writes no claim in an era that is not settled. Claims that the store holds are used as before; a key that it does not hold ends in ErrUnavailable, as in an outage. An era is settled once a router has seen it for two minutes and has written it to claims-settled, which the others and those that start later read; no clock is compared between hosts. A write by whose answer a router learns of the return is deleted. The first era needs no more calls for a key; each router reads claims-settled once at its start.

What stays: a repeat after the two minutes, and a router that ends, or cannot reach the store, between that write and its deletion (docs/PLATFORM.md).

Seen failing without the guards: with no check at all (all three tests of settle_test.go; the e2e test got 200 instead of 503), without the check in Rebind, without the one after a write and the one after a lost answer, without the deletion, without the writing and the reading of claims-settled (those two hang until the time limit). Not run: the specification, which does not model the return for claims, and the soak, which plays the gateway only.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,17 +62,20 @@
 // Options configures a Binder. Zero values take the defaults.
 type Options struct {
 	Store       store.Store
+	Eras        *store.Eras   // of the store's answers; nil means that the store never returns from a copy
 	MaxAttempts int           // maximum number of conditional updates per call
 	RetryDelay  time.Duration // delay between attempts
+	SettleTime  time.Duration // time after a return of the store during which no key counts as new
 }
 
 // Binder binds idempotency keys to tickets. All methods may be called
 // concurrently, in any number of processes.
 type Binder struct {
-	opts Options
+	opts    Options
+	settled atomic.Uint64 // newest settled era of the store, as far as known
 }
 
-// New returns a Binder that uses opts.Store.
+// New returns a Binder that uses opts.Store. If opts has Eras, call Run.
 func New(opts Options) *Binder {
 	if opts.MaxAttempts == 0 {
 		opts.MaxAttempts = DefaultMaxAttempts
@@ -79,6 +83,9 @@
 	if opts.RetryDelay == 0 {
 		opts.RetryDelay = DefaultRetryDelay
 	}
+	if opts.SettleTime == 0 {
+		opts.SettleTime = DefaultSettleTime
+	}
 	return &Binder{opts: opts}
 }
 
@@ -89,8 +96,12 @@
 // Bind returns the ticket to which id is bound. If id is not bound, Bind binds
 // it to a ticket from issue by a conditional create, which takes one platform
 // call if the key is new. It fails with ErrMismatch, ErrUnavailable or, if the
-// key is not bound, the error of issue.
+// key is not bound, the error of issue. After the store has returned from a copy, it
+// binds no key for a time, as the store may have lost the claim of the key.
 func (b *Binder) Bind(ctx context.Context, id ID, issue IssueFunc) (string, error) {
+	if !b.isSettled() {
+		return b.boundTicket(ctx, id, errUnsettled)
+	}
 	sealed, err := issue()
 	if err != nil {
 		return b.boundTicket(ctx, id, err)
@@ -125,6 +136,9 @@
 	if version != 0 && claim.Ticket != spent {
 		return b.accept(id, claim)
 	}
+	if !b.isSettled() {
+		return "", errUnsettled // the store may have lost a claim that replaced spent
+	}
 	sealed, err := issue()
 	if err != nil {
 		return "", err
@@ -141,12 +155,18 @@
 		return "", errors.Wrap(err, "claims: encode")
 	}
 	for attempt := 1; ; attempt++ {
-		_, err := b.opts.Store.Put(ctx, id.storeKey(), value, version)
+		written, err := b.opts.Store.Put(ctx, id.storeKey(), value, version)
+		if err == nil && !b.isSettled() {
+			return "", b.withdraw(ctx, id, written)
+		}
 		if err == nil {
 			return claim.Ticket, nil
 		}
 		existing, current, readErr := b.read(ctx, id)
 		if readErr == nil && current != version {
+			if existing == claim && !b.isSettled() {
+				return "", b.withdraw(ctx, id, current)
+			}
 			return b.accept(id, existing)
 		}
 		if attempt >= b.opts.MaxAttempts || !schedule.Sleep(ctx, b.opts.RetryDelay) {
--- a/cli/process.go
+++ b/cli/process.go
@@ -39,6 +39,7 @@
 	health   *health.Health
 	signer   *ticket.Signer
 	api      *platform.Client
+	eras     *store.Eras // of the answers to api
 	pool     *link.Pool
 
 	configuration *configuration.Controller // set by newConfigurationController
@@ -64,7 +65,8 @@
 	if err != nil {
 		return nil, err
 	}
-	api, err := platform.NewClient(platform.ClientOptions{BaseURL: c.Platform})
+	eras := &store.Eras{}
+	api, err := platform.NewClient(platform.ClientOptions{BaseURL: c.Platform, Eras: eras})
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +83,7 @@
 		health: health.New(health.Configured, health.Registered, health.Accepting),
 		signer: signer,
 		api:    api,
+		eras:   eras,
 		pool: link.NewPool(link.ClientOptions{
 			TLS: c.TLS, DialTimeout: c.DialTimeout, Bulk: wire.IsBulk,
 			HeartbeatInterval: c.HeartbeatInterval, HeartbeatTimeout: c.HeartbeatTimeout,
--- a/cli/router.go
+++ b/cli/router.go
@@ -33,6 +33,7 @@
 		return err
 	}
 	defer p.pool.Close()
+	keys := claims.New(claims.Options{Store: p.api, Eras: p.eras})
 	// Set before the process accepts calls, so that OnConfigVersion never sees nil.
 	var configController *configuration.Controller
 	r, err := router.New(router.Options{
@@ -44,7 +45,7 @@
 		IdleTimeout: s.IdleTimeout, WriteTimeout: s.WriteTimeout,
 		DrainDelay: s.DrainDelay, DrainTimeout: s.DrainTimeout,
 		CertFile: s.HTTPCert, KeyFile: s.HTTPKey,
-		Keys:            claims.New(claims.Options{Store: p.api}),
+		Keys:            keys,
 		OnConfigVersion: func(host string, version uint64) { configController.ObservePeerVersion(host, version) },
 	})
 	if err != nil {
@@ -72,7 +73,7 @@
 	exchange := load.ExchangeOptions{Host: s.Host, Caller: load.PoolCaller{Pool: p.pool}}
 	collect := func(ctx context.Context) { collectors.Run(ctx, exchange) }
 	sweeper := claims.NewSweeper(claims.SweeperOptions{Store: p.api})
-	defer p.startControllers(ctx, configController, collect, sweeper.Run)()
+	defer p.startControllers(ctx, configController, collect, sweeper.Run, keys.Run)()
 	p.announceStart(s.Listen)
 	serveCtx, cancel := p.untilDrain(ctx)
 	defer cancel()
--- a/store/era.go
+++ b/store/era.go
@@ -12,6 +12,9 @@
 // since: what it says may no longer be true.
 var ErrEraPassed = errors.New("store: answer from an earlier era")
 
+// FirstEra is the era of a store that never returned from a copy.
+const FirstEra = 1
+
 // Position is a point in the sequence of changes of the store. A store that is
 // restored from an older copy begins a new era, in which revisions that were given
 // out before are given out again. Positions are therefore ordered by era first.
