router: hold back an agent that finds its upstream down

Cause: an agent accepts a request before it connects to its upstream, and refuses it in the answer if that fails. The router took note of refusals in replies to Submit only, so that an agent whose upstream refuses connections was never ejected or held, against docs/OPERATIONS.md, and got its share of all requests as before.

Change: a refusal in the answer to a request that this router has submitted is recorded as one in the reply to Submit; not one that a caller reads again later.

What stays: the next Submit that the agent accepts ends the board's backoff, so that it starts at 2 s again; the ejection doubles.

--- a/router/call.go
+++ b/router/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/wire"
 )
@@ -65,6 +66,7 @@
 type answerReader struct {
 	router      *Router
 	handle      handle
+	isOwn       bool // this router has submitted the request, so that a refusal is news
 	offset      int64
 	sum         hash.Hash
 	lastReply   time.Time
@@ -79,6 +81,14 @@
 	return &answerReader{router: r, handle: h, sum: sha256.New(), lastReply: time.Now()}
 }
 
+// newOwnAnswerReader returns a reader of the answer to a request that this router has
+// submitted.
+func (r *Router) newOwnAnswerReader(h handle) *answerReader {
+	rd := r.newAnswerReader(h)
+	rd.isOwn = true
+	return rd
+}
+
 // next returns the next bytes of the answer, or io.EOF once the complete
 // answer has been read and verified. If a connection breaks or stops
 // responding, reading continues at the same offset on a new connection.
@@ -148,6 +158,9 @@
 	switch reply.Verdict {
 	case wire.VerdictKnown:
 	case wire.VerdictRefused:
+		if rd.isOwn && reply.Reason != "" {
+			rd.router.recordRefusal(place.Candidate{Host: rd.handle.host, Address: rd.handle.address}, reply.Reason, reply.Meta)
+		}
 		return nil, &refusedError{reason: reply.Reason}
 	case wire.VerdictWrongIncarnation:
 		return nil, errAgentLost
--- a/router/nonidempotent.go
+++ b/router/nonidempotent.go
@@ -233,7 +233,7 @@
 
 // readTicketAnswer reads the answer to a ticket that its agent has accepted.
 func (r *Router) readTicketAnswer(ctx context.Context, q *request, op *operation) (*completeAnswer, error) {
-	rd := r.newAnswerReader(op.handle())
+	rd := r.newOwnAnswerReader(op.handle())
 	body, err := rd.readAll(ctx)
 	if err == nil {
 		go r.release(rd.handle, "Confirm")
--- a/router/submit.go
+++ b/router/submit.go
@@ -75,23 +75,23 @@
 	}
 	r.observeMeta(reply.Meta)
 	r.recordAlive(c, reply.Meta, reply.Load)
-	r.recordRefusal(c, reply)
+	if reply.Verdict == wire.VerdictRefused {
+		r.recordRefusal(c, reply.Reason, reply.Meta)
+	}
 	return reply, nil
 }
 
-// recordRefusal updates the metrics, failure records and board from a refusal.
-// It ignores other replies.
-func (r *Router) recordRefusal(c place.Candidate, reply *wire.SubmitReply) {
-	if reply.Verdict != wire.VerdictRefused {
-		return
-	}
-	counters.Add("refused_"+string(reply.Reason), 1)
-	switch reply.Reason {
+// recordRefusal updates the metrics, failure records and board from a refusal. The
+// agent of c refuses in its reply to a Submit, or in the answer if it finds out later,
+// as it does with an upstream that is down.
+func (r *Router) recordRefusal(c place.Candidate, reason wire.Reason, m wire.Meta) {
+	counters.Add("refused_"+string(reason), 1)
+	switch reason {
 	case wire.ReasonLeaving:
-		r.opts.Board.ObservePeer(newEvidence(c, board.EvidenceLeaving, reply.Meta))
+		r.opts.Board.ObservePeer(newEvidence(c, board.EvidenceLeaving, m))
 	case wire.ReasonUpstreamDown:
 		r.ejections.recordFailure(c.Address, r.opts.Board.Now())
-		r.opts.Board.ObservePeer(newEvidence(c, board.EvidenceUpstreamDown, reply.Meta))
+		r.opts.Board.ObservePeer(newEvidence(c, board.EvidenceUpstreamDown, m))
 	}
 }
 
@@ -217,7 +217,7 @@
 	}
 	h.incarnation = reply.Incarnation
 	r.recordEvent(timeline.KindRequestAdmitted, q, h, "")
-	return r.newAnswerReader(h), nil
+	return r.newOwnAnswerReader(h), nil
 }
 
 // cancelIfSent cancels a request whose submission failed with err, unless it
