e2e: clear the faults of the stand-ins also after a test whose time is up

Cause: the clean-up used the context of the test. If that had ended, the faults stayed for the tests after it, and the failed clean-up was printed beside the failure.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -75,10 +75,13 @@
 }
 
 // newTestContext returns a context that ends after testTimeout. When the test ends,
-// the faults of all engine and service stand-ins of the shared fleet are cleared.
+// the faults of all engine and service stand-ins of the shared fleet are cleared, also
+// after a test whose time is up.
 func newTestContext(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(func() {
+		cancel()
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
 		must.NoError(t, sharedFleet.SetFaults(ctx, engine.Faults{}, engines...))
 		must.NoError(t, sharedFleet.SetFaults(ctx, service.Faults{}, ledgerServices...))
--- a/e2e/kill_test.go
+++ b/e2e/kill_test.go
@@ -32,8 +32,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(func() {
-		must.NoError(t, singleReplicaFleet.SetFaults(ctx, service.Faults{}, "ledger-1"))
 		cancel()
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		must.NoError(t, singleReplicaFleet.SetFaults(ctx, service.Faults{}, "ledger-1"))
 	})
 	return ctx
 }
