--- a/testfleet/control.go
+++ b/testfleet/control.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -13,15 +15,38 @@
 	"github.com/cockroachdb/errors"
 )
 
-// statStartTime is the index of a process's start time among the fields of
-// /proc/<id>/stat after the command name, counted from 0 (proc(5)).
-const statStartTime = 19
-
 // Signal sends a signal to the named process.
 func (f *Fleet) Signal(name string, signal syscall.Signal) error {
 	return errors.Wrapf(syscall.Kill(f.ids[name], signal), "testfleet: signal %s", name)
 }
 
+// maxLogEndBytes bounds the part of a log that CheckRunning quotes.
+const maxLogEndBytes = 500
+
+// CheckRunning returns an error if processes have ended by themselves. It names each
+// of them with the end of its log.
+func (f *Fleet) CheckRunning() error {
+	var ended []string
+	for _, name := range slices.Sorted(maps.Keys(f.ids)) {
+		if hasEnded(f.ids[name]) {
+			ended = append(ended, name+": "+f.logEnd(name))
+		}
+	}
+	if len(ended) == 0 {
+		return nil
+	}
+	return errors.Newf("testfleet: processes that have ended by themselves: %s", strings.Join(ended, "; "))
+}
+
+// logEnd returns the end of the log of a process, or why it cannot be read.
+func (f *Fleet) logEnd(name string) string {
+	raw, err := os.ReadFile(filepath.Join(f.directory, name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(string(raw[max(0, len(raw)-maxLogEndBytes):]))
+}
+
 const exitPollInterval = 20 * time.Millisecond
 
 // Restart kills the named process and starts a new one with the same command line
@@ -38,16 +63,9 @@
 	return f.startProcess(name, strings.Split(string(bytes.TrimRight(raw, "\x00")), "\x00"))
 }
 
-// awaitExit waits until a killed process has released its ports. It watches the
-// process's command line in /proc, which is empty once its memory is freed.
+// awaitExit waits until a killed process has released its ports.
 func awaitExit(id int) {
-	for {
-		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", id))
-		if err != nil || len(raw) == 0 {
-			// The kernel closes files after it frees the memory, within the same exit.
-			time.Sleep(exitPollInterval)
-			return
-		}
+	for !hasEnded(id) {
 		time.Sleep(exitPollInterval)
 	}
 }
@@ -72,11 +90,10 @@
 }
 
 func (f *Fleet) recordProcess(name string, id int) error {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
+	fields, err := readStat(id)
 	if err != nil {
 		return errors.Wrapf(err, "testfleet: record process %s", name)
 	}
-	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
 	list, err := os.OpenFile(filepath.Join(f.directory, "ids"), os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return errors.Wrapf(err, "testfleet: record process %s", name)
