Heed what an upstream says of itself in its answers

Parts of prompts may still be fetched there. A misdirected answer says nothing of the upstream that was expected. If all upstreams of a service hold the router back, callers are refused at once with the soonest end and a random part of up to half of it as Retry-After.

Tests: each fails without its guard (placement by leaving, by hold; the hold across a lapse; a misdirected answer; the report to peers); go test -race of gateway, gossip, platform and entry passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,10 +131,14 @@
 		Feeds:         []*feed.Feed{h.configuration, h.upstreams, h.routers},
 		Board:         h.gateway.Board(),
 		Prompts:       h.gateway.Prompts(),
-		Eras:          eras,
-		Held:          h.held,
-		UpstreamKey:   h.gateway.UpstreamKey,
-		Log:           opts.Log,
+		Leaving:       h.gateway.Leaving(),
+		MarkLeaving: func(key catalog.Key, age time.Duration) {
+			h.gateway.MarkLeaving(key, gateway.LeavingPeer, age)
+		},
+		Eras:        eras,
+		Held:        h.held,
+		UpstreamKey: h.gateway.UpstreamKey,
+		Log:         opts.Log,
 	})
 	return h, errors.Wrap(err, "entry host")
 }
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -35,6 +35,7 @@
 	failures     eject.Record
 	silence      eject.Silence      // also counts this router's requests in progress
 	answerCounts eject.AnswerCounts // of requests without shared prompt parts
+	heldUntil    time.Duration      // until when it wants no requests from this router
 	// unreachable is true if the last recorded failure was a failure to reach the
 	// upstream or an excessive silence, and nothing has been received from it
 	// since.
@@ -169,6 +170,7 @@
 	// Unreachable is true if the last recorded failure was a failure to reach the
 	// upstream or an excessive silence, and it has sent nothing since.
 	Unreachable bool
+	Held        time.Duration // how long it still wants no requests from this router
 }
 
 // Status returns what is recorded of an upstream.
@@ -178,15 +180,17 @@
 		status.OwnLoad = u.silence.Pending()
 		status.Load += float64(status.OwnLoad)
 		status.Failures, status.Silence, status.Unreachable = u.failures, u.silence.For(now), u.unreachable
+		status.Held = max(0, u.heldUntil-now)
 	})
 	return status
 }
 
-// RemoveUnlisted removes the state of upstreams that are no longer listed and have
-// no request of this router in progress.
+// RemoveUnlisted removes the state of upstreams that are no longer listed, have no
+// request of this router in progress, and do not hold it back.
 func (b *Board) RemoveUnlisted(listed func(catalog.Key) bool) {
+	now := b.now()
 	b.each(func(s *boardShard, key catalog.Key, u *upstreamState) {
-		if u.silence.Pending() == 0 && !listed(key) {
+		if u.silence.Pending() == 0 && u.heldUntil <= now && !listed(key) {
 			delete(s.upstreams, key)
 		}
 	})
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -39,7 +39,7 @@
 	semaphore := make(chan struct{}, cacheListConcurrency)
 	var readers sync.WaitGroup
 	for _, u := range g.promptUpstreams() {
-		if u.State != catalog.StateReady || !assigned(u) {
+		if g.isLeaving(u) || g.board.Status(u.Key()).Held > 0 || !assigned(u) {
 			continue
 		}
 		semaphore <- struct{}{}
@@ -92,6 +92,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "list cache")
 	}
+	g.readAnswer(u.Key(), response)
 	body, err := io.ReadAll(io.LimitReader(response, cacheListMaxBytes))
 	response.Close(err == nil && len(body) < cacheListMaxBytes)
 	if err != nil {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -57,9 +57,9 @@
 		replicas = append(replicas, place.Replica{
 			Seed:     u.Hash,
 			Load:     status.Load,
-			Tried:    a.tried[u.Key()],
+			Tried:    a.tried[u.Key()] || status.Held > 0,
 			Local:    u.FailureDomain == g.opts.FailureDomain,
-			Draining: u.State != catalog.StateReady,
+			Draining: g.isLeaving(u),
 
 			Suspect: !status.Unreachable && !tooSilent(status),
 		})
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -70,7 +70,7 @@
 	case a.sent > 0 && !req.neverRan():
 		return failed(http.StatusBadGateway, "no other upstream to try")
 	}
-	return refused("no upstream of the service is available", retryAfterUnknown)
+	return g.refuse(req, "no upstream of the service is available", retryAfterUnknown)
 }
 
 // neverRan reports whether no send of the request so far can have run.
@@ -124,7 +124,7 @@
 		if !req.neverRan() {
 			return failed(http.StatusBadGateway, e.reason)
 		}
-		return refused(e.reason, retryAfterShort)
+		return g.refuse(req, e.reason, retryAfterShort)
 	case ctx.Err() != nil:
 		return failed(http.StatusGatewayTimeout, "timeout")
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -143,7 +143,7 @@
 // one that is not valid. failure is 0 for all others.
 func (g *Gateway) screen(req *request, s *send) (end, retry.Failure, string) {
 	key, response := s.key(), s.response
-	answer := g.opts.Protocol.ReadAnswer(response.Status, response.Header)
+	answer := g.readAnswer(key, response)
 	if answer.Signed && len(req.parts) == 0 {
 		g.board.RecordAnswer(key, response.Status >= http.StatusInternalServerError)
 	}
@@ -165,6 +165,21 @@
 	return end{}, 0, ""
 }
 
+// readAnswer decodes an answer and records what the upstream says of itself in it.
+func (g *Gateway) readAnswer(key catalog.Key, response *forward.Response) Answer {
+	answer := g.opts.Protocol.ReadAnswer(response.Status, response.Header)
+	if answer.WrongHost {
+		return answer // it is another upstream that speaks
+	}
+	if answer.Leaving {
+		g.MarkLeaving(key, LeavingAnswer, 0)
+	}
+	if answer.RetryAfter > 0 {
+		g.hold(key, answer.RetryAfter)
+	}
+	return answer
+}
+
 // superseded returns how a send ends when a standby attempt has taken over.
 func (g *Gateway) superseded(req *request, s *send) (end, retry.Failure, string) {
 	if tooSilent(g.board.Status(s.key())) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,7 @@
 	pool    *forward.Pool
 	board   *Board
 	prompts *Prompts
+	leaving *Leaving
 	metrics *metrics
 
 	policy            atomic.Pointer[Policy]
@@ -70,6 +71,7 @@
 		opts:         opts,
 		board:        NewBoard(opts.Policy.Eject),
 		prompts:      NewPrompts(),
+		leaving:      NewLeaving(),
 		metrics:      newMetrics(),
 		retryBudgets: make(map[string]*retry.Budget),
 		configured:   make(chan struct{}),
@@ -147,8 +149,9 @@
 
 // SetCatalog replaces the list of upstreams for requests that arrive from now on.
 func (g *Gateway) SetCatalog(c *catalog.Catalog) {
-	g.catalog.Store(c)
+	previous := g.catalog.Swap(c)
 	g.markConfigured()
+	g.logListedLeaving(previous, c)
 	listed := func(key catalog.Key) bool {
 		u := c.Find(key.ID)
 		return u != nil && u.Born == key.Born
--- /dev/null
+++ b/gateway/hold_test.go
@@ -0,0 +1,65 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func refusingFor(seconds string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Retry-After", seconds)
+		refusing(w, r)
+	}
+}
+
+// An upstream that refuses with Retry-After wants no request from this router for so long.
+// Neither new requests nor retries may reach it, and it is not chosen as a last resort.
+func TestUpstreamIsHeldBackUntilItsRetryAfter(t *testing.T) {
+	busy, other := newReplica(t, "i-busy", refusingFor("30.5")), newReplica(t, "i-other", answering("ok"))
+	f := newFixture(t, busy)
+	response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	f.setUpstreams(other) // the state outlives a lapse of the entry
+	f.setUpstreams(busy, other)
+	for _, path := range []string{"/once/", "/safe/", "/prompt/"} {
+		for i := range 10 {
+			r := f.newRequest(t, http.MethodPost, path, "{}")
+			if path == "/prompt/" {
+				r.Header.Set(parts, strconv.Itoa(i)+":10,b:1")
+			}
+			response, _ := f.do(t, r)
+			must.Eq(t, http.StatusOK, response.StatusCode)
+		}
+	}
+	must.Eq(t, 1, busy.runs.Load())
+}
+
+// If all upstreams of a service hold a router back, its callers are refused at once and
+// told to return after the soonest of them accepts requests again.
+func TestCallersAreToldWhenTheSoonestUpstreamAcceptsRequests(t *testing.T) {
+	later, sooner := newReplica(t, "i-later", refusingFor("60")), newReplica(t, "i-sooner", refusingFor("20"))
+	f := newFixture(t, later, sooner)
+	f.do(t, f.newRequest(t, http.MethodPost, "/safe/", "{}")) // reaches both
+	response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	must.Between(t, 10, seconds, 40)
+	must.Eq(t, 1, later.runs.Load()+sooner.runs.Load()-1)
+}
+
+// After its time an upstream is used again, at once with its full share.
+func TestHeldBackUpstreamIsUsedAgain(t *testing.T) {
+	busy := newReplica(t, "i-busy", refusingFor("0.2"))
+	f := newFixture(t, busy)
+	f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	for f.gateway.Board().Status(busy.upstreamKey()).Held > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, 2, busy.runs.Load())
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -63,6 +63,8 @@
 	silences       expvar.Int // silences of upstreams that were treated as faults
 	standbys       expvar.Int // standby attempts while an upstream was silent
 	standbysUsed   expvar.Int // standby attempts that took over
+	leaving        expvar.Map // upstreams that leave, by what said so first
+	holds          expvar.Int // times at which an upstream asked for no requests for a time
 	firstByte      *histogram // time until the first byte of an answer was ready to deliver
 	completeAnswer *histogram // time until the end of a complete answer
 	dialTime       *histogram
@@ -77,6 +79,8 @@
 	m.vars.Set("silences", &m.silences)
 	m.vars.Set("standbys", &m.standbys)
 	m.vars.Set("standbys_used", &m.standbysUsed)
+	m.vars.Set("leaving", &m.leaving)
+	m.vars.Set("holds", &m.holds)
 	m.vars.Set("first_byte", m.firstByte)
 	m.vars.Set("whole", m.completeAnswer)
 	m.vars.Set("dial_time", m.dialTime)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -48,6 +48,10 @@
 	WrongHost  bool // the address belongs to another upstream
 	Encoded    bool // the body was re-encoded and is not the upstream's original bytes
 	Load       *ReportedLoad
+	Leaving    bool // the upstream leaves, whatever its entry says
+	// RetryAfter is how long the upstream wants no requests from this router, with a
+	// refusal; 0 if it names no time.
+	RetryAfter time.Duration
 }
 
 // ReportedLoad is the load that an upstream reports with an answer.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -130,8 +130,13 @@
 	Feeds         []*feed.Feed // in the same order at all routers; the first is that of the configuration
 	Board         *gateway.Board
 	Prompts       *gateway.Prompts
-	Eras          *store.Eras   // of the store, also used by the feeds; nil means a tracker of its own
-	Held          Configuration // nil means none
+	// Leaving are the upstreams that said that they leave; nil means that none is known.
+	Leaving *gateway.Leaving
+	// MarkLeaving is called for each upstream that leaves by the report of another
+	// router, with the time since the upstream said so; may be nil.
+	MarkLeaving func(key catalog.Key, age time.Duration)
+	Eras        *store.Eras   // of the store, also used by the feeds; nil means a tracker of its own
+	Held        Configuration // nil means none
 	// UpstreamKey returns the key of the upstream whose key has the short hash; nil
 	// means that no upstream is known.
 	UpstreamKey func(sum uint32) (catalog.Key, bool)
@@ -182,6 +187,12 @@
 	if opts.UpstreamKey == nil {
 		opts.UpstreamKey = func(uint32) (catalog.Key, bool) { return catalog.Key{}, false }
 	}
+	if opts.Leaving == nil {
+		opts.Leaving = gateway.NewLeaving()
+	}
+	if opts.MarkLeaving == nil {
+		opts.MarkLeaving = func(catalog.Key, time.Duration) {}
+	}
 	if opts.Held == nil {
 		opts.Held = noConfiguration{}
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -36,6 +36,7 @@
 	feed    *feed.Feed
 	board   *gateway.Board
 	prompts *gateway.Prompts
+	leaving chan catalog.Key // marked by reports of other routers
 	address string
 	changed chan feed.Snapshot
 }
@@ -55,7 +56,7 @@
 	must.NoError(t, err)
 	r := &router{
 		board: gateway.NewBoard(eject.Options{}), prompts: gateway.NewPrompts(),
-		address: listener.Addr().String(), changed: make(chan feed.Snapshot, 16),
+		address: listener.Addr().String(), changed: make(chan feed.Snapshot, 16), leaving: make(chan catalog.Key, 16),
 	}
 	r.feed = feed.New(feed.Options{
 		Kind: "things", Source: unavailableStore{}, Log: logger,
@@ -64,6 +65,12 @@
 	r.mesh, err = New(Options{
 		Router: name, Address: r.address, Seeds: seeds, Feeds: []*feed.Feed{r.feed},
 		Board: r.board, Prompts: r.prompts, Log: logger, UpstreamKey: knownUpstream,
+		MarkLeaving: func(key catalog.Key, _ time.Duration) {
+			select {
+			case r.leaving <- key:
+			default: // reported again
+			}
+		},
 	})
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/gossip/leaving_test.go
@@ -0,0 +1,18 @@
+package gossip
+
+import (
+	"testing"
+
+	"dandelionrill.example/fleet/catalog"
+	"github.com/shoenig/test/must"
+)
+
+// Routers that got no answer of an upstream since it began to leave would go on sending to
+// it until its entry says so.
+func TestUpstreamsThatSayThatTheyLeaveAreReported(t *testing.T) {
+	first := startRouter(t, "r1")
+	second := startRouter(t, "r2", first.address)
+	x := catalog.Key{ID: "x", Born: 5}
+	first.mesh.opts.Leaving.Add(x, 0)
+	must.Eq(t, x, <-second.leaving)
+}
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -52,6 +52,8 @@
 	Compact bool
 	Made    Placements
 	Relayed Placements
+	// Leaving are the upstreams that said a short time ago, to any router, that they leave.
+	Leaving []gateway.LeavingReport
 }
 
 // Placements are prompt placements as parallel slices: the parts, and short hashes of
@@ -93,7 +95,7 @@
 func (m *Mesh) newReport() Report {
 	r := Report{
 		Router: m.opts.Router, Address: m.opts.Address, Domain: m.opts.FailureDomain, Stamps: make([]feed.Stamp, len(m.opts.Feeds)),
-		Era: m.opts.Eras.Newest(), Configuration: m.opts.Held.Version(), Compact: true,
+		Era: m.opts.Eras.Newest(), Configuration: m.opts.Held.Version(), Compact: true, Leaving: m.opts.Leaving.Reports(),
 	}
 	if at, returned := m.opts.Eras.Since(); returned {
 		r.EraAge = time.Since(at)
@@ -207,6 +209,11 @@
 			})
 		}
 	}
+	for _, l := range r.Leaving {
+		if key, ok := m.opts.UpstreamKey(l.Upstream); ok {
+			m.opts.MarkLeaving(key, time.Duration(l.AgeMs)*time.Millisecond)
+		}
+	}
 	origin := gateway.OriginDomain
 	if domain != own {
 		origin = gateway.OriginForeign
