--- a/entry/entry.go
+++ b/entry/entry.go
@@ -135,10 +135,14 @@
 		Board:         h.gateway.Board(),
 		Prompts:       h.gateway.Prompts(),
 		Streams:       h.gateway.Streams(),
-		Eras:          eras,
-		Held:          h.held,
-		UpstreamKey:   h.gateway.UpstreamKey,
-		Log:           opts.Log,
+		Leaving:       h.gateway.Leaving(),
+		MarkLeaving: func(key catalog.Key, age time.Duration) {
+			h.gateway.MarkLeaving(key, gateway.LeavingPeer, age)
+		},
+		Eras:        eras,
+		Held:        h.held,
+		UpstreamKey: h.gateway.UpstreamKey,
+		Log:         opts.Log,
 	})
 	return h, errors.Wrap(err, "entry host")
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -73,7 +73,7 @@
 	if req.version.bound {
 		return g.versionGone()
 	}
-	return refused("no upstream of the service is available", retryAfterUnknown)
+	return g.refuse(req, "no upstream of the service is available", retryAfterUnknown)
 }
 
 // neverRan reports whether no send of the request so far can have run.
@@ -127,7 +127,7 @@
 		if !req.neverRan() {
 			return failed(http.StatusBadGateway, e.reason)
 		}
-		return refused(e.reason, retryAfterShort)
+		return g.refuse(req, e.reason, retryAfterShort)
 	case ctx.Err() != nil:
 		return failed(http.StatusGatewayTimeout, "timeout")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	board   *Board
 	prompts *Prompts
 	streams *Streams
+	leaving *Leaving
 	metrics *metrics
 
 	policy            atomic.Pointer[Policy]
@@ -80,6 +81,7 @@
 		board:        NewBoard(opts.Policy.Eject),
 		prompts:      NewPrompts(),
 		streams:      NewStreams(),
+		leaving:      NewLeaving(),
 		metrics:      newMetrics(),
 		retryBudgets: make(map[string]*retry.Budget),
 		configured:   make(chan struct{}),
@@ -160,8 +162,10 @@
 
 // SetCatalog replaces the list of upstreams for requests that arrive from now on.
 func (g *Gateway) SetCatalog(c *catalog.Catalog) {
-	g.versions.Update(g.catalog.Swap(c), c)
+	previous := g.catalog.Swap(c)
+	g.versions.Update(previous, c)
 	g.markConfigured()
+	g.logListedLeaving(previous, c)
 	listed := func(key catalog.Key) bool {
 		u := c.Find(key.ID)
 		return u != nil && u.Born == key.Born
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -64,6 +64,8 @@
 	standbys       expvar.Int // standby attempts while an upstream was silent
 	standbysUsed   expvar.Int // standby attempts that took over
 	resumed        expvar.Map // streams that callers took up, by how their version was found
+	leaving        expvar.Map // upstreams that leave, by what said so first
+	holds          expvar.Int // times at which an upstream asked for no requests for a time
 	firstByte      *histogram // time until the first byte of an answer was ready to deliver
 	completeAnswer *histogram // time until the end of a complete answer
 	dialTime       *histogram
@@ -79,6 +81,8 @@
 	m.vars.Set("standbys", &m.standbys)
 	m.vars.Set("standbys_used", &m.standbysUsed)
 	m.vars.Set("resumed", &m.resumed)
+	m.vars.Set("leaving", &m.leaving)
+	m.vars.Set("holds", &m.holds)
 	m.vars.Set("first_byte", m.firstByte)
 	m.vars.Set("whole", m.completeAnswer)
 	m.vars.Set("dial_time", m.dialTime)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -37,6 +37,7 @@
 	board   *gateway.Board
 	prompts *gateway.Prompts
 	streams *gateway.Streams
+	leaving chan catalog.Key // marked by reports of other routers
 	address string
 	changed chan feed.Snapshot
 }
@@ -56,7 +57,7 @@
 	must.NoError(t, err)
 	r := &router{
 		board: gateway.NewBoard(eject.Options{}), prompts: gateway.NewPrompts(), streams: gateway.NewStreams(),
-		address: listener.Addr().String(), changed: make(chan feed.Snapshot, 16),
+		address: listener.Addr().String(), changed: make(chan feed.Snapshot, 16), leaving: make(chan catalog.Key, 16),
 	}
 	r.feed = feed.New(feed.Options{
 		Kind: "things", Source: unavailableStore{}, Log: logger,
@@ -65,6 +66,12 @@
 	r.mesh, err = New(Options{
 		Router: name, Address: r.address, Seeds: seeds, Feeds: []*feed.Feed{r.feed},
 		Board: r.board, Prompts: r.prompts, Streams: r.streams, Log: logger, UpstreamKey: knownUpstream,
+		MarkLeaving: func(key catalog.Key, _ time.Duration) {
+			select {
+			case r.leaving <- key:
+			default: // reported again
+			}
+		},
 	})
 	must.NoError(t, err)
 	served := make(chan struct{})
