standin: a replica that is full, and slow streams

The soak is to play silences of upstreams in which no other upstream takes a request, with streams long enough to be in progress. SetFull makes a replica refuse as if its slots were taken; a path that ends in /slow gets five times the interval between events.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -38,6 +38,7 @@
 
 	mu      sync.Mutex
 	running int
+	full    bool
 	runs    []Run
 	cached  map[string]cachedPart // prompt parts by identifier
 }
@@ -60,6 +61,13 @@
 	return append([]Run(nil), r.runs...)
 }
 
+// SetFull makes the replica refuse new requests as if all its slots were taken.
+func (r *Replica) SetFull(full bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.full = full
+}
+
 // Body returns the plain answer to an attempt.
 func Body(attempt string) string {
 	sum := sha256.Sum256([]byte(attempt))
@@ -77,6 +85,10 @@
 	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, Body(attempt)[:8], n)
 }
 
+// slowFactor lengthens the interval between the events of streams whose path ends in
+// /slow.
+const slowFactor = 5
+
 // ServeHTTP serves the cache list, and runs any other request: a path below
 // /stream/ or /resume/ is answered with events, all others with a plain answer.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
@@ -114,7 +126,7 @@
 func (r *Replica) begin(run Run) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running >= r.opts.Slots {
+	if r.full || r.running >= r.opts.Slots {
 		return false
 	}
 	r.running++
@@ -131,11 +143,15 @@
 func (r *Replica) stream(w http.ResponseWriter, req *http.Request, attempt string, lastEvent int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
+	interval := r.opts.EventInterval
+	if strings.HasSuffix(req.URL.Path, "/slow") {
+		interval *= slowFactor
+	}
 	for n := lastEvent + 1; n <= Events(attempt); n++ {
 		select {
 		case <-req.Context().Done():
 			return
-		case <-time.After(r.opts.EventInterval):
+		case <-time.After(interval):
 		}
 		_, _ = io.WriteString(w, Event(attempt, n)) // a caller that disconnected ends the context
 		_ = flusher.Flush()
