soak: upstreams that fall silent for a while (--faults silence)

Cause: a sound replica may send nothing for a second or so and go on. No fault of the soak was that short, and no check asked for the answers of requests in progress meanwhile.

LOST: no request of the phase is cut, closed or answered 502 before its deadline. The routes' timeout is 10 s now, so that slow streams can end; callers go on to send their own deadline of 3 s.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -20,6 +20,8 @@
 type outcome struct {
 	attempt  string
 	route    string
+	path     string        // of the request, below route
+	deadline time.Duration // as sent with the request
 	router   int
 	started  time.Time
 	finished time.Time
@@ -42,7 +44,6 @@
 // run sends requests to randomly chosen routes until stop is closed.
 func (c *caller) run(stop <-chan struct{}) {
 	c.client.Transport = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2}
-	c.client.Timeout = callerTimeout + time.Second
 	defer c.client.CloseIdleConnections()
 	for n := 0; ; n++ {
 		select {
@@ -51,23 +52,33 @@
 		case <-time.After(time.Duration(c.random.IntN(60)) * time.Millisecond):
 		}
 		o := outcome{
-			attempt: fmt.Sprintf("s%d-c%d-%d", c.soak.opts.Seed, c.index, n),
-			route:   routePrefixes[c.random.IntN(len(routePrefixes))],
-			router:  (c.index + c.random.IntN(2)) % len(c.soak.fleet.routers),
+			attempt:  fmt.Sprintf("s%d-c%d-%d", c.soak.opts.Seed, c.index, n),
+			route:    routePrefixes[c.random.IntN(len(routePrefixes))],
+			router:   (c.index + c.random.IntN(2)) % len(c.soak.fleet.routers),
+			path:     "x",
+			deadline: callerTimeout,
+		}
+		if n%2 == 0 && c.soak.slowStreams.Load() && isStream(o.route) {
+			o.path, o.deadline = "slow", slowTimeout
 		}
 		c.send(&o)
 		c.soak.record(o)
 	}
 }
 
-// callerTimeout is the deadline that a caller sends with its request. The HTTP
-// client gives up one second later.
-const callerTimeout = 3 * time.Second
+// The deadlines that a caller sends with its requests. The HTTP client gives up one
+// second later.
+const (
+	callerTimeout = 3 * time.Second
+	slowTimeout   = 8 * time.Second // of slow streams
+)
+
+func isStream(route string) bool { return route == "/stream/" || route == "/resume/" }
 
 func (c *caller) send(o *outcome) {
 	o.started = time.Now()
 	defer func() { o.finished = time.Now() }()
-	response, err := c.request(o.router, o.route+"x", o.attempt)
+	response, err := c.request(o.router, o.route+o.path, o.attempt, o.deadline)
 	if err != nil {
 		o.err = err
 		return
@@ -81,7 +92,7 @@
 	if signature := response.Header.Get(wire.HeaderSignature); !strings.HasSuffix(signature, "."+o.attempt) {
 		c.soak.addViolation("MIXED", o.attempt, "status 200 with an unexpected signature: %q", signature)
 	}
-	if o.route == "/stream/" || o.route == "/resume/" {
+	if isStream(o.route) {
 		o.err = c.readStream(o, response.Body)
 		return
 	}
@@ -102,19 +113,20 @@
 	return strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resume/")
 }
 
-func (c *caller) request(router int, path, attempt string) (*http.Response, error) {
+func (c *caller) request(router int, path, attempt string, deadline time.Duration) (*http.Response, error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+c.soak.fleet.routers[router].callerAddress+path, strings.NewReader(strings.Repeat("x", 2000)))
 	if err != nil {
 		return nil, err
 	}
 	r.GetBody = nil // keeps net/http from retrying the request on its own
 	r.Host = host
-	wire.SetRequestHeaders(r.Header, attempt, apiKey, callerTimeout)
+	wire.SetRequestHeaders(r.Header, attempt, apiKey, deadline)
 	if declaresPrompt(path) {
 		document := int(attempt[len(attempt)-1]) % documentCount
 		wire.SetPrompt(r.Header, "m", "a0:300", fmt.Sprintf("d%d:4000", document), attempt+":100")
 	}
-	return c.client.Do(r)
+	client := http.Client{Transport: c.client.Transport, Timeout: deadline + time.Second}
+	return client.Do(r)
 }
 
 // readStream checks that the events belong to the attempt and arrive in order,
--- a/soak/check.go
+++ b/soak/check.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"time"
 
 	"dandelionrill.example/standin/replica"
 )
@@ -47,6 +49,10 @@
 	if !o.answered() && len(runs) > 0 && s.interruptedByShutdown(o) {
 		s.addViolation("LOST", o.attempt, "request to %s was interrupted by a graceful shutdown: %v", o.route, o.err)
 	}
+	if o.endedEarly() && within(o, s.silent) {
+		s.addViolation("LOST", o.attempt, "request to %s%s ended after %v with status %d, although upstreams were at most silent for a while: %v",
+			o.route, o.path, o.finished.Sub(o.started).Round(time.Millisecond), o.status, o.err)
+	}
 }
 
 // meansNotRun reports whether the status guarantees that the request did not run.
@@ -62,16 +68,31 @@
 	}
 	for _, shutdown := range s.shutdowns {
 		if shutdown.router == o.router && o.finished.After(shutdown.from) && !o.finished.After(shutdown.to) {
-			for _, phase := range s.faultFree {
-				if o.started.After(phase.from) && !o.finished.After(phase.to) {
-					return true
-				}
+			if within(o, s.faultFree) {
+				return true
 			}
 		}
 	}
 	return false
 }
 
+// within reports whether the request started and ended in one of the phases.
+func within(o *outcome, phases []period) bool {
+	return slices.ContainsFunc(phases, func(p period) bool { return o.started.After(p.from) && !o.finished.After(p.to) })
+}
+
+// deadlineMargin is the time before a deadline in which a request counts as ended by it.
+const deadlineMargin = 100 * time.Millisecond
+
+// endedEarly reports whether the request ended without an answer, or as failed, before
+// its deadline.
+func (o *outcome) endedEarly() bool {
+	if o.answered() && o.status != http.StatusBadGateway {
+		return false
+	}
+	return o.finished.Sub(o.started) < o.deadline-deadlineMargin
+}
+
 // checkDrains finds runs that an upstream received more than drainLimit after
 // it was marked as leaving, within the same fault-free phase.
 func (s *Soak) checkDrains() {
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -20,8 +20,15 @@
 	flaggy.Int(&b.options.Routers, "", "routers", "router processes in each soak; 0: default")
 	flaggy.Int(&b.options.Upstreams, "", "upstreams", "upstreams in each soak; 0: default")
 	flaggy.Int(&b.options.Callers, "", "callers", "concurrent callers in each soak; 0: default")
+	faults := ""
+	flaggy.String(&faults, "", "faults", "further faults, separated by commas: silence")
 	flaggy.String(&b.dir, "", "dir", "directory for logs; those of seeds that passed are removed")
 	flaggy.Parse()
+	var err error
+	if b.options.Faults, err = soak.ParseFaults(faults); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	if failed := b.run(); failed > 0 {
 		fmt.Printf("soak: %d of %d seeds failed\n", failed, b.seedCount)
 		os.Exit(1)
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,37 @@
+package soak
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Faults are the faults of a soak that are not part of every soak, by name. The zero
+// value has none.
+type Faults []string
+
+// The faults that Options.Faults may name.
+const (
+	FaultSilence = "silence" // a phase in which upstreams fall silent and go on
+)
+
+var knownFaults = Faults{FaultSilence}
+
+// ParseFaults reads names separated by commas. It returns an error for a name that is
+// not known.
+func ParseFaults(text string) (Faults, error) {
+	var faults Faults
+	for name := range strings.SplitSeq(text, ",") {
+		switch {
+		case name == "":
+		case knownFaults.has(name):
+			faults = append(faults, name)
+		default:
+			return nil, errors.Newf("soak: fault %q is not one of %s", name, strings.Join(knownFaults, ", "))
+		}
+	}
+	return faults, nil
+}
+
+func (f Faults) has(name string) bool { return slices.Contains(f, name) }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -151,7 +151,7 @@
 	defer f.mu.Unlock()
 	f.version++
 	c := wire.Configuration{
-		Version: f.version, Host: host, Service: service, Key: apiKey, Timeout: 4 * time.Second, Attempts: 2,
+		Version: f.version, Host: host, Service: service, Key: apiKey, Timeout: 10 * time.Second, Attempts: 2,
 		Routes: []wire.Route{
 			{Prefix: "/once/", Kind: wire.RouteNonIdempotent}, {Prefix: "/safe/", Kind: wire.RouteIdempotent},
 			{Prefix: "/stream/", Kind: wire.RouteStreaming, Sticky: true},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	Routers   int
 	Upstreams int
 	Callers   int
+	Faults    Faults // beside those of every soak
 	Log       io.Writer
 }
 
@@ -30,12 +32,15 @@
 	random *rand.Rand
 	fleet  *fleet
 
+	slowStreams atomic.Bool // callers open slow streams too
+
 	mu         sync.Mutex
 	outcomes   []outcome
 	violations []string
 	faultFree  []period // fault-free phases, without the recovery time before them
 	shutdowns  []routerShutdown
 	drains     []upstreamDrain
+	silent     []period // phases in which upstreams fall silent, but no fault occurs
 }
 
 type period struct{ from, to time.Time }
@@ -102,6 +107,10 @@
 		time.Sleep(recoveryTime)
 		s.logf("round %d: the store returns from a copy", round)
 		s.runStoreReturn()
+		if s.opts.Faults.has(FaultSilence) {
+			s.logf("round %d: upstreams fall silent", round)
+			s.runSilencePhase()
+		}
 		s.logf("round %d: fault-free phase", round)
 		s.runFaultFreePhase()
 	}
@@ -136,7 +145,7 @@
 // probe sends a request to the route specific to a configuration version and
 // returns the status, or 0 if no response arrived.
 func (s *Soak) probe(c *caller, router int, version uint64) int {
-	response, err := c.request(router, versionPath(version)+"x", fmt.Sprintf("s%d-probe-%d-%d-%d", s.opts.Seed, router, version, time.Now().UnixNano()))
+	response, err := c.request(router, versionPath(version)+"x", fmt.Sprintf("s%d-probe-%d-%d-%d", s.opts.Seed, router, version, time.Now().UnixNano()), callerTimeout)
 	if err != nil {
 		return 0
 	}
