soak: upstreams of several versions, and callers that take streams up again (--faults versions)

Cause: replicas of several versions serve side by side, and a stream may go on only at the version that began it; replicas do not check this. Callers take a broken stream up again with Last-Event-Id and Resumes. Neither the stand-ins nor the soak knew of it.

Change: the entry of an upstream names its version, which the stand-in writes into its events; a request with Resumes continues the events of that attempt. Callers take resumable streams up again, and leave some in a phase without faults. ORDER: no stream has events of two versions over its attempts. LOST: streams taken up go on half as often as new ones are served. A stream that ends in the middle of an event without an error breaks ORDER now; it counted as cut before.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -11,6 +11,7 @@
 
 	"dandelionrill.example/standin/replica"
 	"dandelionrill.example/standin/wire"
+	"github.com/cockroachdb/errors"
 )
 
 // routePrefixes are the path prefixes of the routes that every configuration version has.
@@ -22,6 +23,10 @@
 	route    string
 	path     string        // of the request, below route
 	deadline time.Duration // as sent with the request
+	first    string        // attempt that began the stream; equal to attempt if this one did
+	received int           // events of the stream over all attempts
+	version  string        // of the events received
+	leaveAt  int           // number of events after which the caller leaves the stream; 0: never
 	router   int
 	started  time.Time
 	finished time.Time
@@ -29,6 +34,9 @@
 	err      error // connection or body read error
 }
 
+// errLeft is the outcome of a stream that its caller left.
+var errLeft = errors.New("caller left")
+
 // answered reports whether the caller received a complete response with any
 // status.
 func (o *outcome) answered() bool { return o.status != 0 && o.err == nil }
@@ -52,17 +60,22 @@
 		case <-time.After(time.Duration(c.random.IntN(60)) * time.Millisecond):
 		}
 		o := outcome{
-			attempt:  fmt.Sprintf("s%d-c%d-%d", c.soak.opts.Seed, c.index, n),
+			first:    fmt.Sprintf("s%d-c%d-%d", c.soak.opts.Seed, c.index, n),
 			route:    routePrefixes[c.random.IntN(len(routePrefixes))],
 			router:   (c.index + c.random.IntN(2)) % len(c.soak.fleet.routers),
 			path:     "x",
 			deadline: callerTimeout,
 		}
+		o.attempt = o.first
 		if n%2 == 0 && c.soak.slowStreams.Load() && isStream(o.route) {
 			o.path, o.deadline = "slow", slowTimeout
 		}
+		c.leaveLater(&o)
 		c.send(&o)
 		c.soak.record(o)
+		if c.soak.opts.Faults.has(FaultVersions) && o.route == "/resume/" {
+			c.takeUp(&o)
+		}
 	}
 }
 
@@ -73,12 +86,14 @@
 	slowTimeout   = 8 * time.Second // of slow streams
 )
 
+// isStream reports whether requests of the route are answered with events. They list the
+// parts of their prompt in a header.
 func isStream(route string) bool { return route == "/stream/" || route == "/resume/" }
 
 func (c *caller) send(o *outcome) {
 	o.started = time.Now()
 	defer func() { o.finished = time.Now() }()
-	response, err := c.request(o.router, o.route+o.path, o.attempt, o.deadline)
+	response, err := c.request(o)
 	if err != nil {
 		o.err = err
 		return
@@ -107,47 +122,69 @@
 // callers share.
 const documentCount = 8
 
-// declaresPrompt reports whether requests to the path list the parts of their
-// prompt in a header.
-func declaresPrompt(path string) bool {
-	return strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resume/")
-}
-
-func (c *caller) request(router int, path, attempt string, deadline time.Duration) (*http.Response, error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+c.soak.fleet.routers[router].callerAddress+path, strings.NewReader(strings.Repeat("x", 2000)))
+func (c *caller) request(o *outcome) (*http.Response, error) {
+	url := "http://" + c.soak.fleet.routers[o.router].callerAddress + o.route + o.path
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(strings.Repeat("x", 2000)))
 	if err != nil {
 		return nil, err
 	}
 	r.GetBody = nil // keeps net/http from retrying the request on its own
 	r.Host = host
-	wire.SetRequestHeaders(r.Header, attempt, apiKey, deadline)
-	if declaresPrompt(path) {
-		document := int(attempt[len(attempt)-1]) % documentCount
-		wire.SetPrompt(r.Header, "m", "a0:300", fmt.Sprintf("d%d:4000", document), attempt+":100")
+	wire.SetRequestHeaders(r.Header, o.attempt, apiKey, o.deadline)
+	if isStream(o.route) {
+		document := int(o.first[len(o.first)-1]) % documentCount
+		wire.SetPrompt(r.Header, "m", "a0:300", fmt.Sprintf("d%d:4000", document), o.first+":100")
 	}
-	client := http.Client{Transport: c.client.Transport, Timeout: deadline + time.Second}
+	if o.received > 0 {
+		wire.SetResume(r.Header, o.first, o.received)
+	}
+	client := http.Client{Transport: c.client.Transport, Timeout: o.deadline + time.Second}
 	return client.Do(r)
 }
 
-// readStream checks that the events belong to the attempt and arrive in order,
-// and that a stream that ends without an error has all its events.
+// readStream checks that the events belong to the stream, arrive in order and are of one
+// version over all its attempts, and that a stream that ends without an error has all its
+// events.
 func (c *caller) readStream(o *outcome, body io.Reader) error {
 	reader := bufio.NewReader(body)
-	for n := 1; ; n++ {
-		want := replica.Event(o.attempt, n)
-		got := make([]byte, len(want))
-		if _, err := io.ReadFull(reader, got); err != nil {
-			if err == io.EOF && n <= replica.Events(o.attempt) {
-				c.soak.addViolation("ORDER", o.attempt, "stream ended without an error after %d of %d events", n-1, replica.Events(o.attempt))
-			}
-			if err == io.EOF {
-				return nil
-			}
+	last := replica.Events(o.first)
+	for {
+		event, err := readEvent(reader)
+		if err == io.EOF && event == "" && o.received == last {
+			return nil
+		}
+		if err == io.EOF {
+			c.soak.addViolation("ORDER", o.attempt, "stream ended without an error after %d of %d events", o.received, last)
+			return nil
+		}
+		if err != nil {
 			return err
 		}
-		if n > replica.Events(o.attempt) || string(got) != want {
-			c.soak.addViolation("ORDER", o.attempt, "event %d is unexpected: %q", n, got)
+		version, ok := replica.ReadEvent(event, o.first, o.received+1)
+		if !ok || o.received == last {
+			c.soak.addViolation("ORDER", o.attempt, "event %d is unexpected: %q", o.received+1, event)
+			return nil
+		}
+		if o.received > 0 && version != o.version {
+			c.soak.addViolation("ORDER", o.attempt, "event %d of stream %s is of version %s, those before it are of %s", o.received+1, o.first, version, o.version)
 			return nil
 		}
+		o.received, o.version = o.received+1, version
+		if o.received == o.leaveAt {
+			return errLeft
+		}
+	}
+}
+
+// readEvent reads up to the empty line that ends an event.
+func readEvent(reader *bufio.Reader) (string, error) {
+	var event string
+	for !strings.HasSuffix(event, "\n\n") {
+		line, err := reader.ReadString('\n')
+		event += line
+		if err != nil {
+			return event, err
+		}
 	}
+	return event, nil
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,10 +13,11 @@
 
 // The faults that Options.Faults may name.
 const (
-	FaultSilence = "silence" // a phase in which upstreams fall silent and go on
+	FaultSilence  = "silence"  // a phase in which upstreams fall silent and go on
+	FaultVersions = "versions" // upstreams of several versions, and callers that take streams up again
 )
 
-var knownFaults = Faults{FaultSilence}
+var knownFaults = Faults{FaultSilence, FaultVersions}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -31,6 +31,7 @@
 // upstream is a stand-in replica behind a fault-injecting proxy.
 type upstream struct {
 	id            string
+	version       string // empty if all are alike
 	replica       *replica.Replica
 	proxy         *Proxy
 	server        *http.Server
@@ -40,6 +41,7 @@
 // fleet holds the store, routers and upstreams of one soak.
 type fleet struct {
 	dir          string
+	versionOf    func(index int) string // of the upstream with this index
 	store        *platform.Server
 	storeAddress string
 	storeServer  *http.Server
@@ -53,8 +55,8 @@
 }
 
 // newFleet starts the store, the upstreams and the routers.
-func newFleet(binary, dir string, routers, upstreams int) (*fleet, error) {
-	f := &fleet{dir: dir, store: platform.New(platform.Options{})}
+func newFleet(binary, dir string, routers, upstreams int, versionOf func(int) string) (*fleet, error) {
+	f := &fleet{dir: dir, versionOf: versionOf, store: platform.New(platform.Options{})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "soak: store")
@@ -101,8 +103,8 @@
 func (f *fleet) addUpstream() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := &upstream{id: fmt.Sprint("i-", len(f.upstreams))}
-	u.replica = replica.New(replica.Options{ID: u.id, Slots: 16, EventInterval: 20 * time.Millisecond})
+	u := &upstream{id: fmt.Sprint("i-", len(f.upstreams)), version: f.versionOf(len(f.upstreams))}
+	u.replica = replica.New(replica.Options{ID: u.id, Version: u.version, Slots: 16, EventInterval: 20 * time.Millisecond})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return errors.Wrap(err, "soak: upstream")
@@ -119,7 +121,7 @@
 
 // register writes the upstream's entry to the store.
 func (f *fleet) register(u *upstream, leaving bool) {
-	f.store.SetObject(wire.KindUpstreams, u.id, wire.Upstream(service, u.proxy.Address(), leaving))
+	f.store.SetObject(wire.KindUpstreams, u.id, wire.Upstream(service, u.proxy.Address(), u.version, leaving))
 }
 
 // drain marks an upstream as leaving. It continues to serve requests.
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -18,13 +18,13 @@
 // while versions of the configuration are published, and records the phase for check.
 func (s *Soak) runSilencePhase() {
 	from := time.Now()
-	s.slowStreams.Store(true)
+	slow := s.slowStreams.Swap(true)
 	for range silenceRepeats {
 		time.Sleep(silencePause)
 		s.fleet.publishConfiguration()
 		s.silenceSome()
 	}
-	s.slowStreams.Store(false)
+	s.slowStreams.Store(slow)
 	time.Sleep(silenceTail)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,7 +32,8 @@
 	random *rand.Rand
 	fleet  *fleet
 
-	slowStreams atomic.Bool // callers open slow streams too
+	slowStreams  atomic.Bool // callers open slow streams too
+	leaveStreams atomic.Bool // callers leave streams and take them up again
 
 	mu         sync.Mutex
 	outcomes   []outcome
@@ -41,6 +42,7 @@
 	shutdowns  []routerShutdown
 	drains     []upstreamDrain
 	silent     []period // phases in which upstreams fall silent, but no fault occurs
+	taking     []takingPhase
 }
 
 type period struct{ from, to time.Time }
@@ -60,12 +62,18 @@
 // New starts the fleet and returns a Soak that is ready to run.
 func New(opts Options) (*Soak, error) {
 	opts.Rounds, opts.Routers = orDefault(opts.Rounds, 3), orDefault(opts.Routers, 4)
-	opts.Upstreams, opts.Callers = orDefault(opts.Upstreams, 5), orDefault(opts.Callers, 12)
-	f, err := newFleet(opts.Binary, opts.Dir, opts.Routers, opts.Upstreams)
+	upstreams, versionOf := 5, func(int) string { return "" }
+	if opts.Faults.has(FaultVersions) {
+		upstreams, versionOf = versionedUpstreams, versionsBySeed(opts.Seed)
+	}
+	opts.Upstreams, opts.Callers = orDefault(opts.Upstreams, upstreams), orDefault(opts.Callers, 12)
+	f, err := newFleet(opts.Binary, opts.Dir, opts.Routers, opts.Upstreams, versionOf)
 	if err != nil {
 		return nil, err
 	}
-	return &Soak{opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 1)), fleet: f}, nil
+	s := &Soak{opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 1)), fleet: f}
+	s.slowStreams.Store(opts.Faults.has(FaultVersions))
+	return s, nil
 }
 
 func orDefault(v, defaultValue int) int {
@@ -103,6 +111,9 @@
 	}
 	for round := range s.opts.Rounds {
 		s.logf("round %d: injecting faults", round)
+		if s.opts.Faults.has(FaultVersions) {
+			s.breakStreams()
+		}
 		s.injectFaults()
 		time.Sleep(recoveryTime)
 		s.logf("round %d: the store returns from a copy", round)
@@ -111,6 +122,10 @@
 			s.logf("round %d: upstreams fall silent", round)
 			s.runSilencePhase()
 		}
+		if s.opts.Faults.has(FaultVersions) {
+			s.logf("round %d: callers leave streams and take them up again", round)
+			s.runTakingPhase()
+		}
 		s.logf("round %d: fault-free phase", round)
 		s.runFaultFreePhase()
 	}
@@ -145,7 +160,8 @@
 // probe sends a request to the route specific to a configuration version and
 // returns the status, or 0 if no response arrived.
 func (s *Soak) probe(c *caller, router int, version uint64) int {
-	response, err := c.request(router, versionPath(version)+"x", fmt.Sprintf("s%d-probe-%d-%d-%d", s.opts.Seed, router, version, time.Now().UnixNano()), callerTimeout)
+	attempt := fmt.Sprintf("s%d-probe-%d-%d-%d", s.opts.Seed, router, version, time.Now().UnixNano())
+	response, err := c.request(&outcome{attempt: attempt, router: router, route: versionPath(version), path: "x", deadline: callerTimeout})
 	if err != nil {
 		return 0
 	}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -21,6 +22,7 @@
 // Options sets up a Replica.
 type Options struct {
 	ID            string
+	Version       string        // written into its events; may be empty
 	Slots         int           // concurrent requests; more are refused
 	EventInterval time.Duration // before each event of a stream, and before a plain answer
 }
@@ -80,9 +82,23 @@
 	return 3 + int(sum[0])%20
 }
 
-// Event returns event n of the stream of an attempt; the first is 1.
-func Event(attempt string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, Body(attempt)[:8], n)
+// Event returns event n of the stream of an attempt, as a replica of the version writes
+// it; the first is 1.
+func Event(attempt, version string, n int) string {
+	if version != "" {
+		version = "@" + version
+	}
+	return fmt.Sprintf("id: %d\ndata: %s-%d%s\n\n", n, Body(attempt)[:8], n, version)
+}
+
+// ReadEvent returns the version of the replica that wrote event n of the stream of an
+// attempt. ok is false if the text is not this event.
+func ReadEvent(text, attempt string, n int) (version string, ok bool) {
+	line := strings.TrimSuffix(text, "\n\n")
+	if _, after, found := strings.Cut(line, "@"); found {
+		version = after
+	}
+	return version, text == Event(attempt, version, n)
 }
 
 // slowFactor lengthens the interval between the events of streams whose path ends in
@@ -116,7 +132,7 @@
 	r.cachePrompt(req.Header.Get(wire.HeaderModel), req.Header.Get(wire.HeaderPrompt))
 	w.Header().Set(wire.HeaderSignature, r.opts.ID+"."+attempt)
 	if len(req.URL.Path) > 8 && (req.URL.Path[:8] == "/stream/" || req.URL.Path[:8] == "/resume/") {
-		r.stream(w, req, attempt, lastEvent)
+		r.stream(w, req, cmp.Or(req.Header.Get(wire.HeaderResumes), attempt), lastEvent)
 		return
 	}
 	time.Sleep(r.opts.EventInterval)
@@ -140,6 +156,7 @@
 	r.running--
 }
 
+// stream sends the events after lastEvent of the stream that the attempt began.
 func (r *Replica) stream(w http.ResponseWriter, req *http.Request, attempt string, lastEvent int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
@@ -153,7 +170,7 @@
 			return
 		case <-time.After(interval):
 		}
-		_, _ = io.WriteString(w, Event(attempt, n)) // a caller that disconnected ends the context
+		_, _ = io.WriteString(w, Event(attempt, r.opts.Version, n)) // a caller that disconnected ends the context
 		_ = flusher.Flush()
 	}
 }
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -19,6 +19,7 @@
 	HeaderReplica   = "Dandelionrill-Replica-Id"
 	HeaderNotRun    = "Dandelionrill-Not-Executed"
 	HeaderLastEvent = "Last-Event-Id"
+	HeaderResumes   = "Resumes" // the attempt that brought the first event of the stream
 	HeaderModel     = "Dandelionrill-Model"
 	HeaderPrompt    = "Dandelionrill-Prompt-Prefix"
 	headerDeadline  = "Dandelionrill-Deadline-Ms"
@@ -42,6 +43,13 @@
 	h.Set("Authorization", "Bearer "+key)
 }
 
+// SetResume sets the headers of a caller that takes up a stream again: first is its
+// attempt that brought the stream's first event, lastEvent the last event that arrived.
+func SetResume(h http.Header, first string, lastEvent int) {
+	h.Set(HeaderResumes, first)
+	h.Set(HeaderLastEvent, fmt.Sprint(lastEvent))
+}
+
 // SetPrompt sets the headers for the model and the parts of a request's prompt,
 // each part as ID:TOKENS.
 func SetPrompt(h http.Header, model string, parts ...string) {
@@ -109,15 +117,19 @@
 	})
 }
 
-// Upstream returns the spec of a replica's upstream object.
-func Upstream(service, address string, leaving bool) []byte {
+// Upstream returns the spec of a replica's upstream object. An empty version is left out.
+func Upstream(service, address, version string, leaving bool) []byte {
 	state := "ready"
 	if leaving {
 		state = "draining"
 	}
-	return encode(map[string]any{
+	entry := map[string]any{
 		"service": service, "address": address, "zone": "a", "state": state, "slots": 16, "born": 1,
-	})
+	}
+	if version != "" {
+		entry["version"] = version
+	}
+	return encode(entry)
 }
 
 func encode(value any) []byte {
