soak: an upstream that says in its answers that it leaves (--faults leaving)

Cause: a replica that leaves says so in all its answers, also before and without its entry in the store. Neither the stand-in nor the soak had that.

Change: the stand-in adds the header when it is told to, and keeps a record of all requests that reach it, refused ones too. DRAIN for each router: the router of a request is that of its caller's attempt, and an answer counts as passed on when its head reached the caller. Only in a phase of its own, in which no router restarts or freezes.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -29,9 +29,11 @@
 	leaveAt  int           // number of events after which the caller leaves the stream; 0: never
 	router   int
 	started  time.Time
+	headAt   time.Time // when the head of the response arrived
 	finished time.Time
-	status   int   // 0 if no response arrived
-	err      error // connection or body read error
+	upstream string // that signed a success
+	status   int    // 0 if no response arrived
+	err      error  // connection or body read error
 }
 
 // errLeft is the outcome of a stream that its caller left.
@@ -99,12 +101,13 @@
 		return
 	}
 	defer response.Body.Close()
-	o.status = response.StatusCode
+	o.status, o.headAt = response.StatusCode, time.Now()
 	if o.status != http.StatusOK {
 		_, o.err = io.Copy(io.Discard, response.Body)
 		return
 	}
-	if signature := response.Header.Get(wire.HeaderSignature); !strings.HasSuffix(signature, "."+o.attempt) {
+	signature, signed := response.Header.Get(wire.HeaderSignature), false
+	if o.upstream, signed = strings.CutSuffix(signature, "."+o.attempt); !signed {
 		c.soak.addViolation("MIXED", o.attempt, "status 200 with an unexpected signature: %q", signature)
 	}
 	if isStream(o.route) {
--- a/soak/check.go
+++ b/soak/check.go
@@ -33,6 +33,7 @@
 		s.checkOutcome(o, runs[o.attempt])
 	}
 	s.checkDrains()
+	s.checkLeaving(outcomes)
 	for _, phase := range s.taking {
 		s.checkTakenUp(phase, outcomes)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -15,9 +15,10 @@
 const (
 	FaultSilence  = "silence"  // a phase in which upstreams fall silent and go on
 	FaultVersions = "versions" // upstreams of several versions, and callers that take streams up again
+	FaultLeaving  = "leaving"  // upstreams that say in their answers that they leave
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -43,6 +43,7 @@
 	drains     []upstreamDrain
 	silent     []period // phases in which upstreams fall silent, but no fault occurs
 	taking     []takingPhase
+	leaving    []period // fault-free phases in which an upstream says in its answers that it leaves
 }
 
 type period struct{ from, to time.Time }
@@ -63,8 +64,11 @@
 func New(opts Options) (*Soak, error) {
 	opts.Rounds, opts.Routers = orDefault(opts.Rounds, 3), orDefault(opts.Routers, 4)
 	upstreams, versionOf := 5, func(int) string { return "" }
+	if opts.Faults.has(FaultVersions) || opts.Faults.has(FaultLeaving) {
+		upstreams = 8
+	}
 	if opts.Faults.has(FaultVersions) {
-		upstreams, versionOf = versionedUpstreams, versionsBySeed(opts.Seed)
+		versionOf = versionsBySeed(opts.Seed)
 	}
 	opts.Upstreams, opts.Callers = orDefault(opts.Upstreams, upstreams), orDefault(opts.Callers, 12)
 	f, err := newFleet(opts.Binary, opts.Dir, opts.Routers, opts.Upstreams, versionOf)
@@ -126,6 +130,10 @@
 			s.logf("round %d: callers leave streams and take them up again", round)
 			s.runTakingPhase()
 		}
+		if s.opts.Faults.has(FaultLeaving) {
+			s.logf("round %d: an upstream says in its answers that it leaves", round)
+			s.runLeavingPhase()
+		}
 		s.logf("round %d: fault-free phase", round)
 		s.runFaultFreePhase()
 	}
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// versionedUpstreams is the default number of upstreams if they are of several versions.
-	versionedUpstreams = 8
 	// takingTime is the length of a phase in which callers leave streams.
 	takingTime = 6 * time.Second
 	// resetUpstreams is how many upstreams are reset in a round, one after another.
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -34,6 +34,13 @@
 	Resumed bool // continued after events that an earlier run had sent
 }
 
+// Arrival is a request that reached the replica, whether it ran or was refused.
+type Arrival struct {
+	Attempt string
+	At      time.Time
+	Leaving bool // the answer says that the replica leaves
+}
+
 // Replica implements http.Handler. Its methods may be called concurrently.
 type Replica struct {
 	opts Options
@@ -41,7 +48,9 @@
 	mu      sync.Mutex
 	running int
 	full    bool
+	leaving bool
 	runs    []Run
+	arrived []Arrival
 	cached  map[string]cachedPart // prompt parts by identifier
 }
 
@@ -63,6 +72,20 @@
 	return append([]Run(nil), r.runs...)
 }
 
+// Arrivals returns all requests that reached the replica so far, in their order.
+func (r *Replica) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.arrived...)
+}
+
+// SetLeaving makes the replica say in all its answers whether it leaves.
+func (r *Replica) SetLeaving(leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+}
+
 // SetFull makes the replica refuse new requests as if all its slots were taken.
 func (r *Replica) SetFull(full bool) {
 	r.mu.Lock()
@@ -108,11 +131,14 @@
 // ServeHTTP serves the cache list, and runs any other request: a path below
 // /stream/ or /resume/ is answered with events, all others with a plain answer.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	attempt := req.Header.Get(wire.HeaderAttempt)
+	if r.arrive(attempt) {
+		w.Header().Set(wire.HeaderLeaving, "1")
+	}
 	if req.URL.Path == wire.CacheListPath {
 		r.listCache(w)
 		return
 	}
-	attempt := req.Header.Get(wire.HeaderAttempt)
 	w.Header().Set(wire.HeaderAttempt, attempt)
 	w.Header().Set(wire.HeaderReplica, r.opts.ID)
 	if expected := req.Header.Get(wire.HeaderExpected); expected != "" && expected != r.opts.ID {
@@ -139,6 +165,17 @@
 	_, _ = io.WriteString(w, Body(attempt)) // fails only if the caller disconnected, which needs no handling
 }
 
+// arrive records a request, unless it is not of a caller's attempt, and reports whether
+// the replica leaves.
+func (r *Replica) arrive(attempt string) (leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if attempt != "" {
+		r.arrived = append(r.arrived, Arrival{Attempt: attempt, At: time.Now(), Leaving: r.leaving})
+	}
+	return r.leaving
+}
+
 func (r *Replica) begin(run Run) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -20,6 +20,7 @@
 	HeaderNotRun    = "Dandelionrill-Not-Executed"
 	HeaderLastEvent = "Last-Event-Id"
 	HeaderResumes   = "Resumes" // the attempt that brought the first event of the stream
+	HeaderLeaving   = "Server-Leaving"
 	HeaderModel     = "Dandelionrill-Model"
 	HeaderPrompt    = "Dandelionrill-Prompt-Prefix"
 	headerDeadline  = "Dandelionrill-Deadline-Ms"
