soak: upstreams that turn requests away for a time (--faults retry-after)

Cause: a replica that turns a request away may add for how long it wants nothing from that router. Neither the stand-in nor the soak had that.

Change: the stand-in refuses for a time on demand and says how much of it is left. BUDGET for each pair of a router and an upstream: at most two requests arrive between half a second after such an answer and the end of the pause. Only in a phase of its own, in which no router restarts, freezes or is cut off.

--- a/soak/check.go
+++ b/soak/check.go
@@ -33,7 +33,12 @@
 		s.checkOutcome(o, runs[o.attempt])
 	}
 	s.checkDrains()
-	s.checkLeaving(outcomes)
+	byAttempt := make(map[string]*outcome, len(outcomes))
+	for i := range outcomes {
+		byAttempt[outcomes[i].attempt] = &outcomes[i]
+	}
+	s.checkLeaving(byAttempt)
+	s.checkBudget(byAttempt)
 	for _, phase := range s.taking {
 		s.checkTakenUp(phase, outcomes)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,12 +13,13 @@
 
 // The faults that Options.Faults may name.
 const (
-	FaultSilence  = "silence"  // a phase in which upstreams fall silent and go on
-	FaultVersions = "versions" // upstreams of several versions, and callers that take streams up again
-	FaultLeaving  = "leaving"  // upstreams that say in their answers that they leave
+	FaultSilence    = "silence"     // a phase in which upstreams fall silent and go on
+	FaultVersions   = "versions"    // upstreams of several versions, and callers that take streams up again
+	FaultLeaving    = "leaving"     // upstreams that say in their answers that they leave
+	FaultRetryAfter = "retry-after" // upstreams that turn requests away and say for how long
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -33,11 +33,7 @@
 // checkLeaving checks each pair of a router and an upstream: after the router has passed
 // on an answer that says that the upstream leaves, no request that a caller sends more
 // than drainLimit later reaches it from this router in the phase.
-func (s *Soak) checkLeaving(outcomes []outcome) {
-	byAttempt := make(map[string]*outcome, len(outcomes))
-	for i := range outcomes {
-		byAttempt[outcomes[i].attempt] = &outcomes[i]
-	}
+func (s *Soak) checkLeaving(byAttempt map[string]*outcome) {
 	for _, phase := range s.leaving {
 		for _, u := range s.fleet.upstreams {
 			for router, late := range lateArrivals(u, phase, byAttempt) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -44,6 +44,7 @@
 	silent     []period // phases in which upstreams fall silent, but no fault occurs
 	taking     []takingPhase
 	leaving    []period // fault-free phases in which an upstream says in its answers that it leaves
+	refusing   []period // fault-free phases in which upstreams turn requests away for a time
 }
 
 type period struct{ from, to time.Time }
@@ -134,6 +135,10 @@
 			s.logf("round %d: an upstream says in its answers that it leaves", round)
 			s.runLeavingPhase()
 		}
+		if s.opts.Faults.has(FaultRetryAfter) {
+			s.logf("round %d: upstreams turn requests away for a time", round)
+			s.runRefusingPhase()
+		}
 		s.logf("round %d: fault-free phase", round)
 		s.runFaultFreePhase()
 	}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -38,20 +38,22 @@
 type Arrival struct {
 	Attempt string
 	At      time.Time
-	Leaving bool // the answer says that the replica leaves
+	Leaving bool          // the answer says that the replica leaves
+	Wait    time.Duration // the answer says that the replica wants no requests for so long; 0: it does not
 }
 
 // Replica implements http.Handler. Its methods may be called concurrently.
 type Replica struct {
 	opts Options
 
-	mu      sync.Mutex
-	running int
-	full    bool
-	leaving bool
-	runs    []Run
-	arrived []Arrival
-	cached  map[string]cachedPart // prompt parts by identifier
+	mu          sync.Mutex
+	running     int
+	full        bool
+	leaving     bool
+	refuseUntil time.Time // no requests are accepted until then
+	runs        []Run
+	arrived     []Arrival
+	cached      map[string]cachedPart // prompt parts by identifier
 }
 
 // cachedPart is a prompt part in the cache.
@@ -86,6 +88,14 @@
 	r.leaving = leaving
 }
 
+// RefuseFor makes the replica turn all requests away for a time, and say in each answer
+// how much of it is left.
+func (r *Replica) RefuseFor(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refuseUntil = time.Now().Add(d)
+}
+
 // SetFull makes the replica refuse new requests as if all its slots were taken.
 func (r *Replica) SetFull(full bool) {
 	r.mu.Lock()
@@ -132,7 +142,8 @@
 // /stream/ or /resume/ is answered with events, all others with a plain answer.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	attempt := req.Header.Get(wire.HeaderAttempt)
-	if r.arrive(attempt) {
+	arrival := r.arrive(attempt)
+	if arrival.Leaving {
 		w.Header().Set(wire.HeaderLeaving, "1")
 	}
 	if req.URL.Path == wire.CacheListPath {
@@ -148,6 +159,11 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
+	if arrival.Wait > 0 {
+		wire.SetRetryAfter(w.Header(), arrival.Wait)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	lastEvent, _ := strconv.Atoi(req.Header.Get(wire.HeaderLastEvent)) // a missing header means 0
 	if !r.begin(Run{Attempt: attempt, At: time.Now(), Resumed: lastEvent > 0}) {
 		w.Header().Set(wire.HeaderNotRun, "1")
@@ -165,15 +181,17 @@
 	_, _ = io.WriteString(w, Body(attempt)) // fails only if the caller disconnected, which needs no handling
 }
 
-// arrive records a request, unless it is not of a caller's attempt, and reports whether
-// the replica leaves.
-func (r *Replica) arrive(attempt string) (leaving bool) {
+// arrive returns what the answer to a request says of the replica, and records it unless
+// the request is not of a caller's attempt.
+func (r *Replica) arrive(attempt string) Arrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
+	a := Arrival{Attempt: attempt, At: now, Leaving: r.leaving, Wait: max(0, r.refuseUntil.Sub(now))}
 	if attempt != "" {
-		r.arrived = append(r.arrived, Arrival{Attempt: attempt, At: time.Now(), Leaving: r.leaving})
+		r.arrived = append(r.arrived, a)
 	}
-	return r.leaving
+	return a
 }
 
 func (r *Replica) begin(run Run) bool {
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -51,6 +51,13 @@
 	h.Set(HeaderLastEvent, fmt.Sprint(lastEvent))
 }
 
+// SetRetryAfter sets the headers of a replica that turns a request away and wants no
+// further ones for a time.
+func SetRetryAfter(h http.Header, wait time.Duration) {
+	h.Set(HeaderNotRun, "1")
+	h.Set("Retry-After", fmt.Sprintf("%.3f", wait.Seconds()))
+}
+
 // SetPrompt sets the headers for the model and the parts of a request's prompt,
 // each part as ID:TOKENS.
 func SetPrompt(h http.Header, model string, parts ...string) {
