--- a/soak/caller.go
+++ b/soak/caller.go
@@ -11,6 +11,7 @@
 
 	"dandelionrill.example/standin/replica"
 	"dandelionrill.example/standin/wire"
+	"github.com/cockroachdb/errors"
 )
 
 // routePrefixes are the path prefixes of the routes that every configuration version has.
@@ -20,13 +21,24 @@
 type outcome struct {
 	attempt  string
 	route    string
+	path     string        // of the request, below route
+	deadline time.Duration // as sent with the request
+	first    string        // attempt that began the stream; equal to attempt if this one did
+	received int           // events of the stream over all attempts
+	version  string        // of the events received
+	leaveAt  int           // number of events after which the caller leaves the stream; 0: never
 	router   int
 	started  time.Time
+	headAt   time.Time // when the head of the response arrived
 	finished time.Time
-	status   int   // 0 if no response arrived
-	err      error // connection or body read error
+	upstream string // that signed a success
+	status   int    // 0 if no response arrived
+	err      error  // connection or body read error
 }
 
+// errLeft is the outcome of a stream that its caller left.
+var errLeft = errors.New("caller left")
+
 // answered reports whether the caller received a complete response with any
 // status.
 func (o *outcome) answered() bool { return o.status != 0 && o.err == nil }
@@ -42,7 +54,6 @@
 // run sends requests to randomly chosen routes until stop is closed.
 func (c *caller) run(stop <-chan struct{}) {
 	c.client.Transport = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2}
-	c.client.Timeout = callerTimeout + time.Second
 	defer c.client.CloseIdleConnections()
 	for n := 0; ; n++ {
 		select {
@@ -51,37 +62,55 @@
 		case <-time.After(time.Duration(c.random.IntN(60)) * time.Millisecond):
 		}
 		o := outcome{
-			attempt: fmt.Sprintf("s%d-c%d-%d", c.soak.opts.Seed, c.index, n),
-			route:   routePrefixes[c.random.IntN(len(routePrefixes))],
-			router:  (c.index + c.random.IntN(2)) % len(c.soak.fleet.routers),
+			first:    fmt.Sprintf("s%d-c%d-%d", c.soak.opts.Seed, c.index, n),
+			route:    routePrefixes[c.random.IntN(len(routePrefixes))],
+			router:   (c.index + c.random.IntN(2)) % len(c.soak.fleet.routers),
+			path:     "x",
+			deadline: callerTimeout,
+		}
+		o.attempt = o.first
+		if n%2 == 0 && c.soak.slowStreams.Load() && isStream(o.route) {
+			o.path, o.deadline = "slow", slowTimeout
 		}
+		c.leaveLater(&o)
 		c.send(&o)
 		c.soak.record(o)
+		if c.soak.opts.Faults.has(FaultVersions) && o.route == "/resume/" {
+			c.takeUp(&o)
+		}
 	}
 }
 
-// callerTimeout is the deadline that a caller sends with its request. The HTTP
-// client gives up one second later.
-const callerTimeout = 3 * time.Second
+// The deadlines that a caller sends with its requests. The HTTP client gives up one
+// second later.
+const (
+	callerTimeout = 3 * time.Second
+	slowTimeout   = 8 * time.Second // of slow streams
+)
+
+// isStream reports whether requests of the route are answered with events. They list the
+// parts of their prompt in a header.
+func isStream(route string) bool { return route == "/stream/" || route == "/resume/" }
 
 func (c *caller) send(o *outcome) {
 	o.started = time.Now()
 	defer func() { o.finished = time.Now() }()
-	response, err := c.request(o.router, o.route+"x", o.attempt)
+	response, err := c.request(o)
 	if err != nil {
 		o.err = err
 		return
 	}
 	defer response.Body.Close()
-	o.status = response.StatusCode
+	o.status, o.headAt = response.StatusCode, time.Now()
 	if o.status != http.StatusOK {
 		_, o.err = io.Copy(io.Discard, response.Body)
 		return
 	}
-	if signature := response.Header.Get(wire.HeaderSignature); !strings.HasSuffix(signature, "."+o.attempt) {
+	signature, signed := response.Header.Get(wire.HeaderSignature), false
+	if o.upstream, signed = strings.CutSuffix(signature, "."+o.attempt); !signed {
 		c.soak.addViolation("MIXED", o.attempt, "status 200 with an unexpected signature: %q", signature)
 	}
-	if o.route == "/stream/" || o.route == "/resume/" {
+	if isStream(o.route) {
 		o.err = c.readStream(o, response.Body)
 		return
 	}
@@ -96,46 +125,69 @@
 // callers share.
 const documentCount = 8
 
-// declaresPrompt reports whether requests to the path list the parts of their
-// prompt in a header.
-func declaresPrompt(path string) bool {
-	return strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resume/")
-}
-
-func (c *caller) request(router int, path, attempt string) (*http.Response, error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+c.soak.fleet.routers[router].callerAddress+path, strings.NewReader(strings.Repeat("x", 2000)))
+func (c *caller) request(o *outcome) (*http.Response, error) {
+	url := "http://" + c.soak.fleet.routers[o.router].callerAddress + o.route + o.path
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(strings.Repeat("x", 2000)))
 	if err != nil {
 		return nil, err
 	}
 	r.GetBody = nil // keeps net/http from retrying the request on its own
 	r.Host = host
-	wire.SetRequestHeaders(r.Header, attempt, apiKey, callerTimeout)
-	if declaresPrompt(path) {
-		document := int(attempt[len(attempt)-1]) % documentCount
-		wire.SetPrompt(r.Header, "m", "a0:300", fmt.Sprintf("d%d:4000", document), attempt+":100")
+	wire.SetRequestHeaders(r.Header, o.attempt, apiKey, o.deadline)
+	if isStream(o.route) {
+		document := int(o.first[len(o.first)-1]) % documentCount
+		wire.SetPrompt(r.Header, "m", "a0:300", fmt.Sprintf("d%d:4000", document), o.first+":100")
+	}
+	if o.received > 0 {
+		wire.SetResume(r.Header, o.first, o.received)
 	}
-	return c.client.Do(r)
+	client := http.Client{Transport: c.client.Transport, Timeout: o.deadline + time.Second}
+	return client.Do(r)
 }
 
-// readStream checks that the events belong to the attempt and arrive in order,
-// and that a stream that ends without an error has all its events.
+// readStream checks that the events belong to the stream, arrive in order and are of one
+// version over all its attempts, and that a stream that ends without an error has all its
+// events.
 func (c *caller) readStream(o *outcome, body io.Reader) error {
 	reader := bufio.NewReader(body)
-	for n := 1; ; n++ {
-		want := replica.Event(o.attempt, n)
-		got := make([]byte, len(want))
-		if _, err := io.ReadFull(reader, got); err != nil {
-			if err == io.EOF && n <= replica.Events(o.attempt) {
-				c.soak.addViolation("ORDER", o.attempt, "stream ended without an error after %d of %d events", n-1, replica.Events(o.attempt))
-			}
-			if err == io.EOF {
-				return nil
-			}
+	last := replica.Events(o.first)
+	for {
+		event, err := readEvent(reader)
+		if err == io.EOF && event == "" && o.received == last {
+			return nil
+		}
+		if err == io.EOF {
+			c.soak.addViolation("ORDER", o.attempt, "stream ended without an error after %d of %d events", o.received, last)
+			return nil
+		}
+		if err != nil {
 			return err
 		}
-		if n > replica.Events(o.attempt) || string(got) != want {
-			c.soak.addViolation("ORDER", o.attempt, "event %d is unexpected: %q", n, got)
+		version, ok := replica.ReadEvent(event, o.first, o.received+1)
+		if !ok || o.received == last {
+			c.soak.addViolation("ORDER", o.attempt, "event %d is unexpected: %q", o.received+1, event)
 			return nil
 		}
+		if o.received > 0 && version != o.version {
+			c.soak.addViolation("ORDER", o.attempt, "event %d of stream %s is of version %s, those before it are of %s", o.received+1, o.first, version, o.version)
+			return nil
+		}
+		o.received, o.version = o.received+1, version
+		if o.received == o.leaveAt {
+			return errLeft
+		}
+	}
+}
+
+// readEvent reads up to the empty line that ends an event.
+func readEvent(reader *bufio.Reader) (string, error) {
+	var event string
+	for !strings.HasSuffix(event, "\n\n") {
+		line, err := reader.ReadString('\n')
+		event += line
+		if err != nil {
+			return event, err
+		}
 	}
+	return event, nil
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -21,6 +22,7 @@
 // Options sets up a Replica.
 type Options struct {
 	ID            string
+	Version       string        // written into its events; may be empty
 	Slots         int           // concurrent requests; more are refused
 	EventInterval time.Duration // before each event of a stream, and before a plain answer
 }
@@ -32,14 +34,26 @@
 	Resumed bool // continued after events that an earlier run had sent
 }
 
+// Arrival is a request that reached the replica, whether it ran or was refused.
+type Arrival struct {
+	Attempt string
+	At      time.Time
+	Leaving bool          // the answer says that the replica leaves
+	Wait    time.Duration // the answer says that the replica wants no requests for so long; 0: it does not
+}
+
 // Replica implements http.Handler. Its methods may be called concurrently.
 type Replica struct {
 	opts Options
 
-	mu      sync.Mutex
-	running int
-	runs    []Run
-	cached  map[string]cachedPart // prompt parts by identifier
+	mu          sync.Mutex
+	running     int
+	full        bool
+	leaving     bool
+	refuseUntil time.Time // no requests are accepted until then
+	runs        []Run
+	arrived     []Arrival
+	cached      map[string]cachedPart // prompt parts by identifier
 }
 
 // cachedPart is a prompt part in the cache.
@@ -60,6 +74,35 @@
 	return append([]Run(nil), r.runs...)
 }
 
+// Arrivals returns all requests that reached the replica so far, in their order.
+func (r *Replica) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.arrived...)
+}
+
+// SetLeaving makes the replica say in all its answers whether it leaves.
+func (r *Replica) SetLeaving(leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+}
+
+// RefuseFor makes the replica turn all requests away for a time, and say in each answer
+// how much of it is left.
+func (r *Replica) RefuseFor(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refuseUntil = time.Now().Add(d)
+}
+
+// SetFull makes the replica refuse new requests as if all its slots were taken.
+func (r *Replica) SetFull(full bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.full = full
+}
+
 // Body returns the plain answer to an attempt.
 func Body(attempt string) string {
 	sum := sha256.Sum256([]byte(attempt))
@@ -72,19 +115,41 @@
 	return 3 + int(sum[0])%20
 }
 
-// Event returns event n of the stream of an attempt; the first is 1.
-func Event(attempt string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, Body(attempt)[:8], n)
+// Event returns event n of the stream of an attempt, as a replica of the version writes
+// it; the first is 1.
+func Event(attempt, version string, n int) string {
+	if version != "" {
+		version = "@" + version
+	}
+	return fmt.Sprintf("id: %d\ndata: %s-%d%s\n\n", n, Body(attempt)[:8], n, version)
+}
+
+// ReadEvent returns the version of the replica that wrote event n of the stream of an
+// attempt. ok is false if the text is not this event.
+func ReadEvent(text, attempt string, n int) (version string, ok bool) {
+	line := strings.TrimSuffix(text, "\n\n")
+	if _, after, found := strings.Cut(line, "@"); found {
+		version = after
+	}
+	return version, text == Event(attempt, version, n)
 }
 
+// slowFactor lengthens the interval between the events of streams whose path ends in
+// /slow.
+const slowFactor = 5
+
 // ServeHTTP serves the cache list, and runs any other request: a path below
 // /stream/ or /resume/ is answered with events, all others with a plain answer.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	attempt := req.Header.Get(wire.HeaderAttempt)
+	arrival := r.arrive(attempt)
+	if arrival.Leaving {
+		w.Header().Set(wire.HeaderLeaving, "1")
+	}
 	if req.URL.Path == wire.CacheListPath {
 		r.listCache(w)
 		return
 	}
-	attempt := req.Header.Get(wire.HeaderAttempt)
 	w.Header().Set(wire.HeaderAttempt, attempt)
 	w.Header().Set(wire.HeaderReplica, r.opts.ID)
 	if expected := req.Header.Get(wire.HeaderExpected); expected != "" && expected != r.opts.ID {
@@ -94,6 +159,11 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
+	if arrival.Wait > 0 {
+		wire.SetRetryAfter(w.Header(), arrival.Wait)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	lastEvent, _ := strconv.Atoi(req.Header.Get(wire.HeaderLastEvent)) // a missing header means 0
 	if !r.begin(Run{Attempt: attempt, At: time.Now(), Resumed: lastEvent > 0}) {
 		w.Header().Set(wire.HeaderNotRun, "1")
@@ -104,17 +174,30 @@
 	r.cachePrompt(req.Header.Get(wire.HeaderModel), req.Header.Get(wire.HeaderPrompt))
 	w.Header().Set(wire.HeaderSignature, r.opts.ID+"."+attempt)
 	if len(req.URL.Path) > 8 && (req.URL.Path[:8] == "/stream/" || req.URL.Path[:8] == "/resume/") {
-		r.stream(w, req, attempt, lastEvent)
+		r.stream(w, req, cmp.Or(req.Header.Get(wire.HeaderResumes), attempt), lastEvent)
 		return
 	}
 	time.Sleep(r.opts.EventInterval)
 	_, _ = io.WriteString(w, Body(attempt)) // fails only if the caller disconnected, which needs no handling
 }
 
+// arrive returns what the answer to a request says of the replica, and records it unless
+// the request is not of a caller's attempt.
+func (r *Replica) arrive(attempt string) Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	a := Arrival{Attempt: attempt, At: now, Leaving: r.leaving, Wait: max(0, r.refuseUntil.Sub(now))}
+	if attempt != "" {
+		r.arrived = append(r.arrived, a)
+	}
+	return a
+}
+
 func (r *Replica) begin(run Run) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running >= r.opts.Slots {
+	if r.full || r.running >= r.opts.Slots {
 		return false
 	}
 	r.running++
@@ -128,16 +211,21 @@
 	r.running--
 }
 
+// stream sends the events after lastEvent of the stream that the attempt began.
 func (r *Replica) stream(w http.ResponseWriter, req *http.Request, attempt string, lastEvent int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
+	interval := r.opts.EventInterval
+	if strings.HasSuffix(req.URL.Path, "/slow") {
+		interval *= slowFactor
+	}
 	for n := lastEvent + 1; n <= Events(attempt); n++ {
 		select {
 		case <-req.Context().Done():
 			return
-		case <-time.After(r.opts.EventInterval):
+		case <-time.After(interval):
 		}
-		_, _ = io.WriteString(w, Event(attempt, n)) // a caller that disconnected ends the context
+		_, _ = io.WriteString(w, Event(attempt, r.opts.Version, n)) // a caller that disconnected ends the context
 		_ = flusher.Flush()
 	}
 }
