gateway: drop a failure answer only if there is an upstream to retry at

A 5xx answer of an upstream was dropped for a retry as soon as route and budget allowed one; without another upstream to choose, the caller got the router's 502 in its place. The same class of fault as the requests taken from silent upstreams. The test got 502 before and passes now.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -226,6 +226,9 @@
 	if !req.route.Repeatable() || a.sent+1 >= req.route.MaxAttempts {
 		return false
 	}
+	if _, ok := g.choose(req, a); !ok {
+		return false
+	}
 	a.retryReserved = g.withdrawRetry(req.service)
 	return a.retryReserved
 }
--- a/gateway/failing_upstream_test.go
+++ b/gateway/failing_upstream_test.go
@@ -60,3 +60,20 @@
 		})
 	}
 }
+
+// A failure answer may only be dropped for a retry if there is an upstream to retry at.
+// Otherwise the caller would get an error of the router instead of the upstream's answer.
+func TestFailureAnswerIsDeliveredWithoutAnUpstreamToRetryAt(t *testing.T) {
+	failing := newReplica(t, "i-1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(signature, "sig")
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	leaving := newReplica(t, "i-2", answering("ok"))
+	f := newFixture(t, failing)
+	second := leaving.upstream()
+	second.State = catalog.StateLeaving
+	f.gateway.SetCatalog(catalog.New(2, []catalog.Upstream{failing.upstream(), second}))
+	response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/safe/", "{}"))
+	must.Eq(t, http.StatusInternalServerError, response.StatusCode)
+	must.Eq(t, "sig", response.Header.Get(signature))
+}
