gateway: take the only version of a service from a confirmed list alone

A router that is cut off from the store and the others lists the versions of before; a stream that another router began at a newer one would have gone on at the old one, as the only version known. Such a list says nothing now: the version is asked for, and the request refused if it stays unknown.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -110,6 +110,7 @@
 	gateway          *gateway.Gateway
 	server           *httptest.Server
 	configurationAge atomic.Int64 // in nanoseconds
+	upstreamsAge     atomic.Int64 // in nanoseconds
 	lookUp           func(attempt uint64) (uint32, bool)
 }
 
@@ -146,7 +147,7 @@
 			}
 			return f.lookUp(attempt)
 		},
-		ConfirmationAges: func() (time.Duration, time.Duration) { return time.Duration(f.configurationAge.Load()), 0 },
+		ConfirmationAges: func() (time.Duration, time.Duration) { return time.Duration(f.configurationAge.Load()), time.Duration(f.upstreamsAge.Load()) },
 		Policy: gateway.Policy{
 			Prompt: place.PromptOptions{Multiple: 2, Slack: 4}, Least: place.LeastOptions{RemoteCost: 1, FailureCost: 20}, RetryRatio: 0.1, RetryExtra: 20,
 			Eject: eject.Options{Base: time.Millisecond, MaxEjectedShare: 0.5},
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -71,7 +71,7 @@
 			return sum, resumedKnown
 		}
 	}
-	if sum, ok := g.versions.Only(req.service, g.catalog.Load().Service(req.service)); ok {
+	if sum, ok := g.onlyVersion(req.service); ok {
 		return sum, resumedOnlyVersion
 	}
 	if req.Resumes != "" {
@@ -82,6 +82,15 @@
 	return 0, resumedUnknown
 }
 
+// onlyVersion returns the version of a service if it has only one. A router whose list of
+// upstreams was not confirmed recently may have missed another one.
+func (g *Gateway) onlyVersion(service string) (sum uint32, ok bool) {
+	if _, age := g.opts.ConfirmationAges(); age > maxConfirmationAge {
+		return 0, false
+	}
+	return g.versions.Only(service, g.catalog.Load().Service(service))
+}
+
 // awaitVersion waits until the record of a stream arrives, and asks other routers for it.
 func (g *Gateway) awaitVersion(ctx context.Context, attempt uint64) (sum uint32, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, streamWait)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -152,7 +152,8 @@
 }
 
 // maxConfirmationAge is the age of the last confirmation up to which the
-// configuration in force may be used to deny a request.
+// configuration in force may be used to deny a request, and the list of upstreams to
+// tell that a service has no other version.
 const maxConfirmationAge = 2500 * time.Millisecond
 
 // deny returns the end of a request that the configuration does not allow. If the
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -211,3 +211,13 @@
 	}
 	must.Eq(t, 0, first.runs.Load())
 }
+
+// A router that is cut off lists one version, while others may have begun the stream at a
+// newer one.
+func TestStreamVersionIsNotTakenFromAnUnconfirmedList(t *testing.T) {
+	only := newVersion(t, "i-1", "v1", breaking)
+	f := newFixture(t, only)
+	f.upstreamsAge.Store(int64(time.Minute))
+	f.refused(t, f.newResumable(t, "b", "unknown"))
+	must.Eq(t, 0, only.runs.Load())
+}
