--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -147,7 +147,9 @@
 			}
 			return f.lookUp(attempt)
 		},
-		ConfirmationAges: func() (time.Duration, time.Duration) { return time.Duration(f.configurationAge.Load()), time.Duration(f.upstreamsAge.Load()) },
+		ConfirmationAges: func() (time.Duration, time.Duration) {
+			return time.Duration(f.configurationAge.Load()), time.Duration(f.upstreamsAge.Load())
+		},
 		Policy: gateway.Policy{
 			Prompt: place.PromptOptions{Multiple: 2, Slack: 4}, Least: place.LeastOptions{RemoteCost: 1, FailureCost: 20}, RetryRatio: 0.1, RetryExtra: 20,
 			Eject: eject.Options{Base: time.Millisecond, MaxEjectedShare: 0.5},
