gateway: a failing test for a version guessed before others are asked

Cause: findVersion takes the only version of the own list before it asks other routers. The list of a router that lags, or the history of one that has just started, may lack the version that began the stream.

--- /dev/null
+++ b/gateway/resume_only_test.go
@@ -0,0 +1,23 @@
+package gateway_test
+
+import (
+	"testing"
+
+	"dandelionrill.example/fleet/gateway"
+	"github.com/shoenig/test/must"
+)
+
+// A router that has just started, or whose list lags, lists one version only, while other
+// routers know that the stream began at another one. What they know must come before the
+// guess; otherwise the stream goes on at a second version.
+func TestOnlyVersionDoesNotPrecedeWhatOtherRoutersKnow(t *testing.T) {
+	began := newFixture(t, newVersion(t, "i-1", "v1", breaking))
+	began.cut(t, began.newResumable(t, "a", ""))
+	made, _ := began.gateway.Streams().StreamsSince(0, gateway.OriginOwn, 1)
+	must.Len(t, 1, made)
+	listed := newVersion(t, "i-2", "v2", breaking)
+	f := newFixture(t, listed)
+	f.lookUp = func(uint64) (uint32, bool) { return made[0].Version, true }
+	f.refused(t, f.newResumable(t, "b", "a"))
+	must.Eq(t, 0, listed.runs.Load())
+}
