--- /dev/null
+++ b/gateway/export_test.go
@@ -0,0 +1,15 @@
+package gateway
+
+import "time"
+
+// AgeStreams makes all records of streams and of listed versions older.
+func (g *Gateway) AgeStreams(d time.Duration) {
+	g.streams.start = g.streams.start.Add(-d)
+	g.versions.mu.Lock()
+	defer g.versions.mu.Unlock()
+	for _, versions := range g.versions.listed {
+		for sum, at := range versions {
+			versions[sum] = at.Add(-d)
+		}
+	}
+}
