--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -120,6 +120,9 @@
 		}
 	}
 	req.service = req.route.Service(req.AttemptID)
+	if req.takesUp() && req.Resumes != "" {
+		req.service = req.route.Service(req.Resumes)
+	}
 	req.deadline = req.arrived.Add(requestTimeout(req.Meta.Deadline, req.route.Timeout))
 	req.parts, req.prompt = sharedParts(&req.Meta)
 	if g.exceedsDrainTime(req) {
