gateway: ask other routers before the only version is taken for a stream

A router that has just started, or whose list lags, lists one version; a stream that another router began at a second one went on at the first, although that router knew better. The others are asked first now (no longer than they take to answer, 300 ms at most), a lookup waits for its turn instead of giving up while 32 are in progress, and the versions of a new list are recorded before the list is used.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -162,8 +162,9 @@
 
 // SetCatalog replaces the list of upstreams for requests that arrive from now on.
 func (g *Gateway) SetCatalog(c *catalog.Catalog) {
-	previous := g.catalog.Swap(c)
-	g.versions.Update(previous, c)
+	previous := g.catalog.Load()
+	g.versions.Update(previous, c) // before the list is used without a version that has left
+	g.catalog.Store(c)
 	g.markConfigured()
 	g.logListedLeaving(previous, c)
 	listed := func(key catalog.Key) bool {
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -71,14 +71,15 @@
 			return sum, resumedKnown
 		}
 	}
-	if sum, ok := g.onlyVersion(req.service); ok {
-		return sum, resumedOnlyVersion
-	}
+	only, hasOnly := g.onlyVersion(req.service)
 	if req.Resumes != "" {
-		if sum, known := g.awaitVersion(ctx, req.streamKey()); known {
+		if sum, known := g.awaitVersion(ctx, req.streamKey(), hasOnly); known {
 			return sum, resumedAwaited
 		}
 	}
+	if hasOnly {
+		return only, resumedOnlyVersion
+	}
 	return 0, resumedUnknown
 }
 
@@ -92,13 +93,16 @@
 }
 
 // awaitVersion waits until the record of a stream arrives, and asks other routers for it.
-func (g *Gateway) awaitVersion(ctx context.Context, attempt uint64) (sum uint32, known bool) {
+// If untilAsked is true, it waits no longer than for their answers.
+func (g *Gateway) awaitVersion(ctx context.Context, attempt uint64, untilAsked bool) (sum uint32, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, streamWait)
 	defer cancel()
 	found := make(chan uint32, 1)
 	go func() {
 		if sum, known := g.opts.LookUpStream(ctx, attempt); known {
 			found <- sum
+		} else if untilAsked {
+			cancel()
 		}
 	}()
 	ticker := time.NewTicker(streamPollInterval)
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -70,12 +70,12 @@
 
 // LookUpStream asks the responsive peers with which this router exchanges reports for
 // the version that began a stream. It returns with the first that knows, and otherwise
-// when all have answered or ctx ends. It does not ask if maxLookups are in progress.
+// when all have answered or ctx ends. It waits while maxLookups are in progress.
 func (m *Mesh) LookUpStream(ctx context.Context, attempt uint64) (version uint32, known bool) {
 	select {
 	case m.lookups <- struct{}{}:
 		defer func() { <-m.lookups }()
-	default:
+	case <-ctx.Done():
 		return 0, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
