gateway: renew the record of a stream while it is delivered

The record of the version that began a stream was made at its first event only and expired a minute later, so that a longer stream could not be taken up, or went on at another version if that was the only one listed. It is renewed with the events now, from a quarter of its life on.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -153,6 +153,8 @@
 		g.writeHead(w, req, s.response)
 		g.bindVersion(req, s.target.upstream)
 		req.firstByte = time.Since(req.arrived)
+	} else {
+		g.renewStream(req, s.target.upstream)
 	}
 	_, _ = w.Write(ready) // a caller that disconnected is noticed through the context
 }
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -44,6 +44,11 @@
 // delivered, and records it for the caller's further attempts.
 func (g *Gateway) bindVersion(req *request, u *catalog.Upstream) {
 	req.version = boundVersion{sum: u.VersionSum, bound: true}
+	g.renewStream(req, u)
+}
+
+// renewStream renews the record of a stream of which events were delivered.
+func (g *Gateway) renewStream(req *request, u *catalog.Upstream) {
 	if req.resumable() {
 		g.streams.Record(Stream{Attempt: req.streamKey(), Version: u.VersionSum}, OriginOwn)
 	}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -74,7 +74,7 @@
 }
 
 // Record records the version of a stream; a version that is already known stays. A
-// record that is new, or has reached half of streamMaxAge, is retained for other routers.
+// record that is new, or has reached a quarter of streamMaxAge, is retained for other routers.
 func (s *Streams) Record(stream Stream, origin Origin) {
 	now := time.Since(s.start)
 	if !s.shards[stream.Attempt%streamShards].use(&stream, now) {
@@ -100,7 +100,7 @@
 	record, known := s.records[stream.Attempt]
 	if known {
 		stream.Version = record.version
-		if now-record.used < streamMaxAge/2 {
+		if now-record.used < streamMaxAge/4 {
 			return false
 		}
 	}
