--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -116,14 +116,18 @@
 			return e, failure, result
 		}
 	}
-	if !watch.proceed() {
-		s.response.Close(false)
-		return g.superseded(req, s)
-	}
 	if !opened {
 		if e, failure, result := g.screen(req, s); failure != 0 {
 			return e, failure, result
 		}
+		if s.response.Status >= http.StatusInternalServerError && watch.hasStandby() {
+			s.drain()
+			return failed(http.StatusBadGateway, "upstream failed"), retry.FailureMayHaveRun, resultUpstreamFailure
+		}
+	}
+	if !watch.proceed() {
+		s.response.Close(false)
+		return g.superseded(req, s)
 	}
 	response := s.response
 	switch {
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -17,8 +17,8 @@
 	// for a standby attempt, when none could be made.
 	standbyInterval = 100 * time.Millisecond
 	// standbyLimit is how long a standby attempt may take until it has something to
-	// deliver: both upstreams may be working on the request meanwhile. It leaves time to
-	// read a long prompt.
+	// deliver, if another one can be made: both upstreams may be working on the request
+	// meanwhile. It leaves time to read a long prompt.
 	standbyLimit = 1500 * time.Millisecond
 )
 
@@ -97,9 +97,7 @@
 	case phaseStopped, phaseSuperseded:
 		return
 	case phaseStandby:
-		if time.Since(w.standby.start) >= standbyLimit && w.canReplaceStandby() {
-			w.standby.cancel(errNotNeeded)
-		}
+		w.limitStandby()
 		w.timer.Reset(standbyInterval)
 		return
 	}
@@ -116,10 +114,23 @@
 	}
 }
 
-// canReplaceStandby reports whether the standby attempt can be given up: the first send
-// is still open, or yet another attempt is allowed. w.mu must be held.
-func (w *standbyWatch) canReplaceStandby() bool {
-	return !w.failed || w.attempts.sent+2 < w.req.route.MaxAttempts
+// limitStandby ends one of the two attempts if the standby attempt takes too long: after
+// standbyLimit that attempt, if yet another one can be made in its place, and otherwise
+// after twice that time the first one. w.mu must be held.
+func (w *standbyWatch) limitStandby() {
+	took := time.Since(w.standby.start)
+	if took < standbyLimit {
+		return
+	}
+	if w.attempts.sent+2 < w.req.route.MaxAttempts {
+		if _, ok := w.gateway.choose(w.req, w.attempts); ok {
+			w.standby.cancel(errNotNeeded)
+			return
+		}
+	}
+	if !w.failed && took >= 2*standbyLimit {
+		w.send.cancel(errSuperseded)
+	}
 }
 
 // start starts a standby attempt, if another upstream can be chosen and the limits of
@@ -220,6 +231,13 @@
 	return nil
 }
 
+// hasStandby reports whether a standby attempt is in progress or has taken over.
+func (w *standbyWatch) hasStandby() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.phase == phaseStandby || w.phase == phaseSuperseded
+}
+
 // wait tells the watch that the request waits for bytes from now on.
 func (w *standbyWatch) wait() {
 	w.mu.Lock()
