gateway: tell the caller of a held-back stream when its version takes requests

A stream that can go on only at upstreams which all hold the router back was refused with a Retry-After of 0.1 s; the time of the other versions' upstreams does not count for it. The test got 0.1 before and 20 s and more now. The two conditions on an open send in exchange are one.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -71,7 +71,7 @@
 		return failed(http.StatusBadGateway, "no other upstream to try")
 	}
 	if req.version.bound {
-		return g.versionGone()
+		return g.versionGone(req)
 	}
 	return g.refuse(req, "no upstream of the service is available", retryAfterUnknown)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -110,13 +110,10 @@
 
 // exchange sends the request, unless the send is already open, and acts on the answer.
 func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, req *request, s *send, a *attempts, watch *standbyWatch) (end, retry.Failure, string) {
-	opened := s.response != nil
-	if !opened {
+	if s.response == nil {
 		if e, failure, result := g.open(ctx, req, s); failure != 0 || e.kind != 0 {
 			return e, failure, result
 		}
-	}
-	if !opened {
 		if e, failure, result := g.screen(req, s); failure != 0 {
 			return e, failure, result
 		}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -38,11 +38,11 @@
 	}
 }
 
-// holdEnd returns the time until the first upstream of a service accepts requests of this
-// router again, if all that are not leaving hold it back.
-func (g *Gateway) holdEnd(service string) (left time.Duration, held bool) {
-	for _, u := range g.catalog.Load().Service(service) {
-		if g.isLeaving(u) {
+// holdEnd returns the time until the first upstream that can take the request accepts
+// requests of this router again, if all that are not leaving hold it back.
+func (g *Gateway) holdEnd(req *request) (left time.Duration, held bool) {
+	for _, u := range g.catalog.Load().Service(req.service) {
+		if g.isLeaving(u) || req.version.excludes(u) {
 			continue
 		}
 		status := g.board.Status(u.Key())
@@ -60,7 +60,7 @@
 // service hold this router back, the caller is told to return after the first of them
 // accepts requests again; these returns are spread. Otherwise retryAfter applies.
 func (g *Gateway) refuse(req *request, reason string, retryAfter time.Duration) end {
-	if left, held := g.holdEnd(req.service); held {
+	if left, held := g.holdEnd(req); held {
 		return refused("all upstreams of the service ask for no requests for a time", left+rand.N(max(left/2, minHoldSpread)))
 	}
 	return refused(reason, retryAfter)
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -64,3 +64,16 @@
 	f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
 	must.Eq(t, 2, busy.runs.Load())
 }
+
+// A stream that is taken up can go on only at upstreams of its version. If all of these hold
+// the router back, its caller must not be told to return before the first of them accepts
+// requests again.
+func TestCallerOfAStreamIsToldWhenItsVersionAcceptsRequests(t *testing.T) {
+	busy := newReplica(t, "i-busy", refusingFor("20"))
+	f := newFixture(t, busy)
+	response, _ := f.do(t, f.newResumable(t, "b", "a"))
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	must.Between(t, 10, seconds, 40)
+}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -128,7 +128,7 @@
 
 // versionGone returns the end of a request that takes up a stream whose version has no
 // upstream to choose.
-func (g *Gateway) versionGone() end {
+func (g *Gateway) versionGone(req *request) end {
 	g.metrics.resumed.Add(resumedVersionGone, 1)
-	return refused("no upstream of the version that began the stream is available", retryAfterShort)
+	return g.refuse(req, "no upstream of the version that began the stream is available", retryAfterShort)
 }
