gossip: take small contents from a peer after 250 ms without the store's answer

Cause: a router that a peer tells of newer content reads it from the store if the peer listed it, since no changes are kept over a list. While watches hear nothing that read is given up after 600 ms only, and then the whole content is fetched from the peer.

Change: contents of up to 32 KB are fetched from the peer after 250 ms, larger ones after 600 ms as before.

The test has a store that answers no watch and a storeTimeout of an hour.

--- a/gossip/catchup.go
+++ b/gossip/catchup.go
@@ -7,6 +7,18 @@
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/store"
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// storeTimeout is how long a router that is behind waits for the store before
+	// it fetches the whole content from the peer: hosts have links of low
+	// bandwidth, the store does not.
+	storeTimeout = 600 * time.Millisecond
+	// smallContentDelay is the same for contents of up to maxSmallContentBytes. A store
+	// that is not slow has answered by then.
+	smallContentDelay    = 250 * time.Millisecond
+	maxSmallContentBytes = 32 << 10
 )
 
 // kindsBehind returns the kinds that this router should catch up on with the
@@ -40,9 +52,10 @@
 
 // catchUp brings a kind up to date: with the peer's changes if they are small,
 // otherwise from the store, and with the peer's whole content if the store is
-// lost, fails, or does not answer within storeTimeout. Content of a new era of the
-// store is fetched from the peer first, unless it is large. While one call is doing
-// so for a kind, other calls for that kind return immediately.
+// lost, fails, or does not answer within storeTimeout, or smallContentDelay if the
+// content is small. Content of a new era of the store is fetched from the peer first,
+// unless it is large. While one call is doing so for a kind, other calls for that kind
+// return immediately.
 func (m *Mesh) catchUp(ctx context.Context, client *link.Client, kind int) {
 	if !m.catchingUp[kind].CompareAndSwap(false, true) {
 		return
@@ -59,18 +72,33 @@
 		m.fetchContent(ctx, client, kind, 0)
 		return
 	}
-	done := make(chan error, 1)
-	go func() { done <- f.Refresh(ctx) }()
-	timer := time.NewTimer(storeTimeout)
-	defer timer.Stop()
-	select {
-	case err := <-done:
-		if err == nil {
+	refreshed := make(chan error, 1)
+	go func() { refreshed <- f.Refresh(ctx) }()
+	err := awaitRefresh(refreshed, smallContentDelay)
+	if errors.Is(err, errNotRefreshed) {
+		if m.fetchContent(ctx, client, kind, maxSmallContentBytes) {
 			return
 		}
+		err = awaitRefresh(refreshed, m.storeTimeout-smallContentDelay)
+	}
+	if err != nil {
+		m.fetchContent(ctx, client, kind, 0)
+	}
+}
+
+// errNotRefreshed means that the store has not answered in time.
+var errNotRefreshed = errors.New("not refreshed from the store in time")
+
+// awaitRefresh returns the result of a refresh, or errNotRefreshed after limit.
+func awaitRefresh(refreshed <-chan error, limit time.Duration) error {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case err := <-refreshed:
+		return err
 	case <-timer.C:
+		return errNotRefreshed
 	}
-	m.fetchContent(ctx, client, kind, 0)
 }
 
 // fetchChanges fetches the changes of a kind from a peer and applies them. It
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -48,10 +48,6 @@
 	// heldGracePeriod is how long a router leaves a newer version that others have in
 	// force to its own feed, which has the content some time before it is in force.
 	heldGracePeriod = 500 * time.Millisecond
-	// storeTimeout is how long a router that is behind waits for the store before
-	// it fetches the whole content from the peer: hosts have links of low
-	// bandwidth, the store does not.
-	storeTimeout = 600 * time.Millisecond
 	// announceSpacing is the time between two calls within a round of
 	// announcements of newer content.
 	announceSpacing = 10 * time.Millisecond
@@ -154,6 +150,7 @@
 	isWatcher     atomic.Bool
 	key           uint64        // order among the routers
 	catchingUp    []atomic.Bool // by kind: whether a catchUp is in progress
+	storeTimeout  time.Duration // of a catchUp
 	fetchingHeld  atomic.Bool   // whether a fetchHeld is in progress
 	announcements chan struct{}
 	lookups       chan struct{} // holds an element for each lookup in progress
@@ -204,6 +201,7 @@
 	}
 	m := &Mesh{opts: opts, key: place.Key(opts.Address), seeds: opts.Seeds, peers: make(map[string]*peer), announcements: make(chan struct{}, 1)}
 	m.lookups = make(chan struct{}, maxLookups)
+	m.storeTimeout = storeTimeout
 	m.catchingUp = make([]atomic.Bool, len(opts.Feeds))
 	m.clients = link.NewPool(link.ClientOptions{
 		PrivateNetwork:    true,
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -31,6 +31,14 @@
 	return 0, store.ErrUnavailable
 }
 
+// silentStore is a store that answers no call.
+type silentStore struct{ unavailableStore }
+
+func (silentStore) WatchKind(ctx context.Context, _ string, _ store.Position, _ time.Duration) ([]store.Change, store.Position, error) {
+	<-ctx.Done()
+	return nil, store.Position{}, ctx.Err()
+}
+
 type router struct {
 	mesh    *Mesh
 	feed    *feed.Feed
@@ -51,6 +59,12 @@
 // newRouter returns a router of a fleet whose store is unavailable, without calls of its
 // own. Its feed is not run, so its content comes only from its peers.
 func newRouter(t *testing.T, name string, seeds ...string) *router {
+	t.Helper()
+	return newRouterOf(t, unavailableStore{}, name, seeds...)
+}
+
+// newRouterOf is newRouter for another store.
+func newRouterOf(t *testing.T, source store.Collections, name string, seeds ...string) *router {
 	t.Helper()
 	logger := &log.Logger{Handler: discard.New()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -60,7 +74,7 @@
 		address: listener.Addr().String(), changed: make(chan feed.Snapshot, 16), leaving: make(chan catalog.Key, 16),
 	}
 	r.feed = feed.New(feed.Options{
-		Kind: "things", Source: unavailableStore{}, Log: logger,
+		Kind: "things", Source: source, Log: logger,
 		Changed: func(s feed.Snapshot) { r.changed <- s },
 	})
 	r.mesh, err = New(Options{
@@ -92,6 +106,13 @@
 func startRouter(t *testing.T, name string, seeds ...string) *router {
 	t.Helper()
 	r := newRouter(t, name, seeds...)
+	r.run(t)
+	return r
+}
+
+// run runs the mesh until the test ends.
+func (r *router) run(t *testing.T) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ran := make(chan struct{})
 	go func() {
@@ -102,7 +123,6 @@
 		cancel()
 		<-ran
 	})
-	return r
 }
 
 func snapshot(revision uint64) feed.Snapshot {
@@ -123,6 +143,21 @@
 	must.Eq(t, 9, second.feed.Stamp().Revision)
 }
 
+// A router behind a peer must not wait for a silent store until storeTimeout if the
+// peer's content is small: an upstream that leaves would get requests for that long.
+func TestSmallContentOfAPeerDoesNotAwaitTheStore(t *testing.T) {
+	first := startRouter(t, "r1")
+	second := newRouterOf(t, silentStore{}, "r2", first.address)
+	second.mesh.storeTimeout = time.Hour
+	for _, r := range []*router{first, second} {
+		must.True(t, r.feed.Adopt(snapshot(7), feed.Stamp{}))
+	}
+	must.Eq(t, 7, (<-second.changed).Revision)
+	must.True(t, first.feed.Adopt(snapshot(9), feed.Stamp{})) // no changes are kept
+	second.run(t)
+	must.Eq(t, 9, (<-second.changed).Revision)
+}
+
 func TestLoadsAndPlacementsPropagate(t *testing.T) {
 	first := startRouter(t, "r1")
 	second := startRouter(t, "r2", first.address)
