gateway: log how the end of an upstream's answer was found

Two routers ended a broken answer as whole, and their lines could not tell an answer that ends with its connection from one with a length or chunks, nor whether an event was incomplete at the end. sends now holds framing, and partial_event where bytes of an event were left.

go test ./gateway ./forward: ok.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -248,9 +248,12 @@
 }
 
 func TestTruncatedBodyIsAnError(t *testing.T) {
-	for _, c := range []struct{ name, answer string }{
-		{"length", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 9\r\n\r\nhalf"},
-		{"chunks", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+	for _, c := range []struct {
+		name, answer string
+		framing      Framing
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", FramingLength},
+		{"chunks", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", FramingChunked},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			u := serve(t, func(_ *upstream, conn net.Conn, reader *bufio.Reader) {
@@ -260,6 +263,7 @@
 			})
 			response, err := newPool().Send(context.Background(), u.listener.Addr().String(), request("1"))
 			must.NoError(t, err)
+			must.Eq(t, c.framing, response.Framing)
 			body, err := io.ReadAll(response)
 			must.ErrorIs(t, err, io.ErrUnexpectedEOF)
 			must.Eq(t, "half", string(body))
@@ -287,6 +291,7 @@
 			continue
 		}
 		must.NoError(t, err)
+		must.Eq(t, FramingClose, response.Framing)
 		body, err := io.ReadAll(response)
 		if reset {
 			must.Error(t, err)
--- a/forward/send.go
+++ b/forward/send.go
@@ -28,11 +28,44 @@
 	MaxConnections int
 }
 
+// Framing is how the end of an answer's body is found.
+type Framing uint8
+
+// The framings of RFC 9112, section 6.
+const (
+	FramingLength  Framing = iota + 1 // by a length
+	FramingChunked                    // by the last chunk
+	FramingClose                      // by the end of the connection: a body that broke off may look complete
+)
+
+// String returns the framing's name as it appears in logs.
+func (f Framing) String() string {
+	switch f {
+	case FramingLength:
+		return "length"
+	case FramingChunked:
+		return "chunked"
+	}
+	return "close"
+}
+
+// framing returns the framing of an answer.
+func framing(head *http.Response) Framing {
+	switch {
+	case len(head.TransferEncoding) > 0:
+		return FramingChunked
+	case head.ContentLength >= 0:
+		return FramingLength
+	}
+	return FramingClose
+}
+
 // Response is the answer of an upstream. It must be closed.
 type Response struct {
-	Status int
-	Header http.Header
-	Length int64 // of the body; -1 if unknown
+	Status  int
+	Header  http.Header
+	Length  int64 // of the body; -1 if unknown
+	Framing Framing
 
 	body io.ReadCloser
 	conn *conn
@@ -104,7 +137,7 @@
 			return nil, err
 		}
 		response := &Response{
-			Status: head.StatusCode, Header: head.Header, Length: head.ContentLength,
+			Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Framing: framing(head),
 			body: head.Body, conn: ex.conn, ex: ex,
 		}
 		if ex.pool.opts.Matches(r, response) {
@@ -114,7 +147,7 @@
 			}
 			return response, nil
 		}
-		if head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
+		if response.Framing == FramingClose {
 			return nil, ErrAnswerMismatch
 		}
 		if _, err := io.Copy(io.Discard, head.Body); err != nil {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -150,6 +150,7 @@
 	}
 	g.recordActivity(s.key())
 	s.response, s.body = response, response
+	s.record.framing = response.Framing
 	return end{}, 0, ""
 }
 
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -69,7 +69,8 @@
 // describeSends formats the sends of a request: upstream, its software version, its
 // load when it was chosen, how many of the prompt's shared parts it had cached, its failure rate in
 // excess of its pool's, the upstream from which more of the prompt was fetched,
-// result, and duration.
+// how the end of the answer was found, the bytes of an incomplete event there, result,
+// and duration.
 func describeSends(sends []sendRecord, parts int) string {
 	var b strings.Builder
 	for i, s := range sends {
@@ -93,6 +94,12 @@
 		if s.standby {
 			b.WriteString(" standby")
 		}
+		if s.framing != 0 {
+			b.WriteString(" framing=" + s.framing.String())
+		}
+		if s.partialEvent > 0 {
+			fmt.Fprintf(&b, " partial_event=%d", s.partialEvent)
+		}
 		fmt.Fprintf(&b, " %s %dms", s.result, s.took.Milliseconds())
 	}
 	return b.String()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -130,6 +130,9 @@
 				}
 			}
 		}
+		if err != nil {
+			s.record.partialEvent = len(events.partial)
+		}
 		switch {
 		case err == io.EOF:
 			if !req.headWritten {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"dandelionrill.example/fleet/decide/admit"
 	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/forward"
 	"dandelionrill.example/fleet/routing"
 	"github.com/cockroachdb/errors"
 )
@@ -56,7 +57,9 @@
 	cachedParts   int     // leading shared parts of the prompt that it was known to have cached
 	failureExcess float64 // failure rate in excess of its pool's
 	fetchSource   string
-	standby       bool // made while another upstream was silent
+	standby       bool            // made while another upstream was silent
+	framing       forward.Framing // of the answer; 0 if there was none
+	partialEvent  int             // bytes of an incomplete event at the end of a stream
 	result        string
 	took          time.Duration
 }
