gateway: treat a stream that ends inside an event as broken off

Cause: the end of an upstream's body was taken as the end of the stream. A body without a length or chunks ends with its connection, so an engine that closes in order while it breaks off looks like one that is done; the router passed the incomplete event on and ended its own answer with the last chunk. Class: an end that proves nothing taken as a proof of completeness.

Fix: the body of a stream answer is read through eventStream, which turns an end inside an event into an error, at the one place that the request, its standby attempts and their read-ahead share. It then counts as broken off like a reset: continued elsewhere or cut, and recorded as the upstream's failure. A close-delimited stream without any event is one too. Ends of events are found for LF, CR and CR LF lines; before, a stream with CR LF was held back whole until its end and would now look incomplete.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,7 +34,7 @@
 // deliver delivers the answer to the caller.
 func (g *Gateway) deliver(ctx context.Context, w http.ResponseWriter, req *request, s *send, watch *standbyWatch) (end, retry.Failure, string) {
 	body := answerReader{g, s, watch}
-	if req.route.IsStream() && s.response.Status < http.StatusMultipleChoices {
+	if s.events != nil {
 		return g.deliverStream(ctx, w, req, s, body)
 	}
 	return g.deliverBuffered(ctx, w, req, s, body)
@@ -138,7 +138,6 @@
 			if !req.headWritten {
 				g.writeHead(w, req, r)
 			}
-			_, _ = w.Write(events.remainder())
 			r.Close(true)
 			return end{kind: endAnswered}, 0, resultAnswered
 		case err != nil:
@@ -161,50 +160,3 @@
 	}
 	_, _ = w.Write(ready) // a caller that disconnected is noticed through the context
 }
-
-// eventBuffer splits a stream at event boundaries.
-type eventBuffer struct {
-	partial  []byte // incomplete event at the end of the stream so far
-	complete []byte // complete events returned by the last add
-	lastID   string // id of the last complete event that has one
-}
-
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
-// add appends bytes of the stream and returns the events that are now complete.
-// The result is valid until the next call.
-func (b *eventBuffer) add(p []byte) []byte {
-	b.partial = append(b.partial, p...)
-	boundary := bytes.LastIndex(b.partial, eventEnd)
-	if boundary < 0 {
-		return nil
-	}
-	boundary += len(eventEnd)
-	b.complete = append(b.complete[:0], b.partial[:boundary]...)
-	b.partial = append(b.partial[:0], b.partial[boundary:]...)
-	b.recordLastID(b.complete)
-	return b.complete
-}
-
-// remainder returns the bytes buffered at the end of the stream.
-func (b *eventBuffer) remainder() []byte { return b.partial }
-
-// recordLastID sets lastID to the last identifier in complete events, if there is
-// one.
-func (b *eventBuffer) recordLastID(events []byte) {
-	for len(events) > 0 {
-		at := bytes.LastIndex(events, idField)
-		if at < 0 {
-			return
-		}
-		if at == 0 || events[at-1] == '\n' {
-			line, _, _ := bytes.Cut(events[at+len(idField):], []byte("\n"))
-			b.lastID = string(bytes.TrimSpace(line))
-			return
-		}
-		events = events[:at]
-	}
-}
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -201,7 +201,7 @@
 		s.drain()
 		return retry.FailureMayHaveRun, resultUpstreamFailure
 	}
-	if err := g.readAhead(s, req.route.IsStream() && success); err != nil {
+	if err := g.readAhead(s); err != nil {
 		s.response.Close(false)
 		_, _, result := g.classifyBrokenAnswer(ctx, req, s, err)
 		return retry.FailureMayHaveRun, result
@@ -211,11 +211,11 @@
 
 // readAhead reads the first event of a stream, or up to bufferedAnswerBytes of another
 // answer, which are read again by the next reads of s.body.
-func (g *Gateway) readAhead(s *send, stream bool) error {
+func (g *Gateway) readAhead(s *send) error {
 	var ahead bytes.Buffer
 	chunk := make([]byte, relayBufferBytes)
-	for ahead.Len() < bufferedAnswerBytes && !(stream && bytes.Contains(ahead.Bytes(), eventEnd)) {
-		n, err := s.response.Read(chunk)
+	for ahead.Len() < bufferedAnswerBytes && (s.events == nil || !s.events.scanner.sawEvent) {
+		n, err := s.body.Read(chunk)
 		if n > 0 {
 			g.recordActivity(s.key())
 			ahead.Write(chunk[:n])
@@ -227,7 +227,7 @@
 			return err
 		}
 	}
-	s.body = io.MultiReader(&ahead, s.response)
+	s.body = io.MultiReader(&ahead, s.body)
 	return nil
 }
 
