cli: a repeated SIGTERM does not end a graceful stop

Cause: SignalContext restored the default action after the first signal, so that a supervisor which repeats its SIGTERM killed the process in the middle of its drain. Class: a safety path that a repeated message turns off.

Whether the users' supervisor repeats the signal isn't known.

Fix: SIGTERM stays caught for the life of the process; SIGINT keeps its meaning for an operator at a terminal: the second one, or one during a drain, ends the process (TestSIGINTEndsTheDrain). It holds for routers, agents and commands alike, which share the function.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -36,11 +36,18 @@
 	return Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
 }
 
-// SignalContext returns a context that is cancelled by the first SIGINT or
-// SIGTERM. A second signal terminates the process at once.
+// SignalContext returns a context that is cancelled by the first SIGINT or SIGTERM. A
+// SIGINT after that terminates the process at once. Further SIGTERMs have no effect, since
+// a supervisor may repeat them while the process stops gracefully.
 func SignalContext() context.Context {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop)
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		signal.Reset(os.Interrupt)
+		cancel()
+	}()
 	return ctx
 }
 
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -126,6 +126,24 @@
 	must.ErrorIs(t, err, io.EOF)
 }
 
+// An operator interrupts a router that is draining. It must end at once, instead of serving
+// until its time limit.
+func TestSIGINTEndsTheDrain(t *testing.T) {
+	t.Parallel()
+	s := newStopFixture(t)
+	s.router.mu.Lock()
+	s.router.closing = true // no restart
+	exited := s.router.exited
+	s.router.mu.Unlock()
+	s.router.signal(syscall.SIGTERM)
+	for !strings.Contains(s.log(t), `"message":"router draining"`) {
+		time.Sleep(time.Millisecond)
+	}
+	s.router.signal(syscall.SIGINT)
+	<-exited
+	must.StrNotContains(t, s.log(t), `"message":"router stopped"`)
+}
+
 // A router that has drained for longer than callers need to find another one gets a request
 // on a kept connection, and its upstream takes longer than the rest of the drain. The router
 // must refuse the request: once it is passed on, it is lost with the process.
