gateway: refuse late in a drain what may not end in time

Class: an estimate used where a bound is needed.

Evidence: TestDrainingRouterRefusesWhatMayNotEndInTime with a real router got EOF before; FitsDrain as a unit.

Fix: after those three seconds only a request whose whole timeout fits is accepted; the others are refused at once, with Connection: close, and go to another router. FitsDrain needs no tokens any more. Its test has one case with the other verdict: the short stream at 6.0 s of 8 s with a timeout of 3 s was accepted and is refused; cases at 4.4 and 4.5 s hold its bound instead.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -192,10 +192,7 @@
 	if drain == nil {
 		return false
 	}
-	work := admit.Work{
-		Stream: req.route.IsStream(), OutputTokens: req.MaxOutputTokens, Timeout: time.Until(req.deadline),
-	}
-	return !admit.FitsDrain(work, time.Since(drain.started), drain.limit)
+	return !admit.FitsDrain(time.Until(req.deadline), time.Since(drain.started), drain.limit)
 }
 
 func headerBytes(r *http.Request) int {
