entry: close connections of callers only without a request

Cause: a drained router closed its server between two looks at the number of running handlers, and idle connections were chosen under a lock and closed after it. net/http reports a request only after its whole head is read, so that one that was being read, or crossed the close, was lost although the router had it. Class: a check that holds nothing until it is acted on.

Fix: a connection of a caller knows whether bytes were read that no response followed. It is closed under the lock that its reads take, only without such bytes and none in the socket; a read that crosses the close returns nothing, so that this request never runs. A drain closes the listener, then each connection once it has no request.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -72,7 +72,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if n := h.idle.closeExpired(now); n > 0 {
+			if n := h.callers.closeExpired(now); n > 0 {
 				h.log.WithField("connections", n).Info("idle connections of callers closed")
 			}
 			h.expireMissingEntries()
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -74,7 +74,7 @@
 	}
 	if h.gateway.SetTable(routing.NewTable(c)) {
 		h.held.setRecords(c.Version, s.Records)
-		h.idle.setLimit(c.Limits.IdleTimeout)
+		h.callers.setLimit(c.Limits.IdleTimeout)
 		h.log.WithFields(log.Fields{
 			"config": c.Version, "era": s.Era, "revision": s.Revision, "routes": len(c.Routes), "customers": len(c.Customers),
 			"idle_ms": c.Limits.IdleTimeout.Milliseconds(),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,8 +82,8 @@
 	missingEntries catalog.MissingEntries
 	departed       catalog.Departed
 
-	idle *idleConns
-	stop stopState
+	callers *callerConns
+	stop    stopState
 }
 
 // New returns an entry host that is not running.
@@ -106,7 +106,7 @@
 		eras:           eras,
 		missingEntries: catalog.MissingEntries{GracePeriod: reregistrationWindow},
 		departed:       catalog.Departed{Window: reregistrationWindow + leaseHeartbeats*cmp.Or(s.Heartbeat, defaultHeartbeat)},
-		idle:           newIdleConns(),
+		callers:        newCallerConns(),
 		stop:           stopState{limit: s.Bounds.Stop},
 	}
 	h.held = &heldConfiguration{host: h}
@@ -175,17 +175,17 @@
 		Handler:                      h.gateway,
 		ReadHeaderTimeout:            readHeaderTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
-		ConnState:                    h.idle.trackState,
+		ConnState:                    h.callers.trackState,
 		DisableGeneralOptionsHandler: true,
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- callers.Serve(listeners[0]) }()
+	go func() { failed <- callers.Serve(callerListener{listeners[0]}) }()
 	select {
 	case err = <-failed:
 		return errors.Wrap(err, "serve callers")
 	case <-ctx.Done():
 	}
-	h.drain()
+	h.drain(listeners[0])
 	_ = callers.Close() // the process exits next
 	h.logState("stopped")
 	return nil
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -51,9 +52,10 @@
 	return s.limit
 }
 
-// drain makes the router unready, serves until the callers have gone or the time
-// limit is reached, and returns when the process may exit.
-func (h *Host) drain() {
+// drain makes the router unready and serves until the callers have gone. It then closes
+// the listener and the connections of callers, each once it has no request, and returns
+// when the process may exit.
+func (h *Host) drain(listener net.Listener) {
 	limit := h.stop.currentLimit() - killMargin
 	h.stop.begin()
 	h.gateway.Drain(limit)
@@ -70,7 +72,19 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	if err := listener.Close(); err != nil {
+		h.log.WithError(err).Warn("cannot close the listener for callers")
+	}
+	h.closeCallers(end)
 	h.log.WithFields(log.Fields{
 		"drain_ms": time.Since(begun).Milliseconds(), "cut": h.gateway.Active(),
 	}).Info("router drained")
 }
+
+// closeCallers closes the connections of callers, each once it has no request, until none
+// is left or the deadline has passed.
+func (h *Host) closeCallers(deadline time.Time) {
+	for now := time.Now(); h.callers.closeIdle(now) > 0 && now.Before(deadline); now = time.Now() {
+		time.Sleep(drainPollInterval)
+	}
+}
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -169,6 +171,32 @@
 	<-ended
 }
 
+// A request is still arriving when a drained router would exit. The router must read the
+// rest and answer: a connection that is closed because no handler runs yet loses the
+// request.
+func TestRequestThatArrivesAtTheEndOfTheDrainIsAnswered(t *testing.T) {
+	t.Parallel()
+	s := newStopFixture(t)
+	c, err := net.Dial("tcp", s.router.callerAddress)
+	must.NoError(t, err)
+	defer c.Close()
+	s.router.signal(syscall.SIGTERM)
+	time.Sleep(2 * time.Second)
+	_, err = fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", host, apiKey)
+	must.NoError(t, err)
+	for i := range 12 { // until after the router would exit
+		time.Sleep(200 * time.Millisecond)
+		_, err = fmt.Fprintf(c, "X-Part: %d\r\n", i)
+		must.NoError(t, err)
+	}
+	_, err = fmt.Fprintf(c, "%s: arriving\r\n\r\n", wire.HeaderAttempt)
+	must.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode) // it may not end in time
+}
+
 // The upstream of a request is still at work when the time of the drain is over. The caller
 // must get an answer, and the request a line in the log, instead of a closed connection.
 func TestRequestInProgressAtTheEndOfTheDrainIsAnswered(t *testing.T) {
