gateway: answer the requests in progress at the time limit of a stop

Cause: at its limit the router closed the connections and exited; handlers that noticed took it for callers that had left, and the process ended before their lines were written. Class: an exit that goes around the one place where requests end.

Fix: at the limit the gateway cancels the requests in progress. Each ends as at its timeout, failed or cut, with the reason 'router stopped' and a line; the stop waits 0.2 s of its margin of 0.4 s for their responses.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -18,6 +18,9 @@
 	// process, so that the process exits by itself before.
 	killMargin        = 400 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
+	// cancelTimeout is how long the responses to requests that are canceled at the time
+	// limit may take; it is part of killMargin.
+	cancelTimeout = 200 * time.Millisecond
 )
 
 // stopState records whether a graceful shutdown has begun, and its time limit. All
@@ -54,7 +57,7 @@
 
 // drain makes the router unready and serves until the callers have gone. It then closes
 // the listener and the connections of callers, each once it has no request, and returns
-// when the process may exit.
+// when the process may exit. At the time limit it cancels the requests in progress.
 func (h *Host) drain(listener net.Listener) {
 	limit := h.stop.currentLimit() - killMargin
 	h.stop.begin()
@@ -76,9 +79,12 @@
 		h.log.WithError(err).Warn("cannot close the listener for callers")
 	}
 	h.closeCallers(end)
-	h.log.WithFields(log.Fields{
-		"drain_ms": time.Since(begun).Milliseconds(), "cut": h.gateway.Active(),
-	}).Info("router drained")
+	cut := h.gateway.Active()
+	if cut > 0 {
+		h.gateway.CancelRequests()
+		h.closeCallers(time.Now().Add(cancelTimeout))
+	}
+	h.log.WithFields(log.Fields{"drain_ms": time.Since(begun).Milliseconds(), "cut": cut}).Info("router drained")
 }
 
 // closeCallers closes the connections of callers, each once it has no request, until none
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -129,7 +129,7 @@
 		}
 		return g.refuse(req, e.reason, retryAfterShort)
 	case ctx.Err() != nil:
-		return failed(http.StatusGatewayTimeout, "timeout")
+		return g.interrupted()
 	}
 	return e
 }
--- a/gateway/end.go
+++ b/gateway/end.go
@@ -40,6 +40,15 @@
 	return end{kind: endDenied, status: status, reason: reason}
 }
 
+// interrupted returns the end of a request that may have run and whose context ended,
+// although its caller has not left.
+func (g *Gateway) interrupted() end {
+	if g.running.Err() != nil {
+		return failed(http.StatusBadGateway, "router stopped")
+	}
+	return failed(http.StatusGatewayTimeout, "timeout")
+}
+
 func failed(status int, reason string) end {
 	return end{kind: endFailed, status: status, reason: reason}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -275,7 +275,8 @@
 		if req.http.Context().Err() != nil {
 			return end{kind: endCallerLeft, reason: "caller left"}, 0, resultCallerLeft
 		}
-		return failed(http.StatusGatewayTimeout, "timeout"), 0, "timeout"
+		e := g.interrupted()
+		return e, 0, e.reason
 	}
 	return failed(http.StatusBadGateway, err.Error()), retry.FailureMayHaveRun, failure.Outcome.String()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,8 +59,10 @@
 	catalog           atomic.Pointer[catalog.Catalog]
 	routerCount       atomic.Int64               // routers that share the retry budgets and the upstreams' connection limits
 	draining          atomic.Pointer[drainState] // nil until a drain begins
-	activeRequests    atomic.Int64               // requests being served
-	bufferedBodyBytes atomic.Int64               // total size of the request bodies in memory
+	running           context.Context            // ends when the requests in progress are canceled
+	cancelRunning     context.CancelFunc
+	activeRequests    atomic.Int64 // requests being served
+	bufferedBodyBytes atomic.Int64 // total size of the request bodies in memory
 	versions          versionHistory
 
 	mu           sync.Mutex
@@ -86,6 +88,7 @@
 		retryBudgets: make(map[string]*retry.Budget),
 		configured:   make(chan struct{}),
 	}
+	g.running, g.cancelRunning = context.WithCancel(context.Background())
 	g.policy.Store(&opts.Policy)
 	g.routerCount.Store(1)
 	g.catalog.Store(emptyCatalog)
@@ -195,6 +198,10 @@
 	g.draining.CompareAndSwap(nil, &drainState{started: time.Now(), limit: limit})
 }
 
+// CancelRequests ends the requests in progress, and later ones, at once: as failed, or cut
+// if part of the answer was delivered.
+func (g *Gateway) CancelRequests() { g.cancelRunning() }
+
 // Active returns the number of requests being served.
 func (g *Gateway) Active() int64 { return g.activeRequests.Load() }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -92,10 +92,9 @@
 	switch {
 	case req.http.Context().Err() != nil:
 		return end{kind: endCallerLeft, reason: "caller left"}, 0, resultCallerLeft
-	case ctx.Err() != nil && req.headWritten:
-		return end{kind: endCut, reason: "timeout"}, 0, "timeout"
 	case ctx.Err() != nil:
-		return failed(http.StatusGatewayTimeout, "timeout"), 0, "timeout"
+		e := g.interrupted()
+		return e, 0, e.reason // a part that was delivered makes it cut
 	}
 	e := failed(http.StatusBadGateway, "upstream's answer broke off: "+err.Error())
 	if req.headWritten {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -92,6 +92,8 @@
 	}
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
+	detach := context.AfterFunc(g.running, cancel)
+	defer detach()
 	if e, ok := g.bindResumed(ctx, req); !ok {
 		return e
 	}
