forward: limit the interim answers before an answer together

An upstream that sends 1xx heads without end held its request until the deadline, and the router read them at full speed: each head had a limit of its own. The limit of 64 KB now covers all heads up to the final one. TestBytesWithoutEndAreGivenUp, case 'interim answers': 5 s and the test's limit before, at once now.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -15,7 +15,8 @@
 const (
 	// readBufferBytes is enough for a few events of a stream or a small answer.
 	readBufferBytes = 4 << 10
-	// maxHeadBytes limits the status line and headers of an answer.
+	// maxHeadBytes limits the status line and headers of an answer, together with the
+	// interim answers before it.
 	maxHeadBytes = 64 << 10
 	// concurrentBodyBytes is the size from which a body is written while the
 	// answer is being read: an upstream may answer before it has read the body.
@@ -99,8 +100,8 @@
 // readHead reads the head of the next final answer. Interim (1xx) answers are
 // skipped.
 func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limit.N = maxHeadBytes
 	for {
-		c.limit.N = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
--- /dev/null
+++ b/forward/endless_test.go
@@ -0,0 +1,53 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// hungTestTimeout ends a test that would otherwise hang.
+const hungTestTimeout = 5 * time.Second
+
+// An upstream sends bytes without end that are no answer to the request. The exchange must
+// end at a limit: otherwise it lasts until the deadline of the request, at full speed.
+func TestBytesWithoutEndAreGivenUp(t *testing.T) {
+	for _, c := range []struct{ name, first, repeated string }{
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"header", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nX: ", "x"},
+		{"headers", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\n", "X: x\r\n"},
+		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		{"late answer in chunks", "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		{"late answer with a length", "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nContent-Length: 1000000000\r\n\r\n", "x"},
+		{"late answers", "", "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nContent-Length: 1\r\n\r\nx"},
+		{"late answer without a length", "HTTP/1.1 200 OK\r\nTest-Id: 0\r\n\r\n", "x"},
+		{"no answer at all", "", "x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			u := serve(t, func(_ *upstream, conn net.Conn, reader *bufio.Reader) {
+				defer close(closed)
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, c.first)
+				for err == nil {
+					_, err = io.WriteString(conn, c.repeated)
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), hungTestTimeout)
+			defer cancel()
+			_, err := newPool().Send(ctx, u.listener.Addr().String(), request("1"))
+			must.Eq(t, MayHaveRun, outcomeOf(t, err))
+			must.NoError(t, ctx.Err())
+			<-closed
+		})
+	}
+}
