forward: limit the late answer that is skipped

A late answer to an earlier request whose body never ends was skipped until the deadline of the request behind it, at full speed. Beyond 256 KB, or with a greater length, the connection is given up at once, with the outcome 'may have run' as for other late answers.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -24,6 +24,8 @@
 	// maxMismatchedAnswers is the number of late answers to earlier requests
 	// that are skipped before the connection is abandoned.
 	maxMismatchedAnswers = 2
+	// maxMismatchedBytes limits the body of a late answer that is skipped.
+	maxMismatchedBytes = 256 << 10
 )
 
 // conn is one connection to an upstream. It carries one request at a time and
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -53,6 +53,6 @@
 	// to the upstream as it may open.
 	ErrConnectionLimit = errors.New("forward: connection limit reached")
 	// ErrAnswerMismatch means that the connection delivered only answers to other
-	// requests, or one whose end cannot be found.
+	// requests, or one whose end cannot be found within a limit.
 	ErrAnswerMismatch = errors.New("forward: answer belongs to another request")
 )
--- a/forward/send.go
+++ b/forward/send.go
@@ -147,11 +147,15 @@
 			}
 			return response, nil
 		}
-		if response.Framing == FramingClose {
+		if response.Framing == FramingClose || response.Length > maxMismatchedBytes {
 			return nil, ErrAnswerMismatch
 		}
-		if _, err := io.Copy(io.Discard, head.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxMismatchedBytes))
+		switch {
+		case err != nil:
 			return nil, errors.Wrap(err, "skip late answer")
+		case n == maxMismatchedBytes:
+			return nil, ErrAnswerMismatch // it may go on
 		}
 	}
 	return nil, ErrAnswerMismatch
