gateway: treat an event over the limit as broken off

What callers saw, by a test: a stream with an event that never ends was cut at 256 KB without another attempt where it may be resumed, and with a closed connection instead of an answer if nothing was delivered before; a standby attempt with such an event took over at 64 KB and ended the answer of the silent upstream.

Cause: the limit ended the request on a path of its own, past the one that tells broken answers apart; the read-ahead of a standby attempt had another limit.

Fix: eventReader replaces the buffer of the relay, the reader that finds incomplete events, and the read-ahead's copy. Its limit is an error like an incomplete event, so that the request is continued, failed or cut as usual. A request proceeds, and cancels a standby attempt, once it has events to deliver; any byte did before. Empty lines before an event belong to it.

--- /dev/null
+++ b/gateway/endless_test.go
@@ -0,0 +1,86 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// endless answers with the status, the beginning of a body and then more bytes until its
+// caller closes. A pause of 0 sends them at full speed.
+func endless(status int, begin, more string, pause time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // otherwise the server does not notice when the client disconnects
+		w.Header().Set(signature, "first")
+		w.WriteHeader(status)
+		_, err := io.WriteString(w, begin)
+		for err == nil && r.Context().Err() == nil {
+			time.Sleep(pause)
+			_, err = io.WriteString(w, more)
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+// manyBytes is written at once by upstreams that send at full speed.
+var manyBytes = strings.Repeat("x", 4<<10)
+
+// firstThen serves the first request with one handler and all others with another one.
+func firstThen(first, others http.HandlerFunc) http.HandlerFunc {
+	var begun atomic.Bool
+	return func(w http.ResponseWriter, r *http.Request) {
+		if begun.CompareAndSwap(false, true) {
+			first(w, r)
+			return
+		}
+		others(w, r)
+	}
+}
+
+// An upstream sends an event that never ends. The caller must get an answer that says so:
+// a failure if nothing was delivered, instead of a closed connection.
+func TestEventWithoutEndBeforeTheFirstIsAFailure(t *testing.T) {
+	f := newFixture(t, newReplica(t, "i-1", endless(http.StatusOK, "data: ", manyBytes, 0)))
+	response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/stream/", "{}"))
+	must.Eq(t, http.StatusBadGateway, response.StatusCode)
+}
+
+// A resumable stream with an event that never ends must go on at another upstream.
+func TestEventWithoutEndIsContinuedAtAnotherUpstream(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"fast": endless(http.StatusOK, twoEvents+"data: ", manyBytes, 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			handle := firstThen(handler, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(signature, "second")
+				from := 1
+				if r.Header.Get("Last-Event-Id") == "2" {
+					from = 3
+				}
+				events(w, from, 4)
+			})
+			f := newFixture(t, newReplica(t, "i-1", handle), newReplica(t, "i-2", handle))
+			response, body := f.do(t, f.newRequest(t, http.MethodPost, "/resume/", "{}"))
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.Eq(t, twoEvents+"id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", strings.TrimLeft(body, "\n"))
+		})
+	}
+}
+
+// A standby attempt sends an event that never ends. It must not take over from the silent
+// upstream, which goes on.
+func TestStandbyEventWithoutEndDoesNotTakeOver(t *testing.T) {
+	silent := newReplica(t, "i-silent", pausing)
+	other := newReplica(t, "i-other", endless(http.StatusOK, "data: ", manyBytes, 0))
+	f := newFixture(t, silent)
+	go listLater(f, silent, other)
+	response, body := f.do(t, f.newRequest(t, http.MethodPost, "/resume/", "{}"))
+	must.Eq(t, "first", response.Header.Get(signature))
+	must.Eq(t, twoEvents+"id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", body)
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -8,8 +8,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// errIncompleteEvent means that a stream ended before its first event, or inside one.
-var errIncompleteEvent = errors.New("stream ended inside an event")
+// Errors of an upstream's stream.
+var (
+	// errIncompleteEvent means that a stream ended before its first event, or inside one.
+	errIncompleteEvent = errors.New("stream ended inside an event")
+	errEventTooLong    = errors.New("event over the limit")
+)
+
+// maxEventBytes limits the size of one event.
+const maxEventBytes = 256 << 10
 
 // eventScanner finds the ends of events in a stream: an event ends with an empty line, and
 // a line with LF, CR or CR LF.
@@ -21,21 +28,20 @@
 }
 
 // scan reads the next bytes of the stream and returns the position behind the last end of
-// an event among them; 0 if there is none.
+// an event among them; 0 if there is none. Empty lines before an event belong to it.
 func (s *eventScanner) scan(p []byte) int {
 	end := 0
 	for i, b := range p {
 		switch {
 		case b == '\n' && s.afterCR: // the second half of a line end
 			s.afterCR = false
-			if !s.inEvent {
+			if end == i && i > 0 {
 				end = i + 1
 			}
 		case b == '\n' || b == '\r':
 			s.afterCR = b == '\r'
-			if !s.lineBegun {
-				s.sawEvent = s.sawEvent || s.inEvent
-				s.inEvent, end = false, i+1
+			if !s.lineBegun && s.inEvent {
+				s.inEvent, s.sawEvent, end = false, true, i+1
 			}
 			s.lineBegun = false
 		default:
@@ -45,65 +51,89 @@
 	return end
 }
 
-// eventStream is the body of an answer that consists of events. An end inside an event is
-// an error, however the body is framed: the upstream has broken off.
-type eventStream struct {
-	body    io.Reader
-	scanner eventScanner
+// eventReader splits the body of an answer into events. An end inside an event is an error,
+// however the body is framed: the upstream has broken off.
+type eventReader struct {
+	scanner  eventScanner
+	chunk    []byte
+	partial  []byte // bytes behind the last complete event
+	complete []byte // complete events that were not returned yet
+	lastID   string // id of the last complete event that has one
 	// needsEvent is true if an end without any event is an error too: nothing shows then
 	// that the answer is whole.
 	needsEvent bool
 }
 
-// newEventStream returns the body of an answer as a stream.
-func newEventStream(r *forward.Response) *eventStream {
-	return &eventStream{body: r, needsEvent: r.Framing == forward.FramingClose}
+// newEventReader returns a reader of the events of an answer.
+func newEventReader(r *forward.Response) *eventReader {
+	return &eventReader{chunk: make([]byte, relayBufferBytes), needsEvent: r.Framing == forward.FramingClose}
 }
 
-// Read implements io.Reader. It returns errIncompleteEvent for an end inside an event.
-func (s *eventStream) Read(p []byte) (int, error) {
-	n, err := s.body.Read(p)
-	s.scanner.scan(p[:n])
-	if err == io.EOF && (s.scanner.inEvent || s.needsEvent && !s.scanner.sawEvent) {
-		return n, errIncompleteEvent
+// read reads from the body once, unless complete events are left, and returns the events
+// that are complete; they are valid until the next call. At the end of the body it returns
+// io.EOF, or errIncompleteEvent if that is inside an event. It fails with errEventTooLong
+// if an event exceeds maxEventBytes.
+func (r *eventReader) read(body io.Reader) ([]byte, error) {
+	err := r.fill(body)
+	events := r.complete
+	r.complete = r.complete[:0]
+	return events, err
+}
+
+// fill reads from the body once, unless complete events are left.
+func (r *eventReader) fill(body io.Reader) error {
+	if len(r.complete) > 0 {
+		return nil
 	}
-	return n, err
+	n, err := body.Read(r.chunk)
+	r.add(r.chunk[:n])
+	switch {
+	case err == io.EOF && (r.scanner.inEvent || r.needsEvent && !r.scanner.sawEvent):
+		return errIncompleteEvent
+	case err == nil && len(r.partial) > maxEventBytes:
+		return errEventTooLong
+	}
+	return err
 }
 
-// eventBuffer splits a stream at event boundaries.
-type eventBuffer struct {
-	scanner  eventScanner
-	partial  []byte // incomplete event at the end of the stream so far
-	complete []byte // complete events returned by the last add
-	lastID   string // id of the last complete event that has one
+// await reads from the body until complete events are left or the body has ended.
+func (r *eventReader) await(body io.Reader) error {
+	for len(r.complete) == 0 {
+		err := r.fill(body)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil && len(r.complete) == 0 {
+			return err
+		}
+	}
+	return nil
 }
 
-// add appends bytes of the stream and returns the events that are now complete.
-// The result is valid until the next call.
-func (b *eventBuffer) add(p []byte) []byte {
-	boundary := b.scanner.scan(p)
+// add appends bytes of the body.
+func (r *eventReader) add(p []byte) {
+	boundary := r.scanner.scan(p)
 	if boundary == 0 {
-		b.partial = append(b.partial, p...)
-		return nil
+		r.partial = append(r.partial, p...)
+		return
 	}
-	b.complete = append(append(b.complete[:0], b.partial...), p[:boundary]...)
-	b.partial = append(b.partial[:0], p[boundary:]...)
-	b.recordLastID(b.complete)
-	return b.complete
+	r.complete = append(append(r.complete, r.partial...), p[:boundary]...)
+	r.partial = append(r.partial[:0], p[boundary:]...)
+	r.recordLastID(r.complete)
 }
 
 var idField = []byte("id:")
 
 // recordLastID sets lastID to the last identifier in complete events, if there is
 // one.
-func (b *eventBuffer) recordLastID(events []byte) {
+func (r *eventReader) recordLastID(events []byte) {
 	for len(events) > 0 {
 		at := bytes.LastIndex(events, idField)
 		if at < 0 {
 			return
 		}
 		if at == 0 || isLineEnd(events[at-1]) {
-			b.lastID = string(bytes.TrimSpace(firstLine(events[at+len(idField):])))
+			r.lastID = string(bytes.TrimSpace(firstLine(events[at+len(idField):])))
 			return
 		}
 		events = events[:at]
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -23,7 +23,7 @@
 	cancel   context.CancelCauseFunc
 	response *forward.Response // nil until its head has arrived
 	body     io.Reader         // of response
-	events   *eventStream      // body as received; nil if it is not a stream
+	events   *eventReader      // of body; nil if that is not a stream
 }
 
 func (s *send) key() catalog.Key { return s.target.upstream.Key() }
@@ -153,8 +153,7 @@
 	s.response, s.body = response, response
 	s.record.framing = response.Framing
 	if req.route.IsStream() && response.Status < http.StatusMultipleChoices {
-		s.events = newEventStream(response)
-		s.body = s.events
+		s.events = newEventReader(response)
 	}
 	return end{}, 0, ""
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,8 +18,6 @@
 	bufferedAnswerBytes = 64 << 10
 	// relayBufferBytes is the size of the buffer between an upstream and a caller.
 	relayBufferBytes = 4 << 10
-	// maxEventBytes limits the size of a partial event that is buffered.
-	maxEventBytes = 256 << 10
 	// writeDeadlineSlack is added to the request's deadline for writes to a
 	// caller.
 	writeDeadlineSlack = 250 * time.Millisecond
@@ -33,25 +31,28 @@
 
 // deliver delivers the answer to the caller.
 func (g *Gateway) deliver(ctx context.Context, w http.ResponseWriter, req *request, s *send, watch *standbyWatch) (end, retry.Failure, string) {
-	body := answerReader{g, s, watch}
 	if s.events != nil {
-		return g.deliverStream(ctx, w, req, s, body)
+		return g.deliverStream(ctx, w, req, s, watch)
 	}
-	return g.deliverBuffered(ctx, w, req, s, body)
+	return g.deliverBuffered(ctx, w, req, s, watch)
 }
 
 // deliverBuffered delivers an answer once it is complete, or piece by piece if it
 // exceeds bufferedAnswerBytes.
-func (g *Gateway) deliverBuffered(ctx context.Context, w http.ResponseWriter, req *request, s *send, body io.Reader) (end, retry.Failure, string) {
-	r := s.response
+func (g *Gateway) deliverBuffered(ctx context.Context, w http.ResponseWriter, req *request, s *send, watch *standbyWatch) (end, retry.Failure, string) {
+	r, body := s.response, answerReader{g, s, watch}
 	var buffered bytes.Buffer
 	_, err := io.Copy(&buffered, io.LimitReader(body, bufferedAnswerBytes))
-	req.firstByte = time.Since(req.arrived)
+	complete := buffered.Len() < bufferedAnswerBytes
 	if err != nil {
 		r.Close(false)
 		return g.classifyBrokenAnswer(ctx, req, s, err)
 	}
-	complete := buffered.Len() < bufferedAnswerBytes
+	if !watch.proceed() {
+		r.Close(false)
+		return g.superseded(req, s)
+	}
+	req.firstByte = time.Since(req.arrived)
 	g.writeHead(w, req, r)
 	_, _ = w.Write(buffered.Bytes()) // a caller that disconnected is noticed through the context
 	if !complete {
@@ -105,57 +106,56 @@
 
 // deliverStream delivers events as they arrive, each once it is complete. Status
 // and headers are written with the first of them.
-func (g *Gateway) deliverStream(ctx context.Context, w http.ResponseWriter, req *request, s *send, body io.Reader) (end, retry.Failure, string) {
-	r := s.response
+func (g *Gateway) deliverStream(ctx context.Context, w http.ResponseWriter, req *request, s *send, watch *standbyWatch) (end, retry.Failure, string) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetWriteDeadline(req.deadline.Add(writeDeadlineSlack)) // if this fails, the context still ends the request
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
-	var events eventBuffer
-	chunk := make([]byte, relayBufferBytes)
-	lastRead := time.Now()
+	body := answerReader{g, s, watch}
 	for {
-		n, err := body.Read(chunk)
-		if n > 0 {
-			now := time.Now()
-			if req.headWritten {
-				req.maxEventPause = max(req.maxEventPause, now.Sub(lastRead))
-			}
-			lastRead = now
-			if ready := events.add(chunk[:n]); len(ready) > 0 {
-				g.writeEvents(w, req, s, ready)
-				_ = controller.Flush() // a caller that disconnected is noticed through the context
-				if events.lastID != "" {
-					req.deliveredEventID = events.lastID
-				}
-			}
+		ready, err := s.events.read(body)
+		if (len(ready) > 0 || err == io.EOF) && !watch.proceed() {
+			s.response.Close(false)
+			return g.superseded(req, s)
 		}
-		if err != nil {
-			s.record.partialEvent = len(events.partial)
+		if len(ready) > 0 {
+			g.writeEvents(w, req, s, ready)
+			_ = controller.Flush() // a caller that disconnected is noticed through the context
 		}
 		switch {
 		case err == io.EOF:
-			if !req.headWritten {
-				g.writeHead(w, req, r)
-			}
-			r.Close(true)
+			g.endStream(w, req, s)
 			return end{kind: endAnswered}, 0, resultAnswered
 		case err != nil:
-			r.Close(false)
+			s.record.partialEvent = len(s.events.partial)
+			s.response.Close(false)
 			return g.classifyBrokenAnswer(ctx, req, s, err)
-		case len(events.partial) > maxEventBytes:
-			r.Close(false)
-			return end{kind: endCut, reason: "event over the limit"}, 0, resultInvalidAnswer
 		}
 	}
 }
 
+// endStream delivers what is left of a stream that is complete: empty lines, if anything.
+func (g *Gateway) endStream(w http.ResponseWriter, req *request, s *send) {
+	if !req.headWritten {
+		g.writeHead(w, req, s.response)
+	}
+	_, _ = w.Write(s.events.partial) // a caller that disconnected needs no more
+	s.response.Close(true)
+}
+
+// writeEvents delivers complete events.
 func (g *Gateway) writeEvents(w http.ResponseWriter, req *request, s *send, ready []byte) {
+	now := time.Now()
 	if !req.headWritten {
 		g.writeHead(w, req, s.response)
 		g.bindVersion(req, s.target.upstream)
-		req.firstByte = time.Since(req.arrived)
+		req.firstByte = now.Sub(req.arrived)
 	} else {
+		req.maxEventPause = max(req.maxEventPause, now.Sub(req.lastEvent))
 		g.renewStream(req, s.target.upstream)
 	}
+	req.lastEvent = now
 	_, _ = w.Write(ready) // a caller that disconnected is noticed through the context
+	if s.events.lastID != "" {
+		req.deliveredEventID = s.events.lastID
+	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -45,7 +45,8 @@
 	headWritten      bool // status and headers of an answer were delivered
 	version          boundVersion
 	deliveredEventID string
-	maxEventPause    time.Duration // longest pause between two reads of the stream
+	lastEvent        time.Time     // when the last events were delivered
+	maxEventPause    time.Duration // longest pause between two deliveries of events
 	firstByte        time.Duration // time until the first byte of the answer was ready to deliver
 }
 
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"dandelionrill.example/fleet/catalog"
@@ -66,24 +65,21 @@
 }
 
 // answerReader reads the answer of a send, records activity of the upstream whenever it
-// sends bytes, and tells the watch when the send waits for bytes.
+// sends bytes, and tells the watch that the send waits for bytes. Whoever has something to
+// deliver then tells the watch to proceed.
 type answerReader struct {
 	gateway *Gateway
 	send    *send
 	watch   *standbyWatch
 }
 
-// Read implements io.Reader. It returns errSuperseded once a standby attempt has taken
-// over.
+// Read implements io.Reader.
 func (r answerReader) Read(p []byte) (int, error) {
 	r.watch.wait()
 	n, err := r.send.body.Read(p)
 	if n > 0 {
 		r.gateway.recordActivity(r.send.key())
 	}
-	if (n > 0 || err == io.EOF) && !r.watch.proceed() {
-		return 0, errSuperseded
-	}
 	return n, err
 }
 
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -87,9 +87,9 @@
 	return w
 }
 
-// check starts a standby attempt if the upstream has been silent for too long, is still so
-// after silenceConfirmation, and an attempt can be made. It ends one that has exceeded its
-// limit, and schedules the next check.
+// check starts a standby attempt if there has been nothing to deliver for too long, that is
+// still so after silenceConfirmation, and an attempt can be made. It ends one that has
+// exceeded its limit, and schedules the next check.
 func (w *standbyWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -209,26 +209,32 @@
 	return 0, ""
 }
 
-// readAhead reads the first event of a stream, or up to bufferedAnswerBytes of another
-// answer, which are read again by the next reads of s.body.
+// readAhead reads the first events of a stream, or up to bufferedAnswerBytes of another
+// answer, which are read again by the next reads of s.events or s.body.
 func (g *Gateway) readAhead(s *send) error {
+	body := activityReader{g, s}
+	if s.events != nil {
+		return s.events.await(body)
+	}
 	var ahead bytes.Buffer
-	chunk := make([]byte, relayBufferBytes)
-	for ahead.Len() < bufferedAnswerBytes && (s.events == nil || !s.events.scanner.sawEvent) {
-		n, err := s.body.Read(chunk)
-		if n > 0 {
-			g.recordActivity(s.key())
-			ahead.Write(chunk[:n])
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			return err
-		}
+	_, err := io.Copy(&ahead, io.LimitReader(body, bufferedAnswerBytes))
+	s.body = io.MultiReader(&ahead, s.response)
+	return err
+}
+
+// activityReader reads the answer of a send and records activity of the upstream.
+type activityReader struct {
+	gateway *Gateway
+	send    *send
+}
+
+// Read implements io.Reader.
+func (r activityReader) Read(p []byte) (int, error) {
+	n, err := r.send.body.Read(p)
+	if n > 0 {
+		r.gateway.recordActivity(r.send.key())
 	}
-	s.body = io.MultiReader(&ahead, s.body)
-	return nil
+	return n, err
 }
 
 // hasStandby reports whether a standby attempt is in progress or has taken over.
