gateway: replace an answer that goes on without anything to deliver

What callers saw, by a test: an upstream that sends a byte now and then, of an event or a plain answer that never ends, kept a repeatable request until its deadline.

Cause: each byte counted as progress. It reset the silence of the upstream, and canceled a standby attempt.

Fix: a send knows since when bytes have waited that can't be delivered; the watch takes the longer one of that and the upstream's silence. The standby attempt is as for a silence: the upstream goes on until the other one has something to deliver, and a request that may not be repeated waits as before. If the other one takes over, the upstream has a failure recorded.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -50,10 +50,14 @@
 	must.Eq(t, http.StatusBadGateway, response.StatusCode)
 }
 
-// A resumable stream with an event that never ends must go on at another upstream.
+// A resumable stream with an event that never ends must go on at another upstream, also if
+// the bytes come so slowly that they reach no limit before the deadline.
 func TestEventWithoutEndIsContinuedAtAnotherUpstream(t *testing.T) {
 	for name, handler := range map[string]http.HandlerFunc{
-		"fast": endless(http.StatusOK, twoEvents+"data: ", manyBytes, 0),
+		"fast":                       endless(http.StatusOK, twoEvents+"data: ", manyBytes, 0),
+		"slow":                       endless(http.StatusOK, twoEvents+"data: ", "x", 20*time.Millisecond),
+		"slow, in the first event":   endless(http.StatusOK, "data: ", "x", 20*time.Millisecond),
+		"slow, before a first event": endless(http.StatusOK, "", "\n", 20*time.Millisecond),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -73,6 +77,16 @@
 	}
 }
 
+// A plain answer goes on a byte now and then. A repeatable request must get its answer from
+// another upstream, instead of waiting until its deadline.
+func TestSlowAnswerWithoutEndIsReplaced(t *testing.T) {
+	handle := firstThen(endless(http.StatusOK, "", "x", 20*time.Millisecond), answering("ok"))
+	f := newFixture(t, newReplica(t, "i-1", handle), newReplica(t, "i-2", handle))
+	response, body := f.do(t, f.newRequest(t, http.MethodGet, "/safe/", ""))
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, "ok", body)
+}
+
 // A standby attempt sends an event that never ends. It must not take over from the silent
 // upstream, which goes on.
 func TestStandbyEventWithoutEndDoesNotTakeOver(t *testing.T) {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -122,6 +122,10 @@
 	r.recordLastID(r.complete)
 }
 
+// waitsForMore reports whether bytes have arrived that are no complete event yet. The second
+// half of a line end does not count.
+func (r *eventReader) waitsForMore() bool { return r.scanner.inEvent || len(r.partial) > 1 }
+
 var idField = []byte("id:")
 
 // recordLastID sets lastID to the last identifier in complete events, if there is
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"dandelionrill.example/fleet/catalog"
@@ -24,6 +25,9 @@
 	response *forward.Response // nil until its head has arrived
 	body     io.Reader         // of response
 	events   *eventReader      // of body; nil if that is not a stream
+	// undeliveredSince is the time from start to the arrival of the first bytes that cannot
+	// be delivered yet, in nanoseconds; 0 if there are none.
+	undeliveredSince atomic.Int64
 }
 
 func (s *send) key() catalog.Key { return s.target.upstream.Key() }
@@ -36,6 +40,27 @@
 	return nil
 }
 
+// setUndelivered records whether bytes have arrived that cannot be delivered yet. again is
+// true if others were delivered since it was last called.
+func (s *send) setUndelivered(undelivered, again bool) {
+	switch {
+	case !undelivered:
+		s.undeliveredSince.Store(0)
+	case again || s.undeliveredSince.Load() == 0:
+		s.undeliveredSince.Store(int64(time.Since(s.start)))
+	}
+}
+
+// undelivered returns how long bytes have been waiting to be delivered. It may be called
+// concurrently.
+func (s *send) undelivered() time.Duration {
+	since := s.undeliveredSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(s.start) - time.Duration(since)
+}
+
 // drainTimeout limits the time to read the rest of an answer that is dropped, so that its
 // connection can be used again.
 const drainTimeout = 100 * time.Millisecond
@@ -200,14 +225,18 @@
 
 // superseded returns how a send ends when a standby attempt has taken over.
 func (g *Gateway) superseded(req *request, s *send) (end, retry.Failure, string) {
-	if tooSilent(g.board.Status(s.key())) {
-		g.recordFailure(s.key(), false, errSilent)
+	cause := errSilent
+	if s.undelivered() > silenceLimit {
+		cause = errEndless
+	}
+	if cause == errEndless || tooSilent(g.board.Status(s.key())) {
+		g.recordFailure(s.key(), cause == errEndless, cause)
 	}
 	failure := retry.FailureMayHaveRun
 	if req.headWritten {
 		failure = retry.FailureCut
 	}
-	return failed(http.StatusBadGateway, errSilent.Error()), failure, resultSuperseded
+	return failed(http.StatusBadGateway, cause.Error()), failure, resultSuperseded
 }
 
 // recordFailure records a failure attributed to an upstream, and whether the
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -30,8 +30,11 @@
 	silenceConfirmation = 50 * time.Millisecond
 )
 
-// errSilent marks the failures of an upstream that sent nothing for too long.
-var errSilent = errors.New("upstream sends nothing")
+// Causes of standby attempts.
+var (
+	errSilent  = errors.New("upstream sends nothing")
+	errEndless = errors.New("upstream sends no end of an event or answer")
+)
 
 // tooSilent reports whether an upstream's silence counts as a fault.
 func tooSilent(status UpstreamStatus) bool {
@@ -79,6 +82,7 @@
 	n, err := r.send.body.Read(p)
 	if n > 0 {
 		r.gateway.recordActivity(r.send.key())
+		r.send.setUndelivered(true, false)
 	}
 	return n, err
 }
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -29,7 +29,7 @@
 )
 
 // standbyWatch makes a standby attempt at another upstream while the upstream of a send
-// is silent. The send goes on meanwhile: whichever of them has something to deliver first
+// is silent, or sends bytes that cannot be delivered. The send goes on meanwhile: whichever of them has something to deliver first
 // continues the answer, and the other one is canceled. Its methods, except for the timer's
 // and the standby's own, are called by the goroutine that handles the request.
 type standbyWatch struct {
@@ -101,7 +101,7 @@
 		w.timer.Reset(standbyInterval)
 		return
 	}
-	left := w.tolerance - w.gateway.board.Status(w.send.key()).Silence
+	left := w.tolerance - max(w.gateway.board.Status(w.send.key()).Silence, w.send.undelivered())
 	switch {
 	case left > 0 || w.phase != phaseWaiting || w.failed:
 		w.confirmed = false
