gateway: give up a failure whose body never ends

A failure of an upstream without a length was passed on until the deadline however long it was. A failure with a length is delivered whole, as before, and so is a success, which nothing tells from a long answer.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -98,3 +98,13 @@
 	must.Eq(t, "first", response.Header.Get(signature))
 	must.Eq(t, twoEvents+"id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", body)
 }
+
+// An upstream sends a failure whose body never ends. The caller must get a failure that
+// ends, instead of bytes until the deadline.
+func TestFailureWithoutEndIsReplaced(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusInternalServerError} {
+		f := newFixture(t, newReplica(t, "i-1", endless(status, "", manyBytes, 0)))
+		response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+		must.Eq(t, http.StatusBadGateway, response.StatusCode)
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,6 +9,7 @@
 
 	"dandelionrill.example/fleet/decide/retry"
 	"dandelionrill.example/fleet/forward"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -37,6 +38,10 @@
 	return g.deliverBuffered(ctx, w, req, s, watch)
 }
 
+// errFailureTooLong means that an upstream's failure exceeds bufferedAnswerBytes and names
+// no length.
+var errFailureTooLong = errors.New("failure over the limit")
+
 // deliverBuffered delivers an answer once it is complete, or piece by piece if it
 // exceeds bufferedAnswerBytes.
 func (g *Gateway) deliverBuffered(ctx context.Context, w http.ResponseWriter, req *request, s *send, watch *standbyWatch) (end, retry.Failure, string) {
@@ -44,6 +49,9 @@
 	var buffered bytes.Buffer
 	_, err := io.Copy(&buffered, io.LimitReader(body, bufferedAnswerBytes))
 	complete := buffered.Len() < bufferedAnswerBytes
+	if err == nil && !complete && r.Status >= http.StatusMultipleChoices && r.Framing != forward.FramingLength {
+		err = errFailureTooLong
+	}
 	if err != nil {
 		r.Close(false)
 		return g.classifyBrokenAnswer(ctx, req, s, err)
