soak: answers that end inside an event or never, and repeated SIGTERMs

Two faults of their own: one upstream at a time spoils its answers in one of five ways; the SIGTERM of a planned stop is repeated while slow streams are in progress. Checks: repeatable requests are answered or refused beside one such upstream; a stop closes no connection without an answer later than 0.2 s after the request was sent, whether or not it ran (the case 'request not run' of the check's test expected no violation at 1 s; it expects one now, and none at 0.1 s).

--- a/soak/check.go
+++ b/soak/check.go
@@ -55,8 +55,13 @@
 	if o.answered() && meansNotRun(o.status) && len(runs) > 0 {
 		s.addViolation("REFUSED", o.attempt, "status %d says that the request did not run, but it ran %d times", o.status, len(runs))
 	}
-	if !o.answered() && len(runs) > 0 && s.interruptedByShutdown(o) {
-		s.addViolation("LOST", o.attempt, "request to %s was interrupted by a graceful shutdown: %v", o.route, o.err)
+	if !o.answered() && (len(runs) > 0 || o.finished.Sub(o.started) > crossingLimit) && s.interruptedByShutdown(o) {
+		s.addViolation("LOST", o.attempt, "request to %s%s, %d runs, was interrupted after %v by a graceful shutdown: %v",
+			o.route, o.path, len(runs), o.finished.Sub(o.started).Round(time.Millisecond), o.err)
+	}
+	if s.spoiledByOne(o) {
+		s.addViolation("LOST", o.attempt, "request to %s%s ended after %v with status %d, although only one upstream spoiled its answers: %v",
+			o.route, o.path, o.finished.Sub(o.started).Round(time.Millisecond), o.status, o.err)
 	}
 	if o.endedEarly() && within(o, s.silent) {
 		s.addViolation("LOST", o.attempt, "request to %s%s ended after %v with status %d, although upstreams were at most silent for a while: %v",
@@ -64,6 +69,10 @@
 	}
 }
 
+// crossingLimit is the time after its sending in which a request may cross the close of
+// its connection, unless it was run.
+const crossingLimit = 200 * time.Millisecond
+
 // meansNotRun reports whether the status guarantees that the request did not run.
 func meansNotRun(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -17,9 +17,11 @@
 	FaultVersions   = "versions"    // upstreams of several versions, and callers that take streams up again
 	FaultLeaving    = "leaving"     // upstreams that say in their answers that they leave
 	FaultRetryAfter = "retry-after" // upstreams that turn requests away and say for how long
+	FaultTrouble    = "trouble"     // upstreams whose answers end inside an event, or never
+	FaultStops      = "stops"       // stops of routers with repeated signals, and slow streams meanwhile
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultTrouble, FaultStops}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -44,6 +44,7 @@
 	silent     []period // phases in which upstreams fall silent, but no fault occurs
 	taking     []takingPhase
 	leaving    []period // fault-free phases in which an upstream says in its answers that it leaves
+	troubled   []period // phases in which one upstream at a time spoils its answers, but no fault occurs
 	refusing   []period // fault-free phases in which upstreams turn requests away for a time
 }
 
@@ -139,6 +140,10 @@
 			s.logf("round %d: upstreams turn requests away for a time", round)
 			s.runRefusingPhase()
 		}
+		if s.opts.Faults.has(FaultTrouble) {
+			s.logf("round %d: upstreams spoil their answers", round)
+			s.runTroublePhase()
+		}
 		s.logf("round %d: fault-free phase", round)
 		s.runFaultFreePhase()
 	}
@@ -282,19 +287,36 @@
 	return drained
 }
 
+// stop shuts a router down gracefully. With FaultStops the SIGTERM is repeated, one to three
+// times.
+func (s *Soak) stop(r *router) {
+	if s.opts.Faults.has(FaultStops) {
+		r.signal(syscall.SIGTERM)
+		for range s.random.IntN(3) {
+			time.Sleep(time.Duration(s.random.IntN(1000)) * time.Millisecond)
+			r.signal(syscall.SIGTERM)
+		}
+	}
+	r.terminate()
+}
+
 // runFaultFreePhase publishes a configuration version, marks an upstream as
 // leaving and shuts a router down gracefully. It checks that the version is in
 // force at every router after propagationLimit, and records the shutdown and the
 // drain for check.
 func (s *Soak) runFaultFreePhase() {
 	from := time.Now()
+	if s.opts.Faults.has(FaultStops) {
+		slow := s.slowStreams.Swap(true)
+		defer s.slowStreams.Store(slow)
+	}
 	version := s.fleet.publishConfiguration()
 	drained := s.drainOne(2)
 	time.Sleep(propagationLimit)
 	s.checkInForce(version, fmt.Sprintf("after %v", propagationLimit))
 	shutdown := routerShutdown{router: s.random.IntN(len(s.fleet.routers)), period: period{from: time.Now()}}
 	s.logf("graceful shutdown of router-%d", shutdown.router)
-	s.fleet.routers[shutdown.router].terminate()
+	s.stop(s.fleet.routers[shutdown.router])
 	shutdown.to = time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -128,19 +128,25 @@
 		{"refused but run", outcome{route: "/safe/", status: 503}, 1, 1},
 		{"502 allows one run", outcome{route: "/once/", status: 502}, 1, 0},
 		{"interrupted by a graceful shutdown", outcome{route: "/once/", err: io.EOF, started: now, finished: now.Add(time.Second)}, 1, 1},
-		{"connection closed by the shutdown, request not run", outcome{route: "/once/", err: io.EOF, started: now, finished: now.Add(time.Second)}, 0, 0},
+		{"request crossed the close of the shutdown", outcome{route: "/once/", err: io.EOF, started: now, finished: now.Add(100 * time.Millisecond)}, 0, 0},
+		{"connection closed by the shutdown, request not run", outcome{route: "/once/", err: io.EOF, started: now, finished: now.Add(time.Second)}, 0, 1},
 		{"interrupted at another router", outcome{route: "/once/", router: 1, err: io.EOF, started: now, finished: now.Add(time.Second)}, 1, 0},
 		{"interrupted after the shutdown", outcome{route: "/once/", err: io.EOF, started: now, finished: now.Add(time.Hour)}, 1, 0},
-		{"cut while upstreams were silent", outcome{err: io.EOF, started: now, finished: now.Add(time.Second), deadline: time.Minute}, 0, 1},
+		{"cut while upstreams were silent", outcome{router: 1, err: io.EOF, started: now, finished: now.Add(time.Second), deadline: time.Minute}, 0, 1},
 		{"failed while upstreams were silent", outcome{status: 502, started: now, finished: now.Add(time.Second), deadline: time.Minute}, 0, 1},
 		{"refused while upstreams were silent", outcome{status: 503, started: now, finished: now.Add(time.Second), deadline: time.Minute}, 0, 0},
-		{"cut at its deadline", outcome{err: io.EOF, started: now, finished: now.Add(time.Minute), deadline: time.Minute}, 0, 0},
-		{"cut by a fault after the silences", outcome{err: io.EOF, started: now, finished: now.Add(time.Hour), deadline: 2 * time.Hour}, 0, 0},
+		{"cut at its deadline", outcome{router: 1, err: io.EOF, started: now, finished: now.Add(time.Minute), deadline: time.Minute}, 0, 0},
+		{"repeatable request failed beside one spoiling upstream", outcome{route: "/safe/", status: 504, started: now, finished: now.Add(time.Second)}, 0, 1},
+		{"resumable stream cut beside one spoiling upstream", outcome{route: "/resume/", status: 200, router: 1, err: io.ErrUnexpectedEOF, started: now, finished: now.Add(time.Second)}, 1, 1},
+		{"refused beside one spoiling upstream", outcome{route: "/safe/", status: 503, started: now, finished: now.Add(time.Second)}, 0, 0},
+		{"unrepeatable request failed beside one spoiling upstream", outcome{route: "/once/", status: 502, started: now, finished: now.Add(time.Second)}, 1, 0},
+		{"cut by a fault after the silences", outcome{router: 1, err: io.EOF, started: now, finished: now.Add(time.Hour), deadline: 2 * time.Hour}, 0, 0},
 	} {
 		s := &Soak{
 			shutdowns: []routerShutdown{{router: 0, period: period{now, now.Add(time.Minute)}}},
 			faultFree: []period{{now.Add(-time.Minute), now.Add(time.Minute)}},
 			silent:    []period{{now.Add(-time.Second), now.Add(2 * time.Minute)}},
+			troubled:  []period{{now.Add(-time.Second), now.Add(2 * time.Minute)}},
 		}
 		s.checkOutcome(&c.outcome, run(c.runs))
 		must.Len(t, c.want, s.violations, must.Sprint(c.name))
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -51,6 +51,7 @@
 	full        bool
 	leaving     bool
 	refuseUntil time.Time // no requests are accepted until then
+	trouble     Trouble
 	runs        []Run
 	arrived     []Arrival
 	cached      map[string]cachedPart // prompt parts by identifier
@@ -173,8 +174,14 @@
 	defer r.end()
 	r.cachePrompt(req.Header.Get(wire.HeaderModel), req.Header.Get(wire.HeaderPrompt))
 	w.Header().Set(wire.HeaderSignature, r.opts.ID+"."+attempt)
-	if len(req.URL.Path) > 8 && (req.URL.Path[:8] == "/stream/" || req.URL.Path[:8] == "/resume/") {
-		r.stream(w, req, cmp.Or(req.Header.Get(wire.HeaderResumes), attempt), lastEvent)
+	isStream := strings.HasPrefix(req.URL.Path, "/stream/") || strings.HasPrefix(req.URL.Path, "/resume/")
+	first := cmp.Or(req.Header.Get(wire.HeaderResumes), attempt)
+	if kind := r.currentTrouble(); kind != TroubleNone {
+		r.spoil(w, kind, isStream, first, lastEvent)
+		return
+	}
+	if isStream {
+		r.stream(w, req, first, lastEvent)
 		return
 	}
 	time.Sleep(r.opts.EventInterval)
