--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/decide/eject"
+	"dandelionrill.example/fleet/gateway"
 	"github.com/shoenig/test/must"
 )
 
@@ -77,3 +80,18 @@
 	must.NoError(t, err)
 	must.Between(t, 10, seconds, 40)
 }
+
+// An upstream names a shorter time than before. The earlier word must stand: otherwise
+// requests reach the upstream before its time.
+func TestShorterHoldChangesNothing(t *testing.T) {
+	board := gateway.NewBoard(eject.Options{})
+	key := catalog.Key{ID: "i-1"}
+	held := func() time.Duration { return board.Status(key).Held }
+	must.True(t, board.Hold(key, time.Minute))
+	must.False(t, board.Hold(key, time.Second))
+	must.Between(t, 30*time.Second, held(), time.Minute)
+	must.False(t, board.Hold(key, 5*time.Minute), must.Sprint("a longer one extends it"))
+	must.Between(t, 4*time.Minute, held(), 5*time.Minute)
+	board.Hold(key, 24*time.Hour)
+	must.Between(t, 9*time.Minute, held(), 10*time.Minute, must.Sprint("ten minutes are the most"))
+}
--- a/gossip/leaving_test.go
+++ b/gossip/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"dandelionrill.example/fleet/catalog"
 	"github.com/shoenig/test/must"
@@ -14,5 +15,10 @@
 	second := startRouter(t, "r2", first.address)
 	x := catalog.Key{ID: "x", Born: 5}
 	first.mesh.opts.Leaving.Add(x, 0)
-	must.Eq(t, x, <-second.leaving)
+	select {
+	case got := <-second.leaving:
+		must.Eq(t, x, got)
+	case <-time.After(10 * time.Second):
+		t.Fatal("not reported")
+	}
 }
