--- a/feed/feed.go
+++ b/feed/feed.go
@@ -87,8 +87,8 @@
 type Options struct {
 	Kind   string
 	Source store.Collections
-	// Wait is the maximum duration of one watch call. It limits how long a silent
-	// watch is trusted.
+	// Wait is the longest wait of one watch call. A watch without an answer is given up
+	// some time after it.
 	Wait time.Duration
 	Log  log.Interface
 	// Eras tracks the eras of the store, also for the other feeds of this router;
@@ -117,7 +117,8 @@
 	peers        peerSteady
 	lossLogged   bool               // the loss of the store has been logged
 	cancelWatch  context.CancelFunc // cancels the current watch; nil before the first
-	publishMu    sync.Mutex         // serializes calls of Changed; locked before mu
+	patience     patience
+	publishMu    sync.Mutex // serializes calls of Changed; locked before mu
 }
 
 // New returns a feed without content. Run fills it and keeps it up to date.
--- a/feed/run.go
+++ b/feed/run.go
@@ -27,7 +27,9 @@
 			err = f.list(ctx)
 			listed = err == nil
 		} else {
-			err = f.watch(ctx)
+			if err = f.watch(ctx); errors.Is(err, errSilent) {
+				err = f.listSilent(ctx)
+			}
 			listed = !errors.Is(err, store.ErrHistoryGone)
 		}
 		if err == nil || ctx.Err() != nil || errors.Is(err, store.ErrHistoryGone) {
@@ -62,11 +64,17 @@
 // watchOnce watches the store once and applies its changes after position from.
 // If there are none, it returns after wait.
 func (f *Feed) watchOnce(ctx context.Context, from store.Position, wait time.Duration) error {
+	started := time.Now()
 	changes, at, err := f.opts.Source.WatchKind(ctx, f.opts.Kind, from, wait)
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
+	if len(changes) == 0 {
+		f.mu.Lock()
+		f.patience.answered(time.Since(started) - wait)
+		f.mu.Unlock()
+	}
 	f.apply(from, changes, at, 0)
 	return nil
 }
@@ -158,22 +166,6 @@
 	return nil
 }
 
-// watch waits for changes after the content's position. It ends early, without
-// an error, if content from another router is adopted in the meantime.
-func (f *Feed) watch(ctx context.Context) error {
-	watchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.mu.Lock()
-	from := f.position
-	f.cancelWatch = cancel
-	f.mu.Unlock()
-	err := f.watchOnce(watchCtx, from, f.opts.Wait)
-	if err != nil && watchCtx.Err() != nil {
-		return nil
-	}
-	return err
-}
-
 // apply applies the changes after position from, and reports whether the content
 // was at that position. age is how long ago the result was known to be the
 // store's newest content.
