--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,10 +24,12 @@
 )
 
 const (
-	// configurationWatchTimeout and upstreamsWatchTimeout limit one watch of the
-	// store: a connection that went silent is detected when the watch ends.
+	// configurationWatchTimeout and upstreamsWatchTimeout are the longest waits of a
+	// watch: that the store tells it of no changes is detected when the watch ends. The
+	// second is shorter, since an upstream that leaves must get no requests after its
+	// drain time.
 	configurationWatchTimeout = 800 * time.Millisecond
-	upstreamsWatchTimeout     = 800 * time.Millisecond
+	upstreamsWatchTimeout     = 500 * time.Millisecond
 	// storeCallTimeout limits one call to the store beyond its wait time: the
 	// store answers within milliseconds, and a call on a connection that went
 	// silent must be given up.
