gateway: keep a stream at its service when weights change

Fix: the short hash by which routers name a version covers its service too, and a stream that is taken up goes to the service of its route that has the recorded version; if the route has none with weight, it is refused. Routers of the old and new build don't know each other's records during an update; such streams are refused.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -32,7 +32,7 @@
 	Revision      uint64 // of its entry
 	Restored      bool   // listed as ready only by an older copy from which the store returned
 	Hash          uint64
-	VersionSum    uint32 // short hash of Version
+	VersionSum    uint32 // short hash of Service and Version
 }
 
 // Key identifies one process start of an upstream. The ID alone is not enough, since
@@ -70,7 +70,7 @@
 	for i := range upstreams {
 		u := &upstreams[i]
 		u.Hash = xxhash.Sum64String(u.ID)
-		u.VersionSum = uint32(xxhash.Sum64String(u.Version))
+		u.VersionSum = uint32(xxhash.Sum64String(u.Service + "\x00" + u.Version))
 		c.byID[u.ID] = u
 		c.bySum[u.Key().Sum()] = u
 		c.services[u.Service] = append(c.services[u.Service], u)
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/routing"
 )
 
 const (
@@ -66,9 +68,27 @@
 		return refused("the version that began the stream is not known", retryAfterShort), false
 	}
 	req.version = boundVersion{sum: sum, bound: true}
+	if service, ok := g.serviceOfVersion(req.route, sum); ok {
+		req.service = service
+	}
 	return end{}, true
 }
 
+// serviceOfVersion returns the service of a route that has a version, by the version's short
+// hash: it is the one that began the stream, also if weights have changed since.
+func (g *Gateway) serviceOfVersion(route *routing.Route, sum uint32) (service string, ok bool) {
+	upstreams := g.catalog.Load()
+	for _, share := range route.Shares {
+		if share.Weight <= 0 && len(route.Shares) > 1 {
+			continue // gets no requests any more
+		}
+		if slices.ContainsFunc(upstreams.Service(share.Service), func(u *catalog.Upstream) bool { return u.VersionSum == sum }) {
+			return share.Service, true
+		}
+	}
+	return "", false
+}
+
 // findVersion returns the version that began the stream that a request takes up.
 func (g *Gateway) findVersion(ctx context.Context, req *request) (sum uint32, result string) {
 	if req.Resumes != "" {
--- a/gateway/resume_service_test.go
+++ b/gateway/resume_service_test.go
@@ -12,17 +12,22 @@
 
 // setServices divides all routes equally between two services of one replica each.
 func (f *fixture) setServices(first, second *replica) {
+	f.setWeights(1, 1)
+	other := second.upstream()
+	other.Service = "s2"
+	f.gateway.SetCatalog(catalog.New(2, []catalog.Upstream{first.upstream(), other}))
+}
+
+// setWeights divides all routes between the two services.
+func (f *fixture) setWeights(first, second int) {
 	routes := defaultRoutes()
 	for i := range routes {
-		routes[i].Shares = []routing.Share{{Service: "s", Weight: 1}, {Service: "s2", Weight: 1}}
+		routes[i].Shares = []routing.Share{{Service: "s", Weight: first}, {Service: "s2", Weight: second}}
 	}
 	f.gateway.SetTable(routing.NewTable(&routing.Configuration{
-		Version: 2, Routes: routes, Limits: routing.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
+		Version: f.gateway.Version() + 1, Routes: routes, Limits: routing.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
 		Customers: []routing.Customer{{Name: "c1", Keys: []string{"key"}}},
 	}))
-	other := second.upstream()
-	other.Service = "s2"
-	f.gateway.SetCatalog(catalog.New(2, []catalog.Upstream{first.upstream(), other}))
 }
 
 // A route divides its requests between two services by the attempt's identifier. A stream
@@ -60,3 +65,30 @@
 	r := routing.Route{Shares: []routing.Share{{Service: "s", Weight: 1}, {Service: "s2", Weight: 1}}}
 	return r.Service(attempt) == "s"
 }
+
+// Both services of a route have the same version. Its weights change while a stream waits to
+// be taken up: it must go on at the service that began it while the route has that, and must
+// not be continued by the other one, which writes another answer.
+func TestStreamStaysAtItsServiceWhenWeightsChange(t *testing.T) {
+	for name, left := range map[string]int{"fewer": 1, "none": 0} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newVersion(t, "i-1", "v1", breaking), newVersion(t, "i-2", "v1", breaking)
+			f := newFixture(t, first)
+			f.setServices(first, second)
+			var began []string
+			for i := 0; len(began) < 10; i++ {
+				if attempt := "began-" + strconv.Itoa(i); routeToFirst(attempt) {
+					f.cut(t, f.newResumable(t, attempt, ""))
+					began = append(began, attempt)
+				}
+			}
+			f.setWeights(left, 1000)
+			atFirst, atSecond := first.runs.Load(), second.runs.Load()
+			for _, attempt := range began {
+				f.do(t, f.newResumable(t, "again-"+attempt, attempt))
+			}
+			must.Eq(t, 10*int64(left), first.runs.Load()-atFirst)
+			must.Eq(t, 0, second.runs.Load()-atSecond)
+		})
+	}
+}
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -6,9 +6,9 @@
 )
 
 // boundVersion is the software version at which a stream has to go on, since what two
-// versions write does not fit together. The zero value allows all versions.
+// versions, or two services, write does not fit together. The zero value allows all versions.
 type boundVersion struct {
-	sum   uint32 // short hash of the version
+	sum   uint32 // short hash of the service and the version
 	bound bool
 }
 
