gateway: refuse in a drain what has lately taken too long for it

What callers would see: in the first three seconds of a drain any request was accepted, also one whose kind takes longer than the rest.

Fix: a router knows the slowest answer of each route in the last 10 to 20 s. A draining one refuses a request that needs as long and has less, unless its timeout ends before; the caller goes to another router.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	streams *Streams
 	leaving *Leaving
 	metrics *metrics
+	slowest *slowestAnswers
 
 	policy            atomic.Pointer[Policy]
 	table             atomic.Pointer[routing.Table]
@@ -85,6 +86,7 @@
 		streams:      NewStreams(),
 		leaving:      NewLeaving(),
 		metrics:      newMetrics(),
+		slowest:      newSlowestAnswers(time.Now()),
 		retryBudgets: make(map[string]*retry.Budget),
 		configured:   make(chan struct{}),
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -287,6 +287,22 @@
 	must.Eq(t, 200, response.StatusCode)
 }
 
+// A draining router refuses a request whose kind has lately taken longer than the drain
+// lasts: its caller finds another router, instead of losing the request at the end.
+func TestDrainRefusesWhatLatelyTookTooLong(t *testing.T) {
+	up := newReplica(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(1500 * time.Millisecond)
+		answering("ok")(w, r)
+	})
+	f := newFixture(t, up)
+	response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, 200, response.StatusCode)
+	f.gateway.Drain(2 * time.Second) // 1.4 s without the margin
+	response, _ = f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, 503, response.StatusCode)
+	must.Eq(t, 1, up.runs.Load())
+}
+
 // When the retry budget is used up, the failure answer of the upstream is
 // delivered; the router must not replace it by a failure of its own.
 func TestUpstreamFailureIsDeliveredWithoutRetryBudget(t *testing.T) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -111,6 +111,7 @@
 	if e.kind == endAnswered {
 		g.metrics.firstByte.Record(req.firstByte)
 		g.metrics.completeAnswer.Record(took)
+		g.slowest.record(req.route.Name, took, time.Now())
 	}
 	fields := requestFields{req: req, end: e, took: took, catalog: g.catalog.Load().Revision}
 	fields.tableAge, fields.catalogAge = g.opts.ConfirmationAges()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -195,7 +195,8 @@
 	if drain == nil {
 		return false
 	}
-	return !admit.FitsDrain(time.Until(req.deadline), time.Since(drain.started), drain.limit)
+	work := admit.Work{Timeout: time.Until(req.deadline), Expected: g.slowest.slowest(req.route.Name, time.Now())}
+	return !admit.FitsDrain(work, time.Since(drain.started), drain.limit)
 }
 
 func headerBytes(r *http.Request) int {
