gateway: log that a request had no retry left; soak: room for retries beside spoiled answers

The line of such a request says 'retry: no budget' now.

The check stays. Soaks with that fault have ten times the extra retries, since it is of what follows a spoiled answer and not of the budget.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -113,7 +113,8 @@
 		a.retryReserved = false
 		return true
 	}
-	return g.withdrawRetry(req.service)
+	req.retryDenied = !g.withdrawRetry(req.service)
+	return !req.retryDenied
 }
 
 // endWithoutRetry returns the end of a request that is not retried.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -48,6 +48,9 @@
 	if f.end.reason != "" {
 		fields["reason"] = f.end.reason
 	}
+	if f.req.retryDenied {
+		fields["retry"] = "no budget"
+	}
 	if f.end.status != 0 {
 		fields["status"] = f.end.status
 	}
--- a/gateway/record_test.go
+++ b/gateway/record_test.go
@@ -16,6 +16,8 @@
 	must.Eq(t, "i-1@a load=3 held=1/2 fetch=i-2 refused 4ms; i-2@b version=v1.1 load=1 held=2/2 answered 30ms", describeSends(sends, 2))
 	framed := []sendRecord{{upstream: "i-4@a", load: 1, framing: forward.FramingClose, partialEvent: 23, result: resultCut, took: time.Millisecond}}
 	must.Eq(t, "i-4@a load=1 framing=close partial_event=23 cut 1ms", describeSends(framed, 0))
+	denied := requestFields{req: &request{retryDenied: true}}.Fields()
+	must.Eq(t, any("no budget"), denied.Get("retry"))
 	plain := []sendRecord{{upstream: "i-3@a", load: 2, failureExcess: 0.314, result: resultAnswered, took: time.Millisecond}}
 	must.Eq(t, "i-3@a load=2 failing=0.31 answered 1ms", describeSends(plain, 0))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -42,6 +42,7 @@
 
 	// Progress and result.
 	sends            []sendRecord
+	retryDenied      bool // the budget had no retry left
 	headWritten      bool // status and headers of an answer were delivered
 	version          boundVersion
 	deliveredEventID string
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -54,8 +54,16 @@
 	configuration []byte // the object of the newest version
 }
 
+// The retries of all routers beyond a share of their requests.
+const (
+	usualRetryExtra = 60
+	// ampleRetryExtra is for soaks that check what becomes of each spoiled answer: one of a
+	// few upstreams can spoil more answers than the usual budget has retries.
+	ampleRetryExtra = 600
+)
+
 // newFleet starts the store, the upstreams and the routers.
-func newFleet(binary, dir string, routers, upstreams int, versionOf func(int) string) (*fleet, error) {
+func newFleet(binary, dir string, routers, upstreams int, versionOf func(int) string, retryExtra int) (*fleet, error) {
 	f := &fleet{dir: dir, versionOf: versionOf, store: platform.New(platform.Options{})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -77,7 +85,7 @@
 	seeds := []string{addresses[2], addresses[5%len(addresses)]}
 	for i := range routers {
 		routerAddresses := [3]string(addresses[3*i : 3*i+3])
-		r, err := newRouter(fmt.Sprint("router-", i), binary, dir, f.storeAddress, seeds, routerAddresses)
+		r, err := newRouter(fmt.Sprint("router-", i), binary, dir, f.storeAddress, seeds, routerAddresses, retryExtra)
 		if err != nil {
 			return nil, errors.CombineErrors(err, f.close())
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -73,7 +73,11 @@
 		versionOf = versionsBySeed(opts.Seed)
 	}
 	opts.Upstreams, opts.Callers = orDefault(opts.Upstreams, upstreams), orDefault(opts.Callers, 12)
-	f, err := newFleet(opts.Binary, opts.Dir, opts.Routers, opts.Upstreams, versionOf)
+	retryExtra := usualRetryExtra
+	if opts.Faults.has(FaultTrouble) {
+		retryExtra = ampleRetryExtra
+	}
+	f, err := newFleet(opts.Binary, opts.Dir, opts.Routers, opts.Upstreams, versionOf, retryExtra)
 	if err != nil {
 		return nil, err
 	}
