gateway: count a silence inside an event as a silence

The silence of the upstream goes first. TestSilenceInsideEventCountsAsSilence fails with the other order. The two ways of setUndelivered became methods of their own.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -40,14 +40,17 @@
 	return nil
 }
 
-// setUndelivered records whether bytes have arrived that cannot be delivered yet. again is
-// true if others were delivered since it was last called.
-func (s *send) setUndelivered(undelivered, again bool) {
-	switch {
-	case !undelivered:
-		s.undeliveredSince.Store(0)
-	case again || s.undeliveredSince.Load() == 0:
-		s.undeliveredSince.Store(int64(time.Since(s.start)))
+// markUndelivered records that bytes have arrived that cannot be delivered yet.
+func (s *send) markUndelivered() {
+	s.undeliveredSince.CompareAndSwap(0, int64(time.Since(s.start)))
+}
+
+// markDelivered records that what had arrived was delivered. more is true if bytes behind
+// it cannot be delivered yet.
+func (s *send) markDelivered(more bool) {
+	s.undeliveredSince.Store(0)
+	if more {
+		s.markUndelivered()
 	}
 }
 
@@ -226,11 +229,12 @@
 // superseded returns how a send ends when a standby attempt has taken over.
 func (g *Gateway) superseded(req *request, s *send) (end, retry.Failure, string) {
 	cause := errSilent
-	if s.undelivered() > silenceLimit {
+	switch {
+	case tooSilent(g.board.Status(s.key())):
+		g.recordFailure(s.key(), false, errSilent)
+	case s.undelivered() > silenceLimit:
 		cause = errEndless
-	}
-	if cause == errEndless || tooSilent(g.board.Status(s.key())) {
-		g.recordFailure(s.key(), cause == errEndless, cause)
+		g.recordFailure(s.key(), true, errEndless)
 	}
 	failure := retry.FailureMayHaveRun
 	if req.headWritten {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -121,7 +121,9 @@
 	body := answerReader{g, s, watch}
 	for {
 		ready, err := s.events.read(body)
-		s.setUndelivered(s.events.waitsForMore(), len(ready) > 0)
+		if waits := s.events.waitsForMore(); len(ready) > 0 || !waits {
+			s.markDelivered(waits)
+		}
 		if (len(ready) > 0 || err == io.EOF) && !watch.proceed() {
 			s.response.Close(false)
 			return g.superseded(req, s)
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -82,7 +82,7 @@
 	n, err := r.send.body.Read(p)
 	if n > 0 {
 		r.gateway.recordActivity(r.send.key())
-		r.send.setUndelivered(true, false)
+		r.send.markUndelivered()
 	}
 	return n, err
 }
--- a/gateway/stream_incomplete_event_test.go
+++ b/gateway/stream_incomplete_event_test.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// An upstream falls silent inside an event, and a standby attempt takes over. The upstream
+// must count as unreachable, as after any silence, and not as one that sends bytes.
+func TestSilenceInsideEventCountsAsSilence(t *testing.T) {
+	silent := newReplica(t, "i-silent", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(signature, "first")
+		_, _ = io.WriteString(w, twoEvents+"id: 3\nda")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	f := newFixture(t, silent)
+	go listLater(f, silent, newReplica(t, "i-other", resuming))
+	f.do(t, f.newRequest(t, http.MethodPost, "/resume/", "{}"))
+	must.True(t, f.gateway.Board().Status(silent.upstreamKey()).Unreachable)
+}
+
 // A silent upstream closes its connection in order inside an event while a standby attempt
 // is in progress. That attempt must continue the stream: canceled, it would use up the
 // attempts that the route allows.
