router: answer the requests in progress at the drain timeout

By review; not seen by callers.

Cause: http.Server.Shutdown gave up, Run returned, and the process exited with the handlers still running.

Fix: the contexts of all requests have a parent that ends at the drain timeout with DeadlineExceeded. Each request then ends on the path of its own timeout, with what is known of it (504, or incomplete within a stream), and the router waits up to a second for that. TestRouterAnswersRequestsAtItsDrainTimeout: one request in progress when Run returned before; 504 and none now. go test ./router ./fleettest: ok. No package of the gateway changes.

--- a/fleettest/drain_test.go
+++ b/fleettest/drain_test.go
@@ -13,6 +13,7 @@
 	"dandelionrill.example/fleet/agent"
 	"dandelionrill.example/fleet/fleettest"
 	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/router"
 	"dandelionrill.example/fleet/wire"
 )
 
@@ -89,3 +90,27 @@
 		r.routers[0].StartDrain()
 	}
 }
+
+// A request is still in progress when the drain timeout of its router expires. The caller
+// must be told so before the router ends, instead of losing its connection.
+func TestRouterAnswersRequestsAtItsDrainTimeout(t *testing.T) {
+	release := make(chan struct{})
+	cfg := fleettest.Config(1)
+	u := fleettest.StartUpstream(t, "model-1", fleettest.ModelService, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }), cfg, nil)
+	defer close(release)
+	r := fleettest.StartRouter(t, "router-1", cfg, []*fleettest.Upstream{u}, nil, func(o *router.Options) {
+		o.DrainDelay, o.DrainTimeout = time.Millisecond, 100*time.Millisecond
+	})
+	answers := make(chan fleettest.Answer, 1)
+	go func() {
+		a, _ := r.Try(http.MethodPost, "/v1/chat/completions", fmt.Sprintf(chat, 1), map[string]string{"Content-Type": "application/json"})
+		answers <- a
+	}()
+	for r.InProgress() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.Stop()
+	<-r.Done
+	must.Eq(t, 0, r.InProgress())
+	must.Eq(t, http.StatusGatewayTimeout, (<-answers).Status)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -59,11 +59,13 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go r.refreshSnapshots(background)
+	requests := newStopContext()
 	server := &http.Server{
 		Handler:           r.Handler(),
 		ReadHeaderTimeout: r.opts.HeaderTimeout,
 		IdleTimeout:       r.opts.IdleTimeout,
 		MaxHeaderBytes:    r.opts.MaxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return requests },
 	}
 	served := make(chan error, 1)
 	go func() { served <- r.serve(server, l) }()
@@ -72,7 +74,7 @@
 		return errors.Wrap(err, "router: serve")
 	case <-ctx.Done():
 	}
-	return r.shutdown(server)
+	return r.shutdown(server, requests)
 }
 
 func (r *Router) serve(server *http.Server, l net.Listener) error {
@@ -87,17 +89,23 @@
 	return int(r.inProgress.Load())
 }
 
+// endTimeout limits the time to answer the requests that are ended at the drain timeout.
+const endTimeout = time.Second
+
 // shutdown makes the router unready, keeps serving for the drain delay because
 // some callers have not noticed yet, then closes the listener and waits for
-// the requests in progress.
-func (r *Router) shutdown(server *http.Server) error {
+// the requests in progress. Those that exceed the drain timeout are ended.
+func (r *Router) shutdown(server *http.Server, requests *stopContext) error {
 	r.StartDrain()
 	time.Sleep(r.opts.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), r.opts.DrainTimeout)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		counters.Add("drain_timeouts", 1)
-		return errors.Wrap(err, "router: graceful shutdown")
+		requests.stop()
+		last, cancel := context.WithTimeout(context.Background(), endTimeout)
+		defer cancel()
+		return errors.Wrap(errors.CombineErrors(err, server.Shutdown(last)), "router: graceful shutdown")
 	}
 	r.opts.Board.SetDrain(board.DrainDrained, board.OriginSelf)
 	return nil
