soak: no request meets two upstreams that spoil their answers

The trace (docs/SOAK.md): the first upstream's answers without end outlast its time in the phase, and the standby attempt went to the next one, which had just begun to spoil its own. The route allows two attempts, so the case is allowed; the check's premise is one such upstream. The phase now pauses for a request's deadline between two of them.

--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -15,7 +15,7 @@
 )
 
 // runTroublePhase lets one upstream at a time spoil its answers, each time in a way that the
-// seed chooses, and records the phase for check.
+// seed chooses, and records the phase for check. Answers without end go on behind that time.
 func (s *Soak) runTroublePhase() {
 	from := time.Now()
 	kinds := replica.Troubles()
@@ -25,6 +25,7 @@
 		u.replica.SetTrouble(kind)
 		time.Sleep(troubleTime + time.Duration(s.random.IntN(1500))*time.Millisecond)
 		u.replica.SetTrouble(replica.TroubleNone)
+		time.Sleep(callerTimeout) // so that no request meets two upstreams that spoil its answers
 	}
 	time.Sleep(slowTimeout) // requests may still end
 	s.mu.Lock()
