--- a/feed/run.go
+++ b/feed/run.go
@@ -219,12 +219,13 @@
 	}
 }
 
-// recordFailure records that a call that began at started has failed, and logs
-// the loss of the store once calls have kept failing for longer than
-// logLossAfter.
+// recordFailure records that a call that began at started has failed. It logs the first
+// failure after a success, and the loss of the store once calls have kept failing for
+// longer than logLossAfter.
 func (f *Feed) recordFailure(started time.Time, err error) {
 	f.mu.Lock()
-	if f.failingSince.IsZero() {
+	first := f.failingSince.IsZero()
+	if first {
 		f.failingSince = started
 	}
 	gap := time.Since(f.failingSince)
@@ -234,10 +235,14 @@
 	}
 	position := f.position
 	f.mu.Unlock()
+	entry := f.opts.Log.WithError(err).WithFields(log.Fields{
+		"kind": f.opts.Kind, "gap_ms": gap.Milliseconds(), "era": position.Era, "revision": position.Revision,
+	})
+	if first {
+		entry.Info("call to the store failed")
+	}
 	if logLoss {
-		f.opts.Log.WithError(err).WithFields(log.Fields{
-			"kind": f.opts.Kind, "gap_ms": gap.Milliseconds(), "era": position.Era, "revision": position.Revision,
-		}).Warn("store does not answer")
+		entry.Warn("store does not answer")
 	}
 }
 
