feed: end an outage when other routers are answered

Cause: a router that does not watch the store records a failed call, and makes no further one while others confirm its content. Reports of others were to correct this, but told only of their own calls, one hop far: in a failure domain without a watcher all routers had failed, and none was told better. Of the reports that did arrive only a longer one renewed the record, by its clock, so that it lapsed after 0.5 s and the next one, of 0 s, took its place.

Now a router keeps one period without an outage, from its own calls and from all that it hears, and passes it on with the ages of both ends, which only the store's answers renew. Periods that meet are joined; a run of failures counts up to its last failure, and not against later answers to others.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -58,7 +58,7 @@
 }
 
 // Stamp describes how recent a feed's content is. Routers of earlier versions send
-// neither Era nor Content.
+// neither Era, Content nor Available.
 type Stamp struct {
 	Era      uint64        // of the store; 0 if the store reports no eras
 	Revision uint64        // of the store; 0 if the feed has no content
@@ -66,6 +66,8 @@
 	Content  uint64        // of names, revisions and values
 	Age      time.Duration // since the content was last known to be the store's newest
 	Steady   time.Duration // how long the store has answered this router without an outage
+	// Available is what the router knows of the store from its own calls and from others.
+	Available Availability
 }
 
 // Position returns the position of the store at which it had the content.
@@ -73,16 +75,6 @@
 	return store.Position{Era: s.Era, Revision: s.Revision}
 }
 
-// peerSteady is the longest time that the store has answered any other router
-// without an outage, according to recent reports.
-type peerSteady struct {
-	since    time.Time
-	reported time.Time // when the report arrived
-}
-
-// peerSteadyMaxAge is how long another router's report on the store is valid.
-const peerSteadyMaxAge = 500 * time.Millisecond
-
 // Options configures a Feed.
 type Options struct {
 	Kind   string
@@ -111,10 +103,11 @@
 	position     store.Position // zero until there is content
 	recent       changeLog
 	digest       digests
-	confirmed    time.Time // when the content was last known to be the store's newest
-	failingSince time.Time // start of the first failed call since the last successful one; zero if none failed
-	steadySince  time.Time // since when the store has answered this router without an outage
-	peers        peerSteady
+	confirmed    time.Time          // when the content was last known to be the store's newest
+	failingSince time.Time          // start of the first failed call since the last successful one; zero if none failed
+	lastFailure  time.Time          // end of the last failed call
+	steadySince  time.Time          // since when the store has answered this router without an outage
+	available    period             // when it last answered any router without an outage
 	lossLogged   bool               // the loss of the store has been logged
 	cancelWatch  context.CancelFunc // cancels the current watch; nil before the first
 	patience     patience
@@ -129,7 +122,8 @@
 	if opts.Eras == nil {
 		opts.Eras = &store.Eras{}
 	}
-	return &Feed{opts: opts, records: make(map[string]store.Record), steadySince: time.Now()}
+	now := time.Now()
+	return &Feed{opts: opts, records: make(map[string]store.Record), steadySince: now, available: period{from: now, to: now}}
 }
 
 // replace replaces the content if the position is newer and reports whether it
@@ -182,25 +176,11 @@
 func (f *Feed) Adopt(s Snapshot, stamp Stamp) bool {
 	f.opts.Eras.Observe(s.Era, 0)
 	f.mu.Lock()
-	f.recordPeerSteady(stamp)
+	f.observeAvailability(stamp)
 	f.mu.Unlock()
 	return f.replace(s.Records, s.Position(), stamp.Age)
 }
 
-// recordPeerSteady records how long the store has answered another router without an
-// outage. A report from before the store's last return from a copy is ignored.
-// f.mu must be held.
-func (f *Feed) recordPeerSteady(stamp Stamp) {
-	if _, returned := f.opts.Eras.Since(); returned && stamp.Era < f.opts.Eras.Newest() {
-		return
-	}
-	now := time.Now()
-	since := now.Add(-stamp.Steady)
-	if now.Sub(f.peers.reported) > peerSteadyMaxAge || !since.After(f.peers.since) {
-		f.peers = peerSteady{since: since, reported: now}
-	}
-}
-
 // Confirm evaluates the stamp of another router: equal content renews the
 // confirmation of this router's content. It reports whether the other router
 // holds newer content.
@@ -208,7 +188,7 @@
 	f.opts.Eras.Observe(peer.Era, 0)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.recordPeerSteady(peer)
+	f.observeAvailability(peer)
 	if f.position.IsZero() {
 		return peer.Revision != 0
 	}
@@ -252,12 +232,12 @@
 	s := Stamp{
 		Era: f.position.Era, Revision: f.position.Revision,
 		Digest: f.digest.revisions, Content: f.digest.content,
-		Steady: now.Sub(f.steadyFrom()),
+		Steady: now.Sub(f.steadyFrom()), Available: f.availability(now),
 	}
 	if !f.position.IsZero() {
 		s.Age = now.Sub(f.confirmed)
 	}
-	if !f.failingSince.IsZero() && now.Sub(f.failingSince) > minOutage {
+	if f.inOutage() {
 		s.Steady = 0
 	}
 	return s
@@ -311,21 +291,3 @@
 	d.revisions ^= uint64(len(records))
 	return d
 }
-
-// Steady returns how long the store has answered this router or another one
-// without an outage, whichever is longer. If only this router was cut off from
-// the store, the store itself had no outage.
-func (f *Feed) Steady() time.Duration {
-	own := f.Stamp().Steady
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	if now.Sub(f.peers.reported) > peerSteadyMaxAge {
-		return own
-	}
-	steady := now.Sub(f.peers.since)
-	if at, returned := f.opts.Eras.Since(); returned && f.peers.since.Before(at) {
-		steady = now.Sub(at) // the report is from before the store's return
-	}
-	return max(own, steady)
-}
--- a/feed/outage_test.go
+++ b/feed/outage_test.go
@@ -88,3 +88,35 @@
 		}
 	})
 }
+
+// A router that was frozen for some seconds knows nothing of the store in that time, and
+// must not tell others that there was no outage.
+func TestTimeWithoutAnythingHeardIsNoPeriodWithoutOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPassiveFeed(Snapshot{Revision: 5})
+		time.Sleep(maxPeriodAge + time.Second)
+		f.recordSuccess()
+		must.Zero(t, f.Steady())
+		must.Zero(t, f.Stamp().Available.FromAge)
+		time.Sleep(maxPeriodAge)
+		f.recordSuccess()
+		must.Eq(t, maxPeriodAge, f.Steady())
+	})
+}
+
+// Reports that do not meet are of two periods: the later one counts once this router has
+// noticed the outage between them, or has heard nothing that belongs to the earlier one.
+func TestLaterPeriodReplacesTheOneBeforeAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPassiveFeed(Snapshot{Revision: 5})
+		time.Sleep(2 * time.Second)
+		later := Stamp{Available: Availability{FromAge: 500 * time.Millisecond}}
+		f.observeAvailability(later)
+		must.Eq(t, 2*time.Second, f.Steady(), must.Sprint("a router that has just started says little"))
+		time.Sleep(2 * time.Second)
+		f.observeAvailability(later)
+		must.Eq(t, 500*time.Millisecond, f.Steady())
+		f.observeAvailability(Stamp{Available: Availability{FromAge: time.Hour, ToAge: 100 * time.Millisecond}})
+		must.Eq(t, time.Hour, f.Steady(), must.Sprint("others were answered all the time"))
+	})
+}
--- a/feed/recent.go
+++ b/feed/recent.go
@@ -60,7 +60,7 @@
 // content stays as it is. stamp is the other router's stamp.
 func (f *Feed) AdoptChanges(from store.Position, changes []store.Change, at store.Position, stamp Stamp) bool {
 	f.mu.Lock()
-	f.recordPeerSteady(stamp)
+	f.observeAvailability(stamp)
 	cancel := f.cancelWatch
 	f.mu.Unlock()
 	if !f.apply(from, changes, at, stamp.Age) {
--- a/feed/run.go
+++ b/feed/run.go
@@ -198,8 +198,8 @@
 	return true
 }
 
-// recordSuccess records a successful call to the store. If the calls before it kept
-// failing for longer than minOutage, the store counts as steady only from now.
+// recordSuccess records a successful call to the store. If there was an outage before
+// it, or nothing was heard of the store for long, it counts as available only from now.
 func (f *Feed) recordSuccess() {
 	f.mu.Lock()
 	now := time.Now()
@@ -207,9 +207,14 @@
 	if !f.failingSince.IsZero() {
 		gap = now.Sub(f.failingSince)
 	}
-	if gap > minOutage {
+	if f.inOutage() {
 		f.steadySince = now
+		f.available.from = now
 	}
+	if now.Sub(f.available.to) > maxPeriodAge {
+		f.available.from = now // such as after a freeze of the host
+	}
+	f.available.to = now
 	f.failingSince = time.Time{}
 	recovered := f.lossLogged
 	f.lossLogged = false
@@ -225,10 +230,12 @@
 func (f *Feed) recordFailure(started time.Time, err error) {
 	f.mu.Lock()
 	first := f.failingSince.IsZero()
-	if first {
-		f.failingSince = started
+	now := time.Now()
+	if first || started.Sub(f.lastFailure) > maxPeriodAge {
+		f.failingSince = started // after a time without calls, earlier failures say nothing
 	}
-	gap := time.Since(f.failingSince)
+	f.lastFailure = now
+	gap := now.Sub(f.failingSince)
 	logLoss := !f.lossLogged && gap > logLossAfter
 	if logLoss {
 		f.lossLogged = true
