--- a/feed/run.go
+++ b/feed/run.go
@@ -253,9 +253,14 @@
 	}
 }
 
-// Lost reports whether the last call to the store failed.
+// Lost reports whether the last call to the store failed, a short time ago.
 func (f *Feed) Lost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.failingSince.IsZero()
+	return f.lost()
+}
+
+// lost implements Lost. f.mu must be held.
+func (f *Feed) lost() bool {
+	return !f.failingSince.IsZero() && time.Since(f.lastFailure) <= maxPeriodAge
 }
--- a/feed/silence.go
+++ b/feed/silence.go
@@ -57,7 +57,7 @@
 	from := f.position
 	f.cancelWatch = func() { cancel(nil) }
 	wait, giveUp := f.patience.limits(f.opts.Wait)
-	lost := !f.failingSince.IsZero()
+	lost := f.lost()
 	f.mu.Unlock()
 	if !lost {
 		timer := time.AfterFunc(giveUp, func() { cancel(errSilent) })
