--- a/feed/feed.go
+++ b/feed/feed.go
@@ -23,11 +23,11 @@
 	retryDelay = 400 * time.Millisecond
 	// minOutage is how long calls must keep failing to count as an outage of the
 	// store, during which entries can expire. A router that is not a watcher may
-	// notice an outage up to maxConfirmationAge late.
+	// notice an outage up to MaxConfirmationAge late.
 	minOutage = time.Second
-	// maxConfirmationAge is the age up to which a confirmation of the content
+	// MaxConfirmationAge is the age up to which a confirmation of the content
 	// keeps a router that is not a watcher from calling the store.
-	maxConfirmationAge = 1500 * time.Millisecond
+	MaxConfirmationAge = 1500 * time.Millisecond
 	// nonWatcherRetryDelay is the mean delay after a failed call of a router that
 	// is not a watcher.
 	nonWatcherRetryDelay = 1200 * time.Millisecond
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -153,7 +153,7 @@
 
 // A router that is not a watcher makes no calls to the store while its content
 // is confirmed, and watches once the confirmation is older than
-// maxConfirmationAge.
+// MaxConfirmationAge.
 func TestNonWatcherWaitsWhileConfirmed(t *testing.T) {
 	s := &source{records: []store.Record{record("a", 1)}, revision: 5}
 	watches := make(chan uint64, 16)
@@ -172,7 +172,7 @@
 	go f.Run(ctx)
 	<-changed
 	must.Eq(t, 5, <-watches) // after the confirmation by its own list has expired
-	must.GreaterEq(t, maxConfirmationAge, f.Stamp().Age)
+	must.GreaterEq(t, MaxConfirmationAge, f.Stamp().Age)
 }
 
 func TestRefreshReadsWhatHasChanged(t *testing.T) {
--- a/feed/run.go
+++ b/feed/run.go
@@ -85,7 +85,7 @@
 	if f.opts.Watcher() {
 		return false
 	}
-	remaining := maxConfirmationAge - f.Stamp().Age
+	remaining := MaxConfirmationAge - f.Stamp().Age
 	if remaining <= 0 {
 		return false
 	}
