soak: upstreams whose entries are removed, routers in four failure domains

Upstreams of the calm time left by the state of their entries only; some remove them without that. Routers stand in four failure domains in turn: in a fleet of more than 16 one of them has no router that watches the store.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -35,7 +35,8 @@
 	replica       *replica.Replica
 	proxy         *Proxy
 	server        *http.Server
-	drainingSince time.Time // when it was marked as leaving; zero if it was not
+	drainingSince time.Time // when it was marked as leaving or its entry was removed; zero if neither was
+	removed       bool      // its entry was removed
 }
 
 // fleet holds the store, routers and upstreams of one soak.
@@ -85,7 +86,7 @@
 	seeds := []string{addresses[2], addresses[5%len(addresses)]}
 	for i := range routers {
 		routerAddresses := [3]string(addresses[3*i : 3*i+3])
-		r, err := newRouter(fmt.Sprint("router-", i), binary, dir, f.storeAddress, seeds, routerAddresses, retryExtra)
+		r, err := newRouter(fmt.Sprint("router-", i), failureDomains[i%len(failureDomains)], binary, dir, f.storeAddress, seeds, routerAddresses, retryExtra)
 		if err != nil {
 			return nil, errors.CombineErrors(err, f.close())
 		}
@@ -94,6 +95,10 @@
 	return f, nil
 }
 
+// failureDomains are those of the routers in turn. In a fleet of more than 16 routers one
+// of them has no router that watches the store.
+var failureDomains = []string{"a", "b", "c", "d"}
+
 // firstRouterPort is the first port of the routers. The kernel assigns no port of
 // the reserved address to others, so that a router that restarts finds it free.
 const firstRouterPort = 21000
@@ -140,7 +145,15 @@
 	u.drainingSince = time.Now()
 }
 
-// active returns the upstreams that are not marked as leaving.
+// remove removes the entry of an upstream, which continues to serve requests.
+func (f *fleet) remove(u *upstream) {
+	f.store.RemoveObject(wire.KindUpstreams, u.id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.drainingSince, u.removed = time.Now(), true
+}
+
+// active returns the upstreams that do not leave.
 func (f *fleet) active() []*upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -182,6 +195,10 @@
 	defer f.mu.Unlock()
 	f.store.SetObject(wire.KindConfiguration, wire.NameConfiguration, f.configuration)
 	for _, u := range f.upstreams {
+		if u.removed {
+			f.store.RemoveObject(wire.KindUpstreams, u.id)
+			continue
+		}
 		f.register(u, !u.drainingSince.IsZero())
 	}
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -35,7 +35,7 @@
 
 // newRouter writes the settings file of a router and starts it. addresses are
 // those of the caller, readiness and peer listeners, in this order.
-func newRouter(name, binary, dir, storeAddress string, seeds []string, addresses [3]string, retryExtra int) (*router, error) {
+func newRouter(name, failureDomain, binary, dir, storeAddress string, seeds []string, addresses [3]string, retryExtra int) (*router, error) {
 	proxy, err := NewProxy(storeAddress)
 	if err != nil {
 		return nil, err
@@ -45,7 +45,7 @@
 		settingsPath: filepath.Join(dir, name+".toml"),
 	}
 	settings := wire.Settings{
-		Host: name, Seeds: seeds, FrontendAddress: addresses[0], ReadyAddress: addresses[1], ControlPlaneAddress: addresses[2],
+		Host: name, FailureDomain: failureDomain, Seeds: seeds, FrontendAddress: addresses[0], ReadyAddress: addresses[1], ControlPlaneAddress: addresses[2],
 		PlatformAddress: proxy.Address(), DrainTimeout: shutdownTimeout, RetryExtra: retryExtra,
 	}
 	if err := os.WriteFile(r.settingsPath, []byte(settings.Text()), 0o600); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -279,15 +279,20 @@
 	drainLimit       = 2 * time.Second // until an upstream marked as leaving receives no more requests
 )
 
-// drainOne marks an upstream as leaving and returns it. If that would leave fewer than
-// the minimum active, it does nothing and returns nil.
+// drainOne marks an upstream as leaving, or in one of two cases removes its entry without
+// that, and returns it. If that would leave fewer than the minimum active, it does nothing
+// and returns nil.
 func (s *Soak) drainOne(minActive int) *upstream {
 	active := s.fleet.active()
 	if len(active) <= minActive {
 		return nil
 	}
 	drained := active[s.random.IntN(len(active))]
-	s.fleet.drain(drained)
+	if s.random.IntN(2) == 0 {
+		s.fleet.drain(drained)
+	} else {
+		s.fleet.remove(drained)
+	}
 	return drained
 }
 
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -151,6 +151,7 @@
 // Settings are the values of a router's settings file.
 type Settings struct {
 	Host                string
+	FailureDomain       string
 	Seeds               []string
 	FrontendAddress     string
 	ReadyAddress        string
@@ -164,7 +165,7 @@
 func (s *Settings) Text() string {
 	seeds := string(encode(s.Seeds)) // a JSON list of plain strings is also valid TOML
 	return fmt.Sprintf(`nodeName = %q
-zone = "a"
+zone = %q
 seedNodes = %s
 heartbeatMs = 300
 [listen]
@@ -184,5 +185,5 @@
 contactMs = 3000
 [platform]
 address = %q
-`, s.Host, seeds, s.FrontendAddress, s.ReadyAddress, s.ControlPlaneAddress, s.DrainTimeout.Seconds(), s.RetryExtra, s.PlatformAddress)
+`, s.Host, s.FailureDomain, seeds, s.FrontendAddress, s.ReadyAddress, s.ControlPlaneAddress, s.DrainTimeout.Seconds(), s.RetryExtra, s.PlatformAddress)
 }
