--- a/gateway/record.go
+++ b/gateway/record.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"dandelionrill.example/fleet/forward"
 	"github.com/apex/log"
 )
 
@@ -66,9 +67,31 @@
 	if len(f.req.sends) > 0 {
 		fields["sends"] = describeSends(f.req.sends, len(f.req.parts))
 	}
+	if len(f.req.parts) > 0 && f.req.brokeOff() {
+		fields["parts"] = describeParts(f.req.Parts)
+	}
 	return fields
 }
 
+// brokeOff reports whether an upstream broke off its answer to the request, or gave none.
+func (req *request) brokeOff() bool {
+	for _, s := range req.sends {
+		if s.result == resultCut || s.result == forward.MayHaveRun.String() {
+			return true
+		}
+	}
+	return false
+}
+
+// describeParts formats the identifiers of a prompt's shared parts.
+func describeParts(parts []PromptPart) string {
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts[:len(parts)-1] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // describeSends formats the sends of a request: upstream, its software version, its
 // load when it was chosen, how many of the prompt's shared parts it had cached, its failure rate in
 // excess of its pool's, the upstream from which more of the prompt was fetched,
--- a/gateway/record_test.go
+++ b/gateway/record_test.go
@@ -21,3 +21,12 @@
 	plain := []sendRecord{{upstream: "i-3@a", load: 2, failureExcess: 0.314, result: resultAnswered, took: time.Millisecond}}
 	must.Eq(t, "i-3@a load=2 failing=0.31 answered 1ms", describeSends(plain, 0))
 }
+
+// The parts that requests had in common when an upstream ended must be told apart from logs.
+func TestRequestThatBrokeOffNamesItsParts(t *testing.T) {
+	req := &request{Meta: Meta{Parts: []PromptPart{{ID: "a"}, {ID: "b"}, {ID: "own"}}}, parts: []uint64{1, 2}}
+	req.sends = []sendRecord{{result: resultAnswered}}
+	must.Nil(t, requestFields{req: req}.Fields().Get("parts"))
+	req.sends = []sendRecord{{result: resultCut}, {result: resultAnswered}}
+	must.Eq(t, any("a,b"), requestFields{req: req}.Fields().Get("parts"))
+}
