gateway: keep prompt parts that crash upstreams from them

A router knew of upstreams that fail and of nothing that makes them: it repeated the request at the next upstream, and served the next one with the same part. The class: a failure attributed to who fails, never to the work.

A router records, by upstream, the shared parts of the requests that broke off there before they were being answered, and when requests with a part were last answered. decide/blame finds the parts that explain the ends: present at three or more, answered at none since; a part that another one explains is not blamed, nor the first part and the other parts that sound requests share, since these are answered elsewhere. A request with a blamed part is refused at once (503, not run), also before a retry or a standby attempt; from the second end on such a request is not repeated. An upstream that goes on answering has not ended. Below five ends one request is tried each 30 s, so that a part blamed by chance is released; a block ends 10 min after the last request.

--- /dev/null
+++ b/gateway/blocked.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"dandelionrill.example/fleet/forward"
+	"github.com/apex/log"
+)
+
+const (
+	// answeringTime is how long after its first event a stream must go on to count as
+	// being answered: an upstream that a part crashes ends as it begins to write.
+	answeringTime = 500 * time.Millisecond
+	// retryAfterBlocked is the Retry-After of a request with a part that crashes upstreams.
+	retryAfterBlocked = 30 * time.Second
+	// reasonBlocked is the reason of its refusal.
+	reasonBlocked = "a part of the prompt crashes upstreams"
+)
+
+// Crashes returns the record of the prompt parts with which upstreams have ended.
+func (g *Gateway) Crashes() *Crashes { return g.crashes }
+
+// partIDs returns the identifiers of the prompt's shared parts. The last part belongs to
+// the request alone.
+func (req *request) partIDs() []uint64 {
+	if req.ids == nil && len(req.Parts) > 1 {
+		for _, part := range req.Parts[:len(req.Parts)-1] {
+			req.ids = append(req.ids, PartID(part.ID))
+		}
+	}
+	return req.ids
+}
+
+// refusesBlocked reports whether a request is refused since one of its parts crashes
+// upstreams.
+func (g *Gateway) refusesBlocked(req *request) bool {
+	if !g.crashes.Any() {
+		return false
+	}
+	part, blocked := g.crashes.Blocked(req.partIDs())
+	if !blocked {
+		return false
+	}
+	if !g.crashes.RecordRefused(part, g.opts.OwnsPart(part)) {
+		req.trial = true
+		g.opts.Log.WithFields(log.Fields{"id": req.AttemptID, "part": formatPart(part)}).Info("request with a blocked prompt part let through")
+		return false
+	}
+	g.metrics.blockedRequests.Add(1)
+	return true
+}
+
+// isBlocked reports whether a request must not be sent to an upstream any more.
+func (g *Gateway) isBlocked(req *request) bool {
+	if req.trial || !g.crashes.Any() {
+		return false
+	}
+	_, blocked := g.crashes.Blocked(req.partIDs())
+	return blocked
+}
+
+// formatPart formats the identifier of a part for logs.
+func formatPart(part uint64) string { return strconv.FormatUint(part, 16) }
+
+// recordBrokenOff records that an upstream broke off an answer, unless the request was
+// being answered by then.
+func (g *Gateway) recordBrokenOff(req *request, s *send) {
+	if ids := req.partIDs(); len(ids) > 0 && !req.answering {
+		g.crashes.RecordCrash(s.key().Sum(), ids)
+	}
+}
+
+// recordAnswering records that a request is being answered, or was answered. A stream
+// whose end is only that of its connection proves nothing by its end.
+func (g *Gateway) recordAnswering(req *request, s *send, ended bool) {
+	proven := ended && s.record.framing != forward.FramingClose ||
+		!s.firstDelivered.IsZero() && time.Since(s.firstDelivered) >= answeringTime
+	if req.answering || len(req.Parts) < 2 || !proven {
+		return
+	}
+	req.answering = true
+	g.crashes.RecordAnswered(req.partIDs())
+}
+
+// CheckBlockedParts blocks and releases prompt parts by what is known now, and logs the
+// changes. It is to be called a few times a second, from one goroutine at a time.
+func (g *Gateway) CheckBlockedParts() {
+	g.crashes.Tick()
+	current := make(map[uint64]bool)
+	for _, part := range g.crashes.BlockedParts() {
+		current[part] = true
+		if !g.loggedBlocked[part] {
+			g.opts.Log.WithFields(log.Fields{"part": formatPart(part), "upstreams": g.crashes.Count(part)}).
+				Warn("prompt part crashes upstreams; requests with it are refused")
+		}
+	}
+	for part := range g.loggedBlocked {
+		if !current[part] {
+			g.opts.Log.WithField("part", formatPart(part)).Info("prompt part is no longer blocked")
+		}
+	}
+	g.loggedBlocked = current
+	g.metrics.blockedParts.Set(int64(len(current)))
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -45,8 +45,12 @@
 	fetchSource   *catalog.Upstream // upstream that has more of the prompt cached; nil if none is known
 }
 
-// choose returns the upstream for the next send.
+// choose returns the upstream for the next send. There is none for a prompt with a part
+// that crashes upstreams.
 func (g *Gateway) choose(req *request, a *attempts) (target, bool) {
+	if g.isBlocked(req) {
+		return target{}, false
+	}
 	list := g.catalog.Load().Service(req.service)
 	now := g.board.now()
 	records := make([]eject.Record, 0, len(list))
--- /dev/null
+++ b/gateway/crashes.go
@@ -0,0 +1,454 @@
+package gateway
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionrill.example/fleet/decide/blame"
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// crashesToBlame is the number of upstreams that end before a part is blamed.
+	crashesToBlame = 3
+	// certainCrashes is the number of upstreams after which a blamed part is not tried
+	// again while requests with it come.
+	certainCrashes = 5
+	// suspectedCrashes is the number of upstreams after which a request with the part is
+	// not repeated at another one.
+	suspectedCrashes = 2
+	// crashSettleTime allows for reports of other routers.
+	crashSettleTime = 300 * time.Millisecond
+	// answeredQuietTime is how long a part that used to be answered must not have been.
+	answeredQuietTime = 2 * time.Second
+	// maxCrashesPerPart is the number of crashes that are kept of a part.
+	maxCrashesPerPart = 16
+	// maxCrashedParts is the number of parts of which crashes are kept, and
+	// maxReportedParts of those in one report.
+	maxCrashedParts  = 1024
+	maxReportedParts = 64
+	// crashMemory is how long a crash is kept, and blockMemory how long a blocked part
+	// stays so without a request that has it.
+	crashMemory = 2 * time.Minute
+	blockMemory = 10 * time.Minute
+	// answeredReportTime is how long routers tell each other that a part with crashes was
+	// answered.
+	answeredReportTime = 10 * time.Second
+	// trialInterval is the time between two requests that are let through with a blocked
+	// part that may be sound.
+	trialInterval = 30 * time.Second
+	// aliveFrom and aliveUntil limit when an answer shows that an upstream has not ended:
+	// to a request that was sent so long after it broke off others. Later, it may have
+	// started again.
+	aliveFrom  = 100 * time.Millisecond
+	aliveUntil = 2 * time.Second
+)
+
+// PartReport is what a router tells others of a prompt part with crashes. Ages are in
+// milliseconds.
+type PartReport struct {
+	Part        uint64
+	Upstreams   []uint32 // short hashes of the keys of upstreams that ended
+	AgesMs      []uint32 // of these ends
+	Answered    bool
+	AnsweredMs  uint32 // since a request with the part was last answered
+	Requested   bool
+	RequestedMs uint32 // since a request with the part was last refused
+}
+
+// partCrashes is what this router knows of a part.
+type partCrashes struct {
+	crashes     []blame.Crash // of different upstreams
+	answeredAt  time.Duration
+	isAnswered  bool
+	requestedAt time.Duration // when a request with it was last refused here or elsewhere
+	isRequested bool
+	triedAt     time.Duration // when a request with it was last let through; 0 if none was
+	stored      bool          // blocked by the list in the store
+}
+
+// Crashes records with which prompt parts upstreams have ended, here and at other routers,
+// and blocks the parts that crash them. Its methods may be called concurrently.
+type Crashes struct {
+	start    time.Time
+	answered answeredParts
+	any      atomic.Bool // there are records
+	blocked  atomic.Pointer[map[uint64]struct{}]
+	changed  func() // called when there is something to tell others; may be nil
+
+	mu    sync.Mutex
+	parts map[uint64]*partCrashes
+	alive map[uint32]time.Duration // upstreams that did not end, though requests broke off
+}
+
+// NewCrashes returns a record without any crashes.
+func NewCrashes() *Crashes {
+	c := &Crashes{start: time.Now(), parts: make(map[uint64]*partCrashes), alive: make(map[uint32]time.Duration)}
+	c.blocked.Store(&map[uint64]struct{}{})
+	return c
+}
+
+func (c *Crashes) now() time.Duration { return time.Since(c.start) }
+
+// OnChange sets the function that is called when a part has new crashes. It must be called
+// before the record is used.
+func (c *Crashes) OnChange(changed func()) { c.changed = changed }
+
+// PartID returns the identifier of a prompt part for messages and records. It does not
+// depend on the model.
+func PartID(part string) uint64 { return xxhash.Sum64String(part) }
+
+// Blocked returns the first of the parts that is blocked.
+func (c *Crashes) Blocked(parts []uint64) (part uint64, blocked bool) {
+	current := *c.blocked.Load()
+	if len(current) == 0 {
+		return 0, false
+	}
+	for _, part := range parts {
+		if _, blocked := current[part]; blocked {
+			return part, true
+		}
+	}
+	return 0, false
+}
+
+// Any reports whether any crash or blocked part is recorded.
+func (c *Crashes) Any() bool { return c.any.Load() }
+
+// BlockedParts returns the blocked parts, sorted.
+func (c *Crashes) BlockedParts() []uint64 { return slices.Sorted(maps.Keys(*c.blocked.Load())) }
+
+// Count returns the number of upstreams that are known to have ended with a part.
+func (c *Crashes) Count(part uint64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.parts[part]; p != nil {
+		return len(p.crashes)
+	}
+	return 0
+}
+
+// RecordAnswered records that requests with the parts are being answered.
+func (c *Crashes) RecordAnswered(parts []uint64) {
+	now := c.now()
+	for _, part := range parts {
+		c.answered.record(part, now)
+	}
+	if !c.any.Load() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, part := range parts {
+		if p := c.parts[part]; p != nil {
+			p.setAnswered(now)
+		}
+	}
+	c.evaluate()
+}
+
+// setAnswered records that a request with the part was answered.
+func (p *partCrashes) setAnswered(at time.Duration) {
+	if p.isAnswered && at <= p.answeredAt {
+		return
+	}
+	p.answeredAt, p.isAnswered, p.stored = at, true, false
+	p.crashes = slices.DeleteFunc(p.crashes, func(c blame.Crash) bool { return c.At <= at })
+}
+
+// RecordCrash records that a request with the parts broke off at an upstream, before it was
+// being answered. Parts that were answered a short time ago are left out.
+func (c *Crashes) RecordCrash(upstream uint32, parts []uint64) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	news := false
+	for _, part := range parts {
+		if at, known := c.answered.last(part); known && now-at < answeredQuietTime {
+			continue
+		}
+		p := c.record(part)
+		if p.add(blame.Crash{Upstream: upstream, At: now}) && !p.isAnswered {
+			news = true
+		}
+	}
+	c.evaluate()
+	if news {
+		c.tell()
+	}
+}
+
+func (c *Crashes) tell() {
+	if c.changed != nil {
+		c.changed()
+	}
+}
+
+// record returns the record of a part. c.mu must be held.
+func (c *Crashes) record(part uint64) *partCrashes {
+	p := c.parts[part]
+	if p != nil {
+		return p
+	}
+	if len(c.parts) >= maxCrashedParts {
+		c.evict()
+	}
+	p = &partCrashes{}
+	if at, known := c.answered.last(part); known {
+		p.answeredAt, p.isAnswered = at, true
+	}
+	c.parts[part] = p
+	c.any.Store(true)
+	return p
+}
+
+// evict removes the record with the fewest crashes that is not blocked. c.mu must be held.
+func (c *Crashes) evict() {
+	blocked := *c.blocked.Load()
+	var victim uint64
+	least := -1
+	for part, p := range c.parts {
+		if _, ok := blocked[part]; !ok && (least < 0 || len(p.crashes) < least) {
+			victim, least = part, len(p.crashes)
+		}
+	}
+	delete(c.parts, victim)
+}
+
+// add adds a crash and reports whether it is new.
+func (p *partCrashes) add(crash blame.Crash) bool {
+	if p.isAnswered && crash.At <= p.answeredAt || len(p.crashes) >= maxCrashesPerPart {
+		return false
+	}
+	if slices.ContainsFunc(p.crashes, func(other blame.Crash) bool { return other.Upstream == crash.Upstream }) {
+		return false
+	}
+	p.crashes = append(p.crashes, crash)
+	return true
+}
+
+// RecordAlive records that an upstream has answered a request that was sent the given time
+// ago: it has not ended just before.
+func (c *Crashes) RecordAlive(upstream uint32, sentAgo time.Duration) {
+	if !c.any.Load() {
+		return
+	}
+	sent := c.now() - sentAgo
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := false
+	for _, p := range c.parts {
+		for _, crash := range p.crashes {
+			found = found || crash.Upstream == upstream && sent >= crash.At+aliveFrom && sent < crash.At+aliveUntil
+		}
+	}
+	if found {
+		c.removeUpstream(upstream)
+		c.evaluate()
+	}
+}
+
+// removeUpstream removes the crash of an upstream that is alive. c.mu must be held.
+func (c *Crashes) removeUpstream(upstream uint32) {
+	c.alive[upstream] = c.now()
+	for _, p := range c.parts {
+		p.crashes = slices.DeleteFunc(p.crashes, func(crash blame.Crash) bool { return crash.Upstream == upstream })
+	}
+}
+
+// Suspected reports whether upstreams have ended with a part that was never answered, so
+// that a request with it must not be repeated at another one.
+func (c *Crashes) Suspected(parts []uint64) bool {
+	if !c.any.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(parts, func(part uint64) bool {
+		p := c.parts[part]
+		return p != nil && !p.isAnswered && len(p.crashes) >= suspectedCrashes
+	})
+}
+
+// RecordRefused records that a request with a blocked part was refused. If the part may be
+// sound and was not tried lately, it returns false: the request is to be let through. Only
+// the router that owns the part lets requests through.
+func (c *Crashes) RecordRefused(part uint64, owner bool) (refuse bool) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.parts[part]
+	if p == nil {
+		return true
+	}
+	p.requestedAt, p.isRequested = now, true
+	if !owner || p.stored && len(p.crashes) == 0 || len(p.crashes) >= certainCrashes {
+		return true
+	}
+	last := p.triedAt
+	for _, crash := range p.crashes {
+		last = max(last, crash.At)
+	}
+	if now-last < trialInterval {
+		return true
+	}
+	p.triedAt = now
+	return false
+}
+
+// Tick evaluates the records again, and forgets old ones.
+func (c *Crashes) Tick() {
+	if !c.any.Load() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, blocked := c.now(), *c.blocked.Load()
+	for part, p := range c.parts {
+		_, isBlocked := blocked[part]
+		switch {
+		case isBlocked && now-p.lastBlockUse() <= blockMemory:
+			continue
+		case isBlocked:
+			p.stored, p.crashes = false, nil
+		}
+		p.crashes = slices.DeleteFunc(p.crashes, func(crash blame.Crash) bool { return now-crash.At > crashMemory })
+		if len(p.crashes) == 0 && (!p.isAnswered || now-p.answeredAt > answeredReportTime) {
+			delete(c.parts, part)
+		}
+	}
+	for upstream, at := range c.alive {
+		if now-at > crashMemory {
+			delete(c.alive, upstream)
+		}
+	}
+	c.any.Store(len(c.parts) > 0)
+	c.evaluate()
+}
+
+// lastBlockUse returns when a request with the part was last refused, or crashed an
+// upstream.
+func (p *partCrashes) lastBlockUse() time.Duration {
+	last := p.requestedAt
+	for _, crash := range p.crashes {
+		last = max(last, crash.At)
+	}
+	return last
+}
+
+// evaluate determines which parts are blocked. c.mu must be held.
+func (c *Crashes) evaluate() {
+	next := make(map[uint64]struct{})
+	var parts []blame.Part
+	enough := false
+	for part, p := range c.parts {
+		if p.stored {
+			next[part] = struct{}{}
+		}
+		enough = enough || len(p.crashes) >= crashesToBlame
+		if len(p.crashes) > 0 {
+			parts = append(parts, blame.Part{Key: part, Crashes: p.crashes, Answered: p.answeredAt, IsAnswered: p.isAnswered})
+		}
+	}
+	if enough {
+		for _, part := range blame.Blamed(blame.Options{Crashes: crashesToBlame, Settle: crashSettleTime, Quiet: answeredQuietTime}, c.now(), parts) {
+			next[part] = struct{}{}
+		}
+	}
+	if !maps.Equal(next, *c.blocked.Load()) {
+		c.blocked.Store(&next)
+	}
+}
+
+// Reports returns what to tell other routers: blocked parts first, then those with the most
+// crashes.
+func (c *Crashes) Reports() []PartReport {
+	if !c.any.Load() {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, blocked := c.now(), *c.blocked.Load()
+	keys := slices.Collect(maps.Keys(c.parts))
+	if len(keys) > maxReportedParts {
+		rank := func(part uint64) int {
+			if _, ok := blocked[part]; ok {
+				return -maxCrashesPerPart - 1
+			}
+			return -len(c.parts[part].crashes)
+		}
+		slices.SortFunc(keys, func(a, b uint64) int { return cmp.Compare(rank(a), rank(b)) })
+		keys = keys[:maxReportedParts]
+	}
+	out := make([]PartReport, 0, len(keys))
+	for _, part := range keys {
+		p := c.parts[part]
+		r := PartReport{Part: part, Answered: p.isAnswered, Requested: p.isRequested}
+		if p.isAnswered {
+			r.AnsweredMs = ageMs(now, p.answeredAt)
+		}
+		if p.isRequested {
+			r.RequestedMs = ageMs(now, p.requestedAt)
+		}
+		for _, crash := range p.crashes {
+			r.Upstreams, r.AgesMs = append(r.Upstreams, crash.Upstream), append(r.AgesMs, ageMs(now, crash.At))
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func ageMs(now, at time.Duration) uint32 { return uint32(max(0, now-at).Milliseconds()) }
+
+// Alive returns upstreams that did not end, though requests broke off at them, for other
+// routers.
+func (c *Crashes) Alive() []uint32 {
+	if !c.any.Load() {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.alive))
+}
+
+// Merge takes over what another router tells, and reports whether a part that was never
+// answered has a new crash.
+func (c *Crashes) Merge(reports []PartReport, alive []uint32) (news bool) {
+	if len(reports) == 0 && len(alive) == 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	at := func(ms uint32) time.Duration { return now - time.Duration(ms)*time.Millisecond }
+	for _, upstream := range alive[:min(len(alive), maxCrashedParts)] {
+		if _, known := c.alive[upstream]; !known {
+			c.removeUpstream(upstream)
+		}
+	}
+	for _, r := range reports[:min(len(reports), maxReportedParts)] {
+		p := c.record(r.Part)
+		if r.Answered {
+			p.setAnswered(at(r.AnsweredMs))
+		}
+		if r.Requested && (!p.isRequested || at(r.RequestedMs) > p.requestedAt) {
+			p.requestedAt, p.isRequested = at(r.RequestedMs), true
+		}
+		inUse := r.Requested && time.Duration(r.RequestedMs)*time.Millisecond <= blockMemory
+		for i, upstream := range r.Upstreams[:min(len(r.Upstreams), len(r.AgesMs))] {
+			_, isAlive := c.alive[upstream]
+			if isAlive || !inUse && now-at(r.AgesMs[i]) > crashMemory {
+				continue
+			}
+			if p.add(blame.Crash{Upstream: upstream, At: at(r.AgesMs[i])}) && !p.isAnswered {
+				news = true
+			}
+		}
+	}
+	c.evaluate()
+	return news
+}
--- /dev/null
+++ b/gateway/crashes_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// crashed records n crashes of different upstreams with the parts, a moment apart, and lets
+// them settle.
+func crashed(c *Crashes, first, n uint32, parts ...uint64) {
+	for u := first; u < first+n; u++ {
+		c.RecordCrash(u, parts)
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(crashSettleTime)
+	c.Tick()
+}
+
+func isBlocked(c *Crashes, part uint64) bool {
+	_, blocked := c.Blocked([]uint64{part})
+	return blocked
+}
+
+// A grey upstream that breaks requests off and goes on answering others has not ended.
+func TestUpstreamThatAnswersHasNotCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCrashes()
+		crashed(c, 1, 2, 7)
+		c.RecordCrash(3, []uint64{7})
+		time.Sleep(2 * aliveFrom)
+		c.RecordAlive(3, 0)
+		time.Sleep(crashSettleTime)
+		c.Tick()
+		must.False(t, isBlocked(c, 7))
+		c.RecordCrash(4, []uint64{7})
+		time.Sleep(crashSettleTime)
+		c.RecordAlive(4, crashSettleTime+time.Second) // sent before the end
+		c.Tick()
+		must.True(t, isBlocked(c, 7))
+		time.Sleep(aliveUntil)
+		c.RecordAlive(4, 0) // started again
+		must.True(t, isBlocked(c, 7))
+	})
+}
+
+// A sound part that was blamed by chance must be released once it is answered.
+func TestBlockedPartIsTriedAgainAndReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCrashes()
+		crashed(c, 1, 3, 7)
+		must.True(t, isBlocked(c, 7))
+		must.True(t, c.RecordRefused(7, true))
+		time.Sleep(trialInterval)
+		must.True(t, c.RecordRefused(7, false), must.Sprint("another router owns the part"))
+		must.False(t, c.RecordRefused(7, true))
+		must.True(t, c.RecordRefused(7, true), must.Sprint("one request at a time"))
+		c.RecordAnswered([]uint64{7})
+		must.False(t, isBlocked(c, 7))
+	})
+}
+
+// A part that has crashed five upstreams is not tried again, however long requests come.
+func TestCertainPartStaysBlockedWhileItIsRequested(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCrashes()
+		crashed(c, 1, certainCrashes, 7)
+		for range 100 {
+			time.Sleep(blockMemory / 2)
+			c.Tick()
+			must.True(t, isBlocked(c, 7))
+			must.True(t, c.RecordRefused(7, true))
+		}
+		time.Sleep(blockMemory + time.Second)
+		c.Tick()
+		must.False(t, isBlocked(c, 7))
+		must.False(t, c.Any())
+	})
+}
+
+// Parts that are answered all the time are not recorded at each end of an upstream, and
+// records are bounded.
+func TestCrashRecordsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCrashes()
+		c.RecordAnswered([]uint64{1, 2})
+		c.RecordCrash(9, []uint64{1, 2})
+		must.False(t, c.Any())
+		for part := range uint64(2 * maxCrashedParts) {
+			c.RecordCrash(uint32(part), []uint64{100 + part})
+		}
+		crashed(c, 1, 3, 7)
+		must.LessEq(t, maxCrashedParts, len(c.parts))
+		must.LessEq(t, maxReportedParts, len(c.Reports()))
+		must.True(t, isBlocked(c, 7))
+		must.Eq(t, 7, c.Reports()[0].Part)
+		for range 3 * maxCrashesPerPart {
+			crashed(c, uint32(len(c.parts[7].crashes)*1000), 1, 7)
+		}
+		must.LessEq(t, maxCrashesPerPart, len(c.parts[7].crashes))
+		time.Sleep(blockMemory + crashMemory)
+		c.Tick()
+		c.Tick()
+		must.False(t, c.Any())
+	})
+}
+
+// Evidence of different routers adds up, answers seen by one release a part at all, and
+// what comes back late does not count again.
+func TestCrashesOfOtherRoutersCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := NewCrashes(), NewCrashes()
+		a.RecordCrash(1, []uint64{7, 8})
+		b.RecordCrash(2, []uint64{7})
+		b.RecordCrash(3, []uint64{7})
+		must.True(t, b.Merge(a.Reports(), a.Alive()))
+		must.False(t, b.Merge(a.Reports(), a.Alive()), must.Sprint("nothing new"))
+		must.True(t, a.Merge(b.Reports(), b.Alive()))
+		time.Sleep(crashSettleTime)
+		a.Tick()
+		b.Tick()
+		must.True(t, isBlocked(a, 7))
+		must.True(t, isBlocked(b, 7))
+		must.False(t, isBlocked(a, 8))
+		time.Sleep(time.Second)
+		a.RecordAnswered([]uint64{7})
+		old := b.Reports()
+		b.Merge(a.Reports(), a.Alive())
+		must.False(t, isBlocked(b, 7))
+		a.Merge(old, nil)
+		must.False(t, isBlocked(a, 7))
+	})
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -70,6 +70,9 @@
 	case a.sent > 0 && !req.neverRan():
 		return failed(http.StatusBadGateway, "no other upstream to try")
 	}
+	if g.isBlocked(req) {
+		return refused(reasonBlocked, retryAfterBlocked)
+	}
 	if req.version.bound {
 		return g.versionGone(req)
 	}
@@ -106,7 +109,7 @@
 		Remaining:    time.Until(req.deadline),
 		MinRemaining: minAttemptTime,
 	})
-	if decision != retry.DecisionRetry {
+	if decision != retry.DecisionRetry || failure != retry.FailureNotSent && g.crashes.Suspected(req.partIDs()) {
 		return false
 	}
 	if a.retryReserved || failure == retry.FailureNotSent && a.sent == 0 {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -20,11 +20,12 @@
 	record sendRecord
 	start  time.Time
 	// ctx ends with the request, or when the send is canceled.
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	response *forward.Response // nil until its head has arrived
-	body     io.Reader         // of response
-	events   *eventReader      // of body; nil if that is not a stream
+	ctx            context.Context
+	cancel         context.CancelCauseFunc
+	response       *forward.Response // nil until its head has arrived
+	body           io.Reader         // of response
+	events         *eventReader      // of body; nil if that is not a stream
+	firstDelivered time.Time         // when its first events were delivered; zero before
 	// undeliveredSince is the time from start to the arrival of the first bytes that cannot
 	// be delivered yet, in nanoseconds; 0 if there are none.
 	undeliveredSince atomic.Int64
@@ -191,6 +192,9 @@
 func (g *Gateway) screen(req *request, s *send) (end, retry.Failure, string) {
 	key, response := s.key(), s.response
 	answer := g.readAnswer(key, response)
+	if !answer.WrongHost {
+		g.crashes.RecordAlive(key.Sum(), time.Since(s.start))
+	}
 	if answer.Signed && len(req.parts) == 0 {
 		g.board.RecordAnswer(key, response.Status >= http.StatusInternalServerError)
 	}
@@ -297,8 +301,11 @@
 		return end{}, retry.FailureNotSent, failure.Outcome.String()
 	}
 	err = g.attributeFailure(ctx, s.key(), err)
-	if failure.Outcome == forward.MayHaveRun && ctx.Err() == nil && len(req.parts) == 0 {
-		g.board.RecordAnswer(s.key(), true)
+	if failure.Outcome == forward.MayHaveRun && ctx.Err() == nil {
+		if len(req.parts) == 0 {
+			g.board.RecordAnswer(s.key(), true)
+		}
+		g.recordBrokenOff(req, s)
 	}
 	if failure.Outcome == forward.NotSent {
 		return refused(err.Error(), retryAfterShort), retry.FailureNotSent, failure.Outcome.String()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,9 @@
 	// LookUpStream asks other routers for the version that began a stream, by its
 	// StreamKey; nil means that none knows. It returns when ctx ends.
 	LookUpStream func(ctx context.Context, attempt uint64) (version uint32, known bool)
+	// OwnsPart reports whether this router is the one that may try a blocked prompt part
+	// again, by its PartID; nil means that it is.
+	OwnsPart func(part uint64) bool
 }
 
 // Policy holds the parameters of a gateway's placement, retry and ejection
@@ -50,6 +53,7 @@
 	prompts *Prompts
 	streams *Streams
 	leaving *Leaving
+	crashes *Crashes
 	metrics *metrics
 	slowest *slowestAnswers
 
@@ -65,6 +69,7 @@
 	activeRequests    atomic.Int64 // requests being served
 	bufferedBodyBytes atomic.Int64 // total size of the request bodies in memory
 	versions          versionHistory
+	loggedBlocked     map[uint64]bool // parts that were last logged as blocked
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.Budget // keyed by service
@@ -79,12 +84,16 @@
 	if opts.LookUpStream == nil {
 		opts.LookUpStream = func(context.Context, uint64) (uint32, bool) { return 0, false }
 	}
+	if opts.OwnsPart == nil {
+		opts.OwnsPart = func(uint64) bool { return true }
+	}
 	g := &Gateway{
 		opts:         opts,
 		board:        NewBoard(opts.Policy.Eject),
 		prompts:      NewPrompts(),
 		streams:      NewStreams(),
 		leaving:      NewLeaving(),
+		crashes:      NewCrashes(),
 		metrics:      newMetrics(),
 		slowest:      newSlowestAnswers(time.Now()),
 		retryBudgets: make(map[string]*retry.Budget),
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -55,20 +55,22 @@
 
 // metrics holds the counters and histograms of a gateway.
 type metrics struct {
-	vars           expvar.Map
-	requestsByEnd  expvar.Map // requests by how they ended
-	sendsByResult  expvar.Map // sends by result
-	dials          expvar.Int
-	dialErrors     expvar.Int
-	silences       expvar.Int // silences of upstreams that were treated as faults
-	standbys       expvar.Int // standby attempts while an upstream was silent
-	standbysUsed   expvar.Int // standby attempts that took over
-	resumed        expvar.Map // streams that callers took up, by how their version was found
-	leaving        expvar.Map // upstreams that leave, by what said so first
-	holds          expvar.Int // times at which an upstream asked for no requests for a time
-	firstByte      *histogram // time until the first byte of an answer was ready to deliver
-	completeAnswer *histogram // time until the end of a complete answer
-	dialTime       *histogram
+	vars            expvar.Map
+	requestsByEnd   expvar.Map // requests by how they ended
+	sendsByResult   expvar.Map // sends by result
+	dials           expvar.Int
+	dialErrors      expvar.Int
+	silences        expvar.Int // silences of upstreams that were treated as faults
+	standbys        expvar.Int // standby attempts while an upstream was silent
+	standbysUsed    expvar.Int // standby attempts that took over
+	resumed         expvar.Map // streams that callers took up, by how their version was found
+	leaving         expvar.Map // upstreams that leave, by what said so first
+	holds           expvar.Int // times at which an upstream asked for no requests for a time
+	blockedParts    expvar.Int // prompt parts that crash upstreams
+	blockedRequests expvar.Int // requests refused for such a part
+	firstByte       *histogram // time until the first byte of an answer was ready to deliver
+	completeAnswer  *histogram // time until the end of a complete answer
+	dialTime        *histogram
 }
 
 func newMetrics() *metrics {
@@ -83,6 +85,8 @@
 	m.vars.Set("resumed", &m.resumed)
 	m.vars.Set("leaving", &m.leaving)
 	m.vars.Set("holds", &m.holds)
+	m.vars.Set("blocked_parts", &m.blockedParts)
+	m.vars.Set("blocked_requests", &m.blockedRequests)
 	m.vars.Set("first_byte", m.firstByte)
 	m.vars.Set("whole", m.completeAnswer)
 	m.vars.Set("dial_time", m.dialTime)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -70,6 +70,9 @@
 		}
 	}
 	r.Close(true)
+	if r.Status < http.StatusMultipleChoices {
+		g.recordAnswering(req, s, true)
+	}
 	return end{kind: endAnswered}, 0, resultAnswered
 }
 
@@ -105,6 +108,7 @@
 		e := g.interrupted()
 		return e, 0, e.reason // a part that was delivered makes it cut
 	}
+	g.recordBrokenOff(req, s)
 	e := failed(http.StatusBadGateway, "upstream's answer broke off: "+err.Error())
 	if req.headWritten {
 		return e, retry.FailureCut, resultCut
@@ -135,6 +139,7 @@
 		switch {
 		case err == io.EOF:
 			g.endStream(w, req, s)
+			g.recordAnswering(req, s, true)
 			return end{kind: endAnswered}, 0, resultAnswered
 		case err != nil:
 			s.record.partialEvent = len(s.events.partial)
@@ -165,6 +170,10 @@
 		g.renewStream(req, s.target.upstream)
 	}
 	req.lastEvent = now
+	if s.firstDelivered.IsZero() {
+		s.firstDelivered = now
+	}
+	g.recordAnswering(req, s, false)
 	_, _ = w.Write(ready) // a caller that disconnected is noticed through the context
 	if s.events.lastID != "" {
 		req.deliveredEventID = s.events.lastID
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -39,10 +39,13 @@
 	body     []byte
 	parts    []uint64 // keys of the prompt's shared parts
 	prompt   place.Prompt
+	ids      []uint64 // identifiers of the prompt's shared parts, see partIDs
 
 	// Progress and result.
 	sends            []sendRecord
 	retryDenied      bool // the budget had no retry left
+	trial            bool // let through although a part of its prompt is blocked
+	answering        bool // recorded as being answered
 	headWritten      bool // status and headers of an answer were delivered
 	version          boundVersion
 	deliveredEventID string
@@ -135,6 +138,9 @@
 	if g.exceedsDrainTime(req) {
 		return refused("router is stopping", retryAfterShort), false
 	}
+	if g.refusesBlocked(req) {
+		return refused(reasonBlocked, retryAfterBlocked), false
+	}
 	return end{}, true
 }
 
