gossip: routers blame prompt parts together

Each router of a large fleet may see one end of an upstream only, and have no reason to blame a part. Reports tell of the parts with ends, of the upstreams that did not end, and of when a part was last answered, refused and tried; what is true at one router adds up at all. New ends of parts that were never answered are told at once, also to other failure domains, by speakers again.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -77,6 +77,7 @@
 			}
 			h.expireMissingEntries()
 			h.expireRetainedRouters()
+			h.gateway.CheckBlockedParts()
 			h.gateway.Sweep()
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -138,6 +138,7 @@
 		Prompts:       h.gateway.Prompts(),
 		Streams:       h.gateway.Streams(),
 		Leaving:       h.gateway.Leaving(),
+		Crashes:       h.gateway.Crashes(),
 		MarkLeaving: func(key catalog.Key, age time.Duration) {
 			h.gateway.MarkLeaving(key, gateway.LeavingPeer, age)
 		},
@@ -146,7 +147,11 @@
 		UpstreamKey: h.gateway.UpstreamKey,
 		Log:         opts.Log,
 	})
-	return h, errors.Wrap(err, "entry host")
+	if err != nil {
+		return nil, errors.Wrap(err, "entry host")
+	}
+	h.gateway.Crashes().OnChange(h.mesh.AnnounceCrashes)
+	return h, nil
 }
 
 func (h *Host) newFeed(kind string, wait time.Duration, changed func(feed.Snapshot)) *feed.Feed {
--- a/gateway/blocked.go
+++ b/gateway/blocked.go
@@ -42,7 +42,7 @@
 	if !blocked {
 		return false
 	}
-	if !g.crashes.RecordRefused(part, g.opts.OwnsPart(part)) {
+	if !g.crashes.RecordRefused(part) {
 		req.trial = true
 		g.opts.Log.WithFields(log.Fields{"id": req.AttemptID, "part": formatPart(part)}).Info("request with a blocked prompt part let through")
 		return false
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -38,8 +39,9 @@
 	// answeredReportTime is how long routers tell each other that a part with crashes was
 	// answered.
 	answeredReportTime = 10 * time.Second
-	// trialInterval is the time between two requests that are let through with a blocked
-	// part that may be sound.
+	// trialInterval is the least time between two requests that the fleet lets through with
+	// a blocked part that may be sound. Each router adds up to as much, so that it hears of
+	// the trial of another one.
 	trialInterval = 30 * time.Second
 	// aliveFrom and aliveUntil limit when an answer shows that an upstream has not ended:
 	// to a request that was sent so long after it broke off others. Later, it may have
@@ -58,6 +60,8 @@
 	AnsweredMs  uint32 // since a request with the part was last answered
 	Requested   bool
 	RequestedMs uint32 // since a request with the part was last refused
+	Tried       bool
+	TriedMs     uint32 // since a request with the part was last let through
 }
 
 // partCrashes is what this router knows of a part.
@@ -67,8 +71,10 @@
 	isAnswered  bool
 	requestedAt time.Duration // when a request with it was last refused here or elsewhere
 	isRequested bool
-	triedAt     time.Duration // when a request with it was last let through; 0 if none was
-	stored      bool          // blocked by the list in the store
+	triedAt     time.Duration // when a request with it was last let through here or elsewhere
+	isTried     bool
+	trialDelay  time.Duration // of this router, beyond trialInterval
+	stored      int           // upstreams that ended by the list in the store; 0 if it is not listed
 }
 
 // Crashes records with which prompt parts upstreams have ended, here and at other routers,
@@ -127,7 +133,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p := c.parts[part]; p != nil {
-		return len(p.crashes)
+		return p.ended()
 	}
 	return 0
 }
@@ -156,7 +162,7 @@
 	if p.isAnswered && at <= p.answeredAt {
 		return
 	}
-	p.answeredAt, p.isAnswered, p.stored = at, true, false
+	p.answeredAt, p.isAnswered, p.stored = at, true, 0
 	p.crashes = slices.DeleteFunc(p.crashes, func(c blame.Crash) bool { return c.At <= at })
 }
 
@@ -197,7 +203,7 @@
 	if len(c.parts) >= maxCrashedParts {
 		c.evict()
 	}
-	p = &partCrashes{}
+	p = &partCrashes{trialDelay: rand.N(trialInterval)}
 	if at, known := c.answered.last(part); known {
 		p.answeredAt, p.isAnswered = at, true
 	}
@@ -274,10 +280,9 @@
 	})
 }
 
-// RecordRefused records that a request with a blocked part was refused. If the part may be
-// sound and was not tried lately, it returns false: the request is to be let through. Only
-// the router that owns the part lets requests through.
-func (c *Crashes) RecordRefused(part uint64, owner bool) (refuse bool) {
+// RecordRefused records that a request with a blocked part is to be refused. If the part
+// may be sound and was not tried lately, it returns false: the request is to be let through.
+func (c *Crashes) RecordRefused(part uint64) (refuse bool) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -286,18 +291,24 @@
 		return true
 	}
 	p.requestedAt, p.isRequested = now, true
-	if !owner || p.stored && len(p.crashes) == 0 || len(p.crashes) >= certainCrashes {
+	if p.ended() >= certainCrashes || now-p.lastEnd() < trialInterval+p.trialDelay {
 		return true
 	}
+	p.triedAt, p.isTried = now, true
+	return false
+}
+
+// ended returns the number of upstreams that have ended with the part.
+func (p *partCrashes) ended() int { return max(len(p.crashes), p.stored) }
+
+// lastEnd returns when an upstream last ended with the part, or a request with it was let
+// through.
+func (p *partCrashes) lastEnd() time.Duration {
 	last := p.triedAt
 	for _, crash := range p.crashes {
 		last = max(last, crash.At)
 	}
-	if now-last < trialInterval {
-		return true
-	}
-	p.triedAt = now
-	return false
+	return last
 }
 
 // Tick evaluates the records again, and forgets old ones.
@@ -314,7 +325,7 @@
 		case isBlocked && now-p.lastBlockUse() <= blockMemory:
 			continue
 		case isBlocked:
-			p.stored, p.crashes = false, nil
+			p.stored, p.crashes = 0, nil
 		}
 		p.crashes = slices.DeleteFunc(p.crashes, func(crash blame.Crash) bool { return now-crash.At > crashMemory })
 		if len(p.crashes) == 0 && (!p.isAnswered || now-p.answeredAt > answeredReportTime) {
@@ -332,13 +343,7 @@
 
 // lastBlockUse returns when a request with the part was last refused, or crashed an
 // upstream.
-func (p *partCrashes) lastBlockUse() time.Duration {
-	last := p.requestedAt
-	for _, crash := range p.crashes {
-		last = max(last, crash.At)
-	}
-	return last
-}
+func (p *partCrashes) lastBlockUse() time.Duration { return max(p.requestedAt, p.lastEnd()) }
 
 // evaluate determines which parts are blocked. c.mu must be held.
 func (c *Crashes) evaluate() {
@@ -346,7 +351,7 @@
 	var parts []blame.Part
 	enough := false
 	for part, p := range c.parts {
-		if p.stored {
+		if p.stored > 0 {
 			next[part] = struct{}{}
 		}
 		enough = enough || len(p.crashes) >= crashesToBlame
@@ -387,13 +392,16 @@
 	out := make([]PartReport, 0, len(keys))
 	for _, part := range keys {
 		p := c.parts[part]
-		r := PartReport{Part: part, Answered: p.isAnswered, Requested: p.isRequested}
+		r := PartReport{Part: part, Answered: p.isAnswered, Requested: p.isRequested, Tried: p.isTried}
 		if p.isAnswered {
 			r.AnsweredMs = ageMs(now, p.answeredAt)
 		}
 		if p.isRequested {
 			r.RequestedMs = ageMs(now, p.requestedAt)
 		}
+		if p.isTried {
+			r.TriedMs = ageMs(now, p.triedAt)
+		}
 		for _, crash := range p.crashes {
 			r.Upstreams, r.AgesMs = append(r.Upstreams, crash.Upstream), append(r.AgesMs, ageMs(now, crash.At))
 		}
@@ -438,6 +446,9 @@
 		if r.Requested && (!p.isRequested || at(r.RequestedMs) > p.requestedAt) {
 			p.requestedAt, p.isRequested = at(r.RequestedMs), true
 		}
+		if r.Tried && (!p.isTried || at(r.TriedMs) > p.triedAt) {
+			p.triedAt, p.isTried = at(r.TriedMs), true
+		}
 		inUse := r.Requested && time.Duration(r.RequestedMs)*time.Millisecond <= blockMemory
 		for i, upstream := range r.Upstreams[:min(len(r.Upstreams), len(r.AgesMs))] {
 			_, isAlive := c.alive[upstream]
@@ -452,3 +463,39 @@
 	c.evaluate()
 	return news
 }
+
+// BlockedPart is an entry of the list of blocked parts in the store.
+type BlockedPart struct {
+	Part      uint64
+	Upstreams int // that ended with it, certainCrashes at most
+}
+
+// ListBlocked returns the blocked parts for the list in the store, sorted.
+func (c *Crashes) ListBlocked() []BlockedPart {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []BlockedPart
+	for part := range *c.blocked.Load() {
+		if p := c.parts[part]; p != nil {
+			out = append(out, BlockedPart{Part: part, Upstreams: min(p.ended(), certainCrashes)})
+		}
+	}
+	slices.SortFunc(out, func(a, b BlockedPart) int { return cmp.Compare(a.Part, b.Part) })
+	return out
+}
+
+// SetStored blocks the parts of the list in the store, except for those that were answered
+// since they may have been listed.
+func (c *Crashes) SetStored(list []BlockedPart) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.parts {
+		p.stored = 0
+	}
+	for _, b := range list[:min(len(list), maxCrashedParts)] {
+		if p := c.record(b.Part); !p.isAnswered || c.now()-p.answeredAt > crashMemory {
+			p.stored = b.Upstreams
+		}
+	}
+	c.evaluate()
+}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -49,14 +49,16 @@
 // A sound part that was blamed by chance must be released once it is answered.
 func TestBlockedPartIsTriedAgainAndReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := NewCrashes()
+		c, other := NewCrashes(), NewCrashes()
 		crashed(c, 1, 3, 7)
 		must.True(t, isBlocked(c, 7))
-		must.True(t, c.RecordRefused(7, true))
-		time.Sleep(trialInterval)
-		must.True(t, c.RecordRefused(7, false), must.Sprint("another router owns the part"))
-		must.False(t, c.RecordRefused(7, true))
-		must.True(t, c.RecordRefused(7, true), must.Sprint("one request at a time"))
+		must.True(t, c.RecordRefused(7))
+		time.Sleep(2 * trialInterval)
+		other.Merge(c.Reports(), nil)
+		must.False(t, c.RecordRefused(7))
+		must.True(t, c.RecordRefused(7), must.Sprint("one request at a time"))
+		other.Merge(c.Reports(), nil)
+		must.True(t, other.RecordRefused(7), must.Sprint("tried by another router"))
 		c.RecordAnswered([]uint64{7})
 		must.False(t, isBlocked(c, 7))
 	})
@@ -71,7 +73,7 @@
 			time.Sleep(blockMemory / 2)
 			c.Tick()
 			must.True(t, isBlocked(c, 7))
-			must.True(t, c.RecordRefused(7, true))
+			must.True(t, c.RecordRefused(7))
 		}
 		time.Sleep(blockMemory + time.Second)
 		c.Tick()
@@ -133,3 +135,24 @@
 		must.False(t, isBlocked(a, 7))
 	})
 }
+
+// All routers may be killed at once: what the store lists is blocked from the start, until
+// the part is answered, and is not blocked again by the list that still has it.
+func TestPartsListedInTheStoreAreBlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before, c := NewCrashes(), NewCrashes()
+		crashed(before, 1, certainCrashes, 7)
+		list := before.ListBlocked()
+		must.Eq(t, []BlockedPart{{Part: 7, Upstreams: certainCrashes}}, list)
+		c.SetStored(list)
+		must.True(t, isBlocked(c, 7))
+		time.Sleep(3 * trialInterval)
+		must.True(t, c.RecordRefused(7))
+		must.Eq(t, list, c.ListBlocked())
+		c.RecordAnswered([]uint64{7})
+		c.SetStored(list)
+		must.False(t, isBlocked(c, 7))
+		c.SetStored(nil)
+		must.False(t, isBlocked(c, 7))
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,9 +29,6 @@
 	// LookUpStream asks other routers for the version that began a stream, by its
 	// StreamKey; nil means that none knows. It returns when ctx ends.
 	LookUpStream func(ctx context.Context, attempt uint64) (version uint32, known bool)
-	// OwnsPart reports whether this router is the one that may try a blocked prompt part
-	// again, by its PartID; nil means that it is.
-	OwnsPart func(part uint64) bool
 }
 
 // Policy holds the parameters of a gateway's placement, retry and ejection
@@ -84,9 +81,6 @@
 	if opts.LookUpStream == nil {
 		opts.LookUpStream = func(context.Context, uint64) (uint32, bool) { return 0, false }
 	}
-	if opts.OwnsPart == nil {
-		opts.OwnsPart = func(uint64) bool { return true }
-	}
 	g := &Gateway{
 		opts:         opts,
 		board:        NewBoard(opts.Policy.Eject),
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -1,7 +1,8 @@
 // Package gossip exchanges state between the routers of a fleet: how recent their
 // copies of the store's kinds are, their requests in progress at each upstream,
 // which upstreams have read which prompt parts, which software version began which
-// stream, and how many answers of plain upstreams failed. Large fleets exchange reports within failure domains, and sums of
+// stream, with which prompt parts upstreams have ended, and how many answers of plain
+// upstreams failed. Large fleets exchange reports within failure domains, and sums of
 // whole domains between them. Reports from peers are optional: a router without peers
 // still works.
 package gossip
@@ -138,6 +139,9 @@
 	// MarkLeaving is called for each upstream that leaves by the report of another
 	// router, with the time since the upstream said so; may be nil.
 	MarkLeaving func(key catalog.Key, age time.Duration)
+	// Crashes are the prompt parts with which upstreams have ended; nil means a record of
+	// its own.
+	Crashes *gateway.Crashes
 	// UpstreamKey returns the key of the upstream whose key has the short hash; nil
 	// means that no upstream is known.
 	UpstreamKey func(sum uint32) (catalog.Key, bool)
@@ -156,6 +160,7 @@
 	catchingUp    []atomic.Bool // by kind: whether a catchUp is in progress
 	fetchingHeld  atomic.Bool   // whether a fetchHeld is in progress
 	announcements chan struct{}
+	crashNews     atomic.Bool   // the next announcement also goes to other failure domains
 	lookups       chan struct{} // holds an element for each lookup in progress
 
 	mu            sync.Mutex
@@ -196,6 +201,9 @@
 	if opts.Leaving == nil {
 		opts.Leaving = gateway.NewLeaving()
 	}
+	if opts.Crashes == nil {
+		opts.Crashes = gateway.NewCrashes()
+	}
 	if opts.MarkLeaving == nil {
 		opts.MarkLeaving = func(catalog.Key, time.Duration) {}
 	}
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -62,6 +62,10 @@
 	StreamsNext    uint64
 	// Leaving are the upstreams that said a short time ago, to any router, that they leave.
 	Leaving []gateway.LeavingReport
+	// Crashes are the prompt parts with which upstreams have ended, at any router, and Alive
+	// the upstreams that broke requests off and did not end.
+	Crashes []gateway.PartReport
+	Alive   []uint32
 }
 
 // Placements are prompt placements as parallel slices: the parts, and short hashes of
@@ -104,6 +108,7 @@
 	r := Report{
 		Router: m.opts.Router, Address: m.opts.Address, Domain: m.opts.FailureDomain, Stamps: make([]feed.Stamp, len(m.opts.Feeds)),
 		Era: m.opts.Eras.Newest(), Configuration: m.opts.Held.Version(), Compact: true, Leaving: m.opts.Leaving.Reports(),
+		Crashes: m.opts.Crashes.Reports(), Alive: m.opts.Crashes.Alive(),
 	}
 	if at, returned := m.opts.Eras.Since(); returned {
 		r.EraAge = time.Since(at)
@@ -222,6 +227,9 @@
 			m.opts.MarkLeaving(key, time.Duration(l.AgeMs)*time.Millisecond)
 		}
 	}
+	if m.opts.Crashes.Merge(r.Crashes, r.Alive) && m.currentRole().speaker {
+		m.AnnounceCrashes()
+	}
 	origin := gateway.OriginDomain
 	if domain != own {
 		origin = gateway.OriginForeign
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -89,14 +89,25 @@
 	}
 }
 
+// AnnounceCrashes makes this router call its peers soon, because it knows of new crashes of
+// upstreams.
+func (m *Mesh) AnnounceCrashes() {
+	m.crashNews.Store(true)
+	select {
+	case m.announcements <- struct{}{}:
+	default: // an announcement is already pending
+	}
+}
+
 // announceToPeers calls peers that answered the last call, announceSpacing apart: the
 // partners in a small fleet or in this failure domain, maxAnnouncePeers of them at most,
-// and the partners in other domains if this router is a watcher.
+// and the partners in other domains if this router is a watcher or knows of new crashes.
 func (m *Mesh) announceToPeers(ctx context.Context) {
+	crossing := m.crashNews.Swap(false) || m.Watcher()
 	m.mu.Lock()
 	marked := 0
 	for _, p := range m.peers { // in random order
-		if !p.partner || p.unresponsive || marked >= maxAnnouncePeers || m.crossesDomains(p) && !m.role.watcher {
+		if !p.partner || p.unresponsive || marked >= maxAnnouncePeers || m.crossesDomains(p) && !crossing {
 			continue
 		}
 		p.due = time.Time{}
