entry: keep blocked prompt parts in the store

If all routers are killed at once, what they knew of a part is gone, and it crashes as many upstreams again. The routers that watch the store write the list of blocked parts there when it changes, never for a request; the others only if they do not. A router that starts reads it like the other kinds, and the reports of others correct it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,10 +75,12 @@
 	configuration *feed.Feed
 	upstreams     *feed.Feed
 	routers       *feed.Feed
+	blockedParts  *feed.Feed
 
 	eras       *store.Eras
 	held       *heldConfiguration
 	routerList routerList
+	partList   partList
 
 	upstreamsMu    sync.Mutex // guards the fields below
 	missingEntries catalog.MissingEntries
@@ -128,12 +130,13 @@
 	h.configuration = h.newFeed(platform.KindConfiguration, configurationWatchTimeout, h.applyConfiguration)
 	h.upstreams = h.newFeed(platform.KindUpstreams, upstreamsWatchTimeout, h.applyUpstreams)
 	h.routers = h.newFeed(platform.KindRouters, routersWatchTimeout, h.applyRouters)
+	h.blockedParts = h.newFeed(platform.KindBlockedParts, partsWatchTimeout, h.applyBlockedParts)
 	h.mesh, err = gossip.New(gossip.Options{
 		Router:        s.Host,
 		Address:       s.PeersAddress,
 		FailureDomain: s.FailureDomain,
 		Seeds:         s.SeedAddresses,
-		Feeds:         []*feed.Feed{h.configuration, h.upstreams, h.routers},
+		Feeds:         []*feed.Feed{h.configuration, h.upstreams, h.routers, h.blockedParts},
 		Board:         h.gateway.Board(),
 		Prompts:       h.gateway.Prompts(),
 		Streams:       h.gateway.Streams(),
@@ -225,8 +228,8 @@
 // start starts all background tasks; they run until ctx ends.
 func (h *Host) start(ctx context.Context) {
 	for _, run := range []func(context.Context){
-		h.configuration.Run, h.upstreams.Run, h.routers.Run, h.mesh.Run,
-		h.register, h.maintain, h.watchSettings, h.readCaches,
+		h.configuration.Run, h.upstreams.Run, h.routers.Run, h.blockedParts.Run, h.mesh.Run,
+		h.register, h.maintain, h.watchSettings, h.readCaches, h.listBlockedParts,
 	} {
 		go run(ctx)
 	}
@@ -265,7 +268,7 @@
 // from a copy, and the age of the content of each kind.
 func (h *Host) storeMetrics() any {
 	ages := make(map[string]int64)
-	for _, f := range []*feed.Feed{h.configuration, h.upstreams, h.routers} {
+	for _, f := range []*feed.Feed{h.configuration, h.upstreams, h.routers, h.blockedParts} {
 		stamp := f.Stamp()
 		ages[f.Kind()] = stamp.Age.Milliseconds()
 	}
