soak: a prompt part that crashes upstreams

One stream of eight has a part that ends each upstream that begins to answer it, with all its connections; another upstream takes its place after 1.5 s. From 3 s after the fifth end at most three requests with the part may reach upstreams (BUDGET), and from 6 s after it at least half of the sound streams, which share the first part, the customer and the documents, are served (LOST).

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +27,7 @@
 	first    string        // attempt that began the stream; equal to attempt if this one did
 	received int           // events of the stream over all attempts
 	version  string        // of the events received
+	crashing string        // part of the prompt that crashes upstreams; empty if it has none
 	leaveAt  int           // number of events after which the caller leaves the stream; 0: never
 	router   int
 	started  time.Time
@@ -72,6 +74,7 @@
 		if n%2 == 0 && c.soak.slowStreams.Load() && isStream(o.route) {
 			o.path, o.deadline = "slow", slowTimeout
 		}
+		c.addCrashingPart(&o)
 		c.leaveLater(&o)
 		c.send(&o)
 		c.soak.record(o)
@@ -136,7 +139,11 @@
 	wire.SetRequestHeaders(r.Header, o.attempt, apiKey, o.deadline)
 	if isStream(o.route) {
 		document := int(o.first[len(o.first)-1]) % documentCount
-		wire.SetPrompt(r.Header, "m", "a0:300", fmt.Sprintf("d%d:4000", document), o.first+":100")
+		prompt := []string{"a0:300", fmt.Sprintf("d%d:4000", document), o.first + ":100"}
+		if o.crashing != "" {
+			prompt = slices.Insert(prompt, 1+document%2, o.crashing+":200")
+		}
+		wire.SetPrompt(r.Header, "m", prompt...)
 	}
 	if o.received > 0 {
 		wire.SetResume(r.Header, o.first, o.received)
--- a/soak/check.go
+++ b/soak/check.go
@@ -39,6 +39,9 @@
 	}
 	s.checkLeaving(byAttempt)
 	s.checkBudget(byAttempt)
+	for _, phase := range s.crashing {
+		s.checkCrashingPart(phase, byAttempt)
+	}
 	for _, phase := range s.taking {
 		s.checkTakenUp(phase, outcomes)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -18,10 +18,11 @@
 	FaultLeaving    = "leaving"     // upstreams that say in their answers that they leave
 	FaultRetryAfter = "retry-after" // upstreams that turn requests away and say for how long
 	FaultTrouble    = "trouble"     // upstreams whose answers end inside an event, or never
+	FaultParts      = "parts"       // a prompt part that crashes each upstream that answers it
 	FaultStops      = "stops"       // stops of routers with repeated signals, and slow streams meanwhile
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultTrouble, FaultStops}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultTrouble, FaultParts, FaultStops}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -37,6 +37,7 @@
 	server        *http.Server
 	drainingSince time.Time // when it was marked as leaving or its entry was removed; zero if neither was
 	removed       bool      // its entry was removed
+	crashed       bool
 }
 
 // fleet holds the store, routers and upstreams of one soak.
@@ -153,13 +154,21 @@
 	u.drainingSince, u.removed = time.Now(), true
 }
 
-// active returns the upstreams that do not leave.
+// crashed removes the entry of an upstream that has crashed.
+func (f *fleet) crashed(u *upstream) {
+	f.store.RemoveObject(wire.KindUpstreams, u.id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.crashed = true
+}
+
+// active returns the upstreams that neither leave nor have crashed.
 func (f *fleet) active() []*upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []*upstream
 	for _, u := range f.upstreams {
-		if u.drainingSince.IsZero() {
+		if u.drainingSince.IsZero() && !u.crashed {
 			out = append(out, u)
 		}
 	}
@@ -195,7 +204,7 @@
 	defer f.mu.Unlock()
 	f.store.SetObject(wire.KindConfiguration, wire.NameConfiguration, f.configuration)
 	for _, u := range f.upstreams {
-		if u.removed {
+		if u.removed || u.crashed {
 			f.store.RemoveObject(wire.KindUpstreams, u.id)
 			continue
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,8 +32,9 @@
 	random *rand.Rand
 	fleet  *fleet
 
-	slowStreams  atomic.Bool // callers open slow streams too
-	leaveStreams atomic.Bool // callers leave streams and take them up again
+	slowStreams  atomic.Bool            // callers open slow streams too
+	leaveStreams atomic.Bool            // callers leave streams and take them up again
+	crashingPart atomic.Pointer[string] // that some prompts have; nil if none does
 
 	mu         sync.Mutex
 	outcomes   []outcome
@@ -45,6 +46,7 @@
 	taking     []takingPhase
 	leaving    []period // fault-free phases in which an upstream says in its answers that it leaves
 	troubled   []period // phases in which one upstream at a time spoils its answers, but no fault occurs
+	crashing   []*crashingPhase
 	refusing   []period // fault-free phases in which upstreams turn requests away for a time
 }
 
@@ -148,6 +150,10 @@
 			s.logf("round %d: upstreams spoil their answers", round)
 			s.runTroublePhase()
 		}
+		if s.opts.Faults.has(FaultParts) {
+			s.logf("round %d: a prompt part crashes upstreams", round)
+			s.runCrashingPhase(round)
+		}
 		s.logf("round %d: fault-free phase", round)
 		s.runFaultFreePhase()
 	}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -52,6 +52,8 @@
 	leaving     bool
 	refuseUntil time.Time // no requests are accepted until then
 	trouble     Trouble
+	crashPart   string // prompt part under which the replica ends
+	crash       func() // ends it
 	runs        []Run
 	arrived     []Arrival
 	cached      map[string]cachedPart // prompt parts by identifier
@@ -97,6 +99,28 @@
 	r.refuseUntil = time.Now().Add(d)
 }
 
+// CrashOn makes the replica call crash when it begins to write an answer to a request whose
+// prompt has the part, other than as its last one. crash is to end it with all its
+// connections.
+func (r *Replica) CrashOn(part string, crash func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashPart, r.crash = part, crash
+}
+
+// crashes calls crash if the prompt has the part, and reports whether it did.
+func (r *Replica) crashes(prompt string) bool {
+	r.mu.Lock()
+	part, crash := r.crashPart, r.crash
+	r.mu.Unlock()
+	if part == "" || !strings.Contains(","+prompt, ","+part+":") || strings.HasPrefix(prompt[strings.LastIndex(prompt, ",")+1:], part+":") {
+		return false
+	}
+	time.Sleep(r.opts.EventInterval)
+	crash()
+	return true
+}
+
 // SetFull makes the replica refuse new requests as if all its slots were taken.
 func (r *Replica) SetFull(full bool) {
 	r.mu.Lock()
@@ -173,6 +197,9 @@
 	}
 	defer r.end()
 	r.cachePrompt(req.Header.Get(wire.HeaderModel), req.Header.Get(wire.HeaderPrompt))
+	if r.crashes(req.Header.Get(wire.HeaderPrompt)) {
+		panic(http.ErrAbortHandler) // the connection is closed already
+	}
 	w.Header().Set(wire.HeaderSignature, r.opts.ID+"."+attempt)
 	isStream := strings.HasPrefix(req.URL.Path, "/stream/") || strings.HasPrefix(req.URL.Path, "/resume/")
 	first := cmp.Or(req.Header.Get(wire.HeaderResumes), attempt)
