gateway: a host that falls silent is no evidence against prompt parts

Their connections timed out, which no part causes: a crashed upstream closes them. TestSilentUpstreamIsNoCrash failed before. An unused function of decide/blame goes.

--- a/decide/blame/blame.go
+++ b/decide/blame/blame.go
@@ -117,12 +117,3 @@
 	}
 	return best
 }
-
-// Unanswered returns the number of upstreams that have ended with requests that have the
-// part, if it was never answered; otherwise 0.
-func (p *Part) Unanswered() int {
-	if p.IsAnswered {
-		return 0
-	}
-	return len(p.Crashes)
-}
--- a/decide/blame/blame_test.go
+++ b/decide/blame/blame_test.go
@@ -76,7 +76,6 @@
 		fresh.Crashes = append(fresh.Crashes, Crash{Upstream: i, At: now - 200*time.Millisecond})
 	}
 	must.Nil(t, blamed(fresh))
-	must.Eq(t, 3, fresh.Unanswered())
 }
 
 // Random traffic of many routes and subjects at nine upstreams, one part of which crashes
--- a/gateway/blocked.go
+++ b/gateway/blocked.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"net"
 	"strconv"
 	"time"
 
 	"dandelionrill.example/fleet/forward"
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -63,10 +65,15 @@
 // formatPart formats the identifier of a part for logs.
 func formatPart(part uint64) string { return strconv.FormatUint(part, 16) }
 
-// recordBrokenOff records that an upstream broke off an answer, unless the request was
-// being answered by then.
-func (g *Gateway) recordBrokenOff(req *request, s *send) {
-	if ids := req.partIDs(); len(ids) > 0 && !req.answering {
+// recordBrokenOff records that an upstream closed or reset the connection of a request,
+// unless the request was being answered by then. An upstream that no longer sends anything
+// was not ended by a part, but with its host or network.
+func (g *Gateway) recordBrokenOff(req *request, s *send, err error) {
+	var network net.Error
+	if req.answering || errors.As(err, &network) && network.Timeout() {
+		return
+	}
+	if ids := req.partIDs(); len(ids) > 0 {
 		g.crashes.RecordCrash(s.key().Sum(), ids)
 	}
 }
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/forward"
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 )
 
@@ -156,3 +160,15 @@
 		must.False(t, isBlocked(c, 7))
 	})
 }
+
+// A host without power or network answers nothing any more: the parts in progress there are
+// not blamed, however many hosts fall silent at once.
+func TestSilentUpstreamIsNoCrash(t *testing.T) {
+	g := &Gateway{crashes: NewCrashes()}
+	req := &request{Meta: Meta{Parts: []PromptPart{{ID: "a"}, {ID: "own"}}}}
+	s := &send{target: target{upstream: &catalog.Upstream{ID: "i-1"}}}
+	g.recordBrokenOff(req, s, errors.Wrap(&forward.Error{Cause: syscall.ETIMEDOUT, Outcome: forward.MayHaveRun}, "read answer"))
+	must.False(t, g.crashes.Any())
+	g.recordBrokenOff(req, s, errors.Wrap(&forward.Error{Cause: syscall.ECONNRESET, Outcome: forward.MayHaveRun}, "read answer"))
+	must.True(t, g.crashes.Any())
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -305,7 +305,7 @@
 		if len(req.parts) == 0 {
 			g.board.RecordAnswer(s.key(), true)
 		}
-		g.recordBrokenOff(req, s)
+		g.recordBrokenOff(req, s, err)
 	}
 	if failure.Outcome == forward.NotSent {
 		return refused(err.Error(), retryAfterShort), retry.FailureNotSent, failure.Outcome.String()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -108,7 +108,7 @@
 		e := g.interrupted()
 		return e, 0, e.reason // a part that was delivered makes it cut
 	}
-	g.recordBrokenOff(req, s)
+	g.recordBrokenOff(req, s, err)
 	e := failed(http.StatusBadGateway, "upstream's answer broke off: "+err.Error())
 	if req.headWritten {
 		return e, retry.FailureCut, resultCut
