gateway: keep a blocked part that is learned from the store only

A router that had run for more than ten minutes dropped such a part at once, as one without requests for so long, and the list in the store would have lost it. The time at which it is listed counts as a use. TestPartListedLaterIsKept failed before.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -75,6 +75,7 @@
 	isTried     bool
 	trialDelay  time.Duration // of this router, beyond trialInterval
 	stored      int           // upstreams that ended by the list in the store; 0 if it is not listed
+	storedAt    time.Duration // since when it is listed
 }
 
 // Crashes records with which prompt parts upstreams have ended, here and at other routers,
@@ -342,8 +343,10 @@
 }
 
 // lastBlockUse returns when a request with the part was last refused, or crashed an
-// upstream.
-func (p *partCrashes) lastBlockUse() time.Duration { return max(p.requestedAt, p.lastEnd()) }
+// upstream, or when the part was listed in the store.
+func (p *partCrashes) lastBlockUse() time.Duration {
+	return max(p.requestedAt, p.lastEnd(), p.storedAt)
+}
 
 // evaluate determines which parts are blocked. c.mu must be held.
 func (c *Crashes) evaluate() {
@@ -489,12 +492,22 @@
 func (c *Crashes) SetStored(list []BlockedPart) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, p := range c.parts {
-		p.stored = 0
-	}
+	now := c.now()
+	listed := make(map[uint64]bool, len(list))
 	for _, b := range list[:min(len(list), maxCrashedParts)] {
-		if p := c.record(b.Part); !p.isAnswered || c.now()-p.answeredAt > crashMemory {
-			p.stored = b.Upstreams
+		listed[b.Part] = true
+		p := c.record(b.Part)
+		if p.isAnswered && now-p.answeredAt <= crashMemory {
+			continue
+		}
+		if p.stored == 0 {
+			p.storedAt = now
+		}
+		p.stored = b.Upstreams
+	}
+	for part, p := range c.parts {
+		if !listed[part] {
+			p.stored = 0
 		}
 	}
 	c.evaluate()
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -161,6 +161,24 @@
 	})
 }
 
+// A router that has run for long must keep a part that it learns from the store only, and
+// forget it once no request has come for it.
+func TestPartListedLaterIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCrashes()
+		time.Sleep(2 * blockMemory)
+		list := []BlockedPart{{Part: 7, Upstreams: 3}}
+		c.SetStored(list)
+		time.Sleep(blockMemory / 2)
+		c.SetStored(list)
+		c.Tick()
+		must.True(t, isBlocked(c, 7))
+		time.Sleep(blockMemory/2 + time.Second)
+		c.Tick()
+		must.False(t, isBlocked(c, 7))
+	})
+}
+
 // A host without power or network answers nothing any more: the parts in progress there are
 // not blamed, however many hosts fall silent at once.
 func TestSilentUpstreamIsNoCrash(t *testing.T) {
