--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -22,8 +22,9 @@
 	// suspectedCrashes is the number of upstreams after which a request with the part is
 	// not repeated at another one.
 	suspectedCrashes = 2
-	// crashSettleTime allows for reports of other routers.
-	crashSettleTime = 300 * time.Millisecond
+	// CrashSettleTime is the age from which a crash counts: reports of other routers may
+	// still show that its parts were answered.
+	CrashSettleTime = 300 * time.Millisecond
 	// answeredQuietTime is how long a part that used to be answered must not have been.
 	answeredQuietTime = 2 * time.Second
 	// maxCrashesPerPart is the number of crashes that are kept of a part.
@@ -363,7 +364,7 @@
 		}
 	}
 	if enough {
-		for _, part := range blame.Blamed(blame.Options{Crashes: crashesToBlame, Settle: crashSettleTime, Quiet: answeredQuietTime}, c.now(), parts) {
+		for _, part := range blame.Blamed(blame.Options{Crashes: crashesToBlame, Settle: CrashSettleTime, Quiet: answeredQuietTime}, c.now(), parts) {
 			next[part] = struct{}{}
 		}
 	}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -19,7 +19,7 @@
 		c.RecordCrash(u, parts)
 		time.Sleep(50 * time.Millisecond)
 	}
-	time.Sleep(crashSettleTime)
+	time.Sleep(CrashSettleTime)
 	c.Tick()
 }
 
@@ -36,12 +36,12 @@
 		c.RecordCrash(3, []uint64{7})
 		time.Sleep(2 * aliveFrom)
 		c.RecordAlive(3, 0)
-		time.Sleep(crashSettleTime)
+		time.Sleep(CrashSettleTime)
 		c.Tick()
 		must.False(t, isBlocked(c, 7))
 		c.RecordCrash(4, []uint64{7})
-		time.Sleep(crashSettleTime)
-		c.RecordAlive(4, crashSettleTime+time.Second) // sent before the end
+		time.Sleep(CrashSettleTime)
+		c.RecordAlive(4, CrashSettleTime+time.Second) // sent before the end
 		c.Tick()
 		must.True(t, isBlocked(c, 7))
 		time.Sleep(aliveUntil)
@@ -124,7 +124,7 @@
 		must.True(t, b.Merge(a.Reports(), a.Alive()))
 		must.False(t, b.Merge(a.Reports(), a.Alive()), must.Sprint("nothing new"))
 		must.True(t, a.Merge(b.Reports(), b.Alive()))
-		time.Sleep(crashSettleTime)
+		time.Sleep(CrashSettleTime)
 		a.Tick()
 		b.Tick()
 		must.True(t, isBlocked(a, 7))
--- a/gossip/spread_test.go
+++ b/gossip/spread_test.go
@@ -5,29 +5,39 @@
 	"time"
 
 	"dandelionrill.example/fleet/feed"
+	"dandelionrill.example/fleet/gateway"
 	"github.com/shoenig/test/must"
 )
 
+// announceTime is the longest time of a round of announcements to peers, behind one that
+// has just begun.
+func announceTime(peers int) time.Duration {
+	round := time.Duration(min(peers, maxAnnouncePeers)) * announceSpacing
+	return round + announceInterval + round
+}
+
+// fleetSize is a size of fleet for the sums below. In the first ones every router exchanges
+// reports with every other one.
+type fleetSize struct{ routers, domains int }
+
+func (f fleetSize) flat() bool     { return f.routers <= maxFlatRouters }
+func (f fleetSize) perDomain() int { return f.routers / f.domains }
+
 // Guards the time until all routers know that an upstream leaves: the hops from a router
 // that has read it to the last one, each with its worst case, must leave room for a send.
 // docs/PLATFORM.md has the table.
 func TestChangeSpreadsInTime(t *testing.T) {
-	round := func(peers int) time.Duration {
-		return announceInterval + time.Duration(min(peers, maxAnnouncePeers))*announceSpacing
-	}
 	for _, c := range []struct {
-		routers, domains int
-		bound            time.Duration
+		fleetSize
+		bound time.Duration
 	}{
-		{3, 3, 2 * time.Second}, {16, 4, 2 * time.Second},
-		{60, 4, 3 * time.Second}, {300, 12, 4 * time.Second},
+		{fleetSize{3, 3}, 2 * time.Second}, {fleetSize{16, 4}, 2 * time.Second},
+		{fleetSize{60, 4}, 3 * time.Second}, {fleetSize{300, 12}, 4 * time.Second},
 	} {
 		// A call tells of the change, and another one fetches it.
-		worst := round(c.routers-1) + 2*callTimeout
-		if c.routers > maxFlatRouters {
-			perDomain := c.routers / c.domains
-			toSpeakers, toDomain := round(perDomain-1+c.domains-1), round(perDomain-1)
-			worst = toSpeakers + toDomain + 4*callTimeout
+		worst := announceTime(c.routers-1) + 2*callTimeout
+		if !c.flat() {
+			worst = announceTime(c.perDomain()-1+c.domains-1) + announceTime(c.perDomain()-1) + 4*callTimeout
 		}
 		const (
 			send      = 350 * time.Millisecond // longest dial of an upstream
@@ -37,3 +47,23 @@
 		must.Less(t, c.bound, worst+send, must.Sprintf("%d routers", c.routers))
 	}
 }
+
+// Guards the time from the last end of an upstream that is needed until all routers block
+// the prompt part: a report carries the ends themselves, over up to three hops.
+func TestCrashSpreadsInTime(t *testing.T) {
+	for _, c := range []struct {
+		fleetSize
+		bound time.Duration
+	}{
+		{fleetSize{3, 3}, 3 * time.Second}, {fleetSize{16, 4}, 3 * time.Second},
+		{fleetSize{60, 4}, 4 * time.Second}, {fleetSize{300, 12}, 5 * time.Second},
+	} {
+		worst := announceTime(c.routers-1) + callTimeout
+		if !c.flat() {
+			local, crossing := c.perDomain()-1, c.perDomain()-1+c.domains-1
+			worst = announceTime(local) + announceTime(crossing) + announceTime(local) + 3*callTimeout
+		}
+		const check = 250 * time.Millisecond // between two looks at what has settled
+		must.Less(t, c.bound, worst+gateway.CrashSettleTime+check, must.Sprintf("%d routers", c.routers))
+	}
+}
