gateway, gossip, feed: tests of each rule on blocked parts

Sixteen guards of both mends were taken out one by one, on a clone; ten survived the tests of before: the choice and the repeat of a blocked or suspected part, the end of an unframed stream, what counts as being answered, an upstream that goes on answering, the last part, the 502 of a request that may have run, a short outage, the announcement to other failure domains. Each has a test that fails without it now. The wiring of the announcement in entry has none: without it reports tell the same, some hundred ms later.

--- a/feed/outage_test.go
+++ b/feed/outage_test.go
@@ -120,3 +120,19 @@
 		must.Eq(t, time.Hour, f.Steady(), must.Sprint("others were answered all the time"))
 	})
 }
+
+// An outage that is shorter than reports are old counts from its end too.
+func TestShortOutageEndsThePeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPassiveFeed(Snapshot{Revision: 5})
+		time.Sleep(time.Second)
+		f.recordSuccess()
+		started := time.Now()
+		time.Sleep(minOutage + 500*time.Millisecond)
+		f.recordFailure(started, store.ErrUnavailable)
+		must.Zero(t, f.Steady())
+		time.Sleep(100 * time.Millisecond)
+		f.recordSuccess()
+		must.Zero(t, f.Steady())
+	})
+}
--- a/gossip/crashes_test.go
+++ b/gossip/crashes_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -82,6 +83,15 @@
 		must.True(t, m.crashNews.Load())
 		m.applyReport(&r)
 		must.Eq(t, 1, len(m.announcements))
+		for _, p := range partners(m) {
+			p.due = time.Now().Add(time.Hour)
+		}
+		ended, end := context.WithCancel(t.Context())
+		end() // marks the calls that are due, and makes none
+		m.announceToPeers(ended)
+		for _, p := range partners(m) {
+			must.True(t, p.due.IsZero(), must.Sprint("partner in ", p.domain))
+		}
 		return
 	}
 	t.Fatal("no speaker that does not watch")
