agent: limit the head of an answer to 64 KB

net/http reads a head of up to 10 MB for each request; routers on the platform already stop at 64 KB. TestLongHeadOfAnAnswerIsGivenUp (a head of 1 MB was accepted) failed before, for both kinds of connection.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -21,6 +21,7 @@
 	upstreamReadBytes    = 32 << 10
 	maxIdleUpstreamConns = 256
 	tailBytes            = 64 // enough for streamEnd and white space after it
+	maxAnswerHeadBytes   = 64 << 10
 )
 
 // streamEnd is the last event of a chat completion stream, as the OpenAI API
@@ -60,6 +61,8 @@
 			DialContext:         u.dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleUpstreamConns,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxAnswerHeadBytes,
 		},
 	}
 	return u
@@ -85,6 +88,9 @@
 		Transport: &http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
+
+			MaxResponseHeaderBytes: maxAnswerHeadBytes,
+
 			DialContext: func(context.Context, string, string) (net.Conn, error) {
 				if used.Swap(true) {
 					return nil, errConnUsed
