--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -61,7 +62,9 @@
 	Settings     platform.Settings
 	SettingsPath string // reloaded when it changes; empty if there is no file
 	MetricsPort  string // empty disables the metrics endpoint
-	Log          log.Interface
+	// Hangup makes the host reload its settings; nil means SIGHUP from the start of Run on.
+	Hangup <-chan os.Signal
+	Log    log.Interface
 }
 
 // Host is the process of an entry host. Create it with New and start it with Run.
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -13,9 +13,13 @@
 // watchSettings reloads the settings when the file changes or on SIGHUP, until ctx
 // ends.
 func (h *Host) watchSettings(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	hangup := h.opts.Hangup
+	if hangup == nil {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGHUP)
+		defer signal.Stop(signals)
+		hangup = signals
+	}
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModified := modTime(h.opts.SettingsPath)
