--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -51,20 +50,6 @@
 	aliveUntil = 2 * time.Second
 )
 
-// PartReport is what a router tells others of a prompt part with crashes. Ages are in
-// milliseconds.
-type PartReport struct {
-	Part        uint64
-	Upstreams   []uint32 // short hashes of the keys of upstreams that ended
-	AgesMs      []uint32 // of these ends
-	Answered    bool
-	AnsweredMs  uint32 // since a request with the part was last answered
-	Requested   bool
-	RequestedMs uint32 // since a request with the part was last refused
-	Tried       bool
-	TriedMs     uint32 // since a request with the part was last let through
-}
-
 // partCrashes is what this router knows of a part.
 type partCrashes struct {
 	crashes     []blame.Crash // of different upstreams
@@ -372,144 +357,3 @@
 		c.blocked.Store(&next)
 	}
 }
-
-// Reports returns what to tell other routers: blocked parts first, then those with the most
-// crashes.
-func (c *Crashes) Reports() []PartReport {
-	if !c.any.Load() {
-		return nil
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now, blocked := c.now(), *c.blocked.Load()
-	keys := slices.Collect(maps.Keys(c.parts))
-	if len(keys) > maxReportedParts {
-		rank := func(part uint64) int {
-			if _, ok := blocked[part]; ok {
-				return -maxCrashesPerPart - 1
-			}
-			return -len(c.parts[part].crashes)
-		}
-		slices.SortFunc(keys, func(a, b uint64) int { return cmp.Compare(rank(a), rank(b)) })
-		keys = keys[:maxReportedParts]
-	}
-	out := make([]PartReport, 0, len(keys))
-	for _, part := range keys {
-		p := c.parts[part]
-		r := PartReport{Part: part, Answered: p.isAnswered, Requested: p.isRequested, Tried: p.isTried}
-		if p.isAnswered {
-			r.AnsweredMs = ageMs(now, p.answeredAt)
-		}
-		if p.isRequested {
-			r.RequestedMs = ageMs(now, p.requestedAt)
-		}
-		if p.isTried {
-			r.TriedMs = ageMs(now, p.triedAt)
-		}
-		for _, crash := range p.crashes {
-			r.Upstreams, r.AgesMs = append(r.Upstreams, crash.Upstream), append(r.AgesMs, ageMs(now, crash.At))
-		}
-		out = append(out, r)
-	}
-	return out
-}
-
-func ageMs(now, at time.Duration) uint32 { return uint32(max(0, now-at).Milliseconds()) }
-
-// Alive returns upstreams that did not end, though requests broke off at them, for other
-// routers.
-func (c *Crashes) Alive() []uint32 {
-	if !c.any.Load() {
-		return nil
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Collect(maps.Keys(c.alive))
-}
-
-// Merge takes over what another router tells, and reports whether a part that was never
-// answered has a new crash.
-func (c *Crashes) Merge(reports []PartReport, alive []uint32) (news bool) {
-	if len(reports) == 0 && len(alive) == 0 {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.now()
-	at := func(ms uint32) time.Duration { return now - time.Duration(ms)*time.Millisecond }
-	for _, upstream := range alive[:min(len(alive), maxCrashedParts)] {
-		if _, known := c.alive[upstream]; !known {
-			c.removeUpstream(upstream)
-		}
-	}
-	for _, r := range reports[:min(len(reports), maxReportedParts)] {
-		p := c.record(r.Part)
-		if r.Answered {
-			p.setAnswered(at(r.AnsweredMs))
-		}
-		if r.Requested && (!p.isRequested || at(r.RequestedMs) > p.requestedAt) {
-			p.requestedAt, p.isRequested = at(r.RequestedMs), true
-		}
-		if r.Tried && (!p.isTried || at(r.TriedMs) > p.triedAt) {
-			p.triedAt, p.isTried = at(r.TriedMs), true
-		}
-		inUse := r.Requested && time.Duration(r.RequestedMs)*time.Millisecond <= blockMemory
-		for i, upstream := range r.Upstreams[:min(len(r.Upstreams), len(r.AgesMs))] {
-			_, isAlive := c.alive[upstream]
-			if isAlive || !inUse && now-at(r.AgesMs[i]) > crashMemory {
-				continue
-			}
-			if p.add(blame.Crash{Upstream: upstream, At: at(r.AgesMs[i])}) && !p.isAnswered {
-				news = true
-			}
-		}
-	}
-	c.evaluate()
-	return news
-}
-
-// BlockedPart is an entry of the list of blocked parts in the store.
-type BlockedPart struct {
-	Part      uint64
-	Upstreams int // that ended with it, certainCrashes at most
-}
-
-// ListBlocked returns the blocked parts for the list in the store, sorted.
-func (c *Crashes) ListBlocked() []BlockedPart {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []BlockedPart
-	for part := range *c.blocked.Load() {
-		if p := c.parts[part]; p != nil {
-			out = append(out, BlockedPart{Part: part, Upstreams: min(p.ended(), certainCrashes)})
-		}
-	}
-	slices.SortFunc(out, func(a, b BlockedPart) int { return cmp.Compare(a.Part, b.Part) })
-	return out
-}
-
-// SetStored blocks the parts of the list in the store, except for those that were answered
-// since they may have been listed.
-func (c *Crashes) SetStored(list []BlockedPart) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.now()
-	listed := make(map[uint64]bool, len(list))
-	for _, b := range list[:min(len(list), maxCrashedParts)] {
-		listed[b.Part] = true
-		p := c.record(b.Part)
-		if p.isAnswered && now-p.answeredAt <= crashMemory {
-			continue
-		}
-		if p.stored == 0 {
-			p.storedAt = now
-		}
-		p.stored = b.Upstreams
-	}
-	for part, p := range c.parts {
-		if !listed[part] {
-			p.stored = 0
-		}
-	}
-	c.evaluate()
-}
