gateway: an upstream that broke a request off and went on may crash later

It holds for ends before it only, and is told with its age. TestUpstreamThatWasAliveCanCrash failed before.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -75,7 +75,7 @@
 
 	mu    sync.Mutex
 	parts map[uint64]*partCrashes
-	alive map[uint32]time.Duration // upstreams that did not end, though requests broke off
+	alive map[uint32]time.Duration // until when upstreams had not ended, though requests broke off
 }
 
 // NewCrashes returns a record without any crashes.
@@ -240,16 +240,20 @@
 		}
 	}
 	if found {
-		c.removeUpstream(upstream)
+		c.setAlive(upstream, sent)
 		c.evaluate()
 	}
 }
 
-// removeUpstream removes the crash of an upstream that is alive. c.mu must be held.
-func (c *Crashes) removeUpstream(upstream uint32) {
-	c.alive[upstream] = c.now()
+// setAlive removes the crashes of an upstream before a time at which it was alive. c.mu must
+// be held.
+func (c *Crashes) setAlive(upstream uint32, at time.Duration) {
+	if last, known := c.alive[upstream]; known && at <= last {
+		return
+	}
+	c.alive[upstream] = at
 	for _, p := range c.parts {
-		p.crashes = slices.DeleteFunc(p.crashes, func(crash blame.Crash) bool { return crash.Upstream == upstream })
+		p.crashes = slices.DeleteFunc(p.crashes, func(crash blame.Crash) bool { return crash.Upstream == upstream && crash.At <= at })
 	}
 }
 
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -50,6 +50,25 @@
 	})
 }
 
+// An upstream that has broken a request off and gone on may crash later, and that counts.
+func TestUpstreamThatWasAliveCanCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, other := NewCrashes(), NewCrashes()
+		for u := range uint32(3) {
+			c.RecordCrash(u, []uint64{7})
+			time.Sleep(2 * aliveFrom)
+			c.RecordAlive(u, 0)
+		}
+		other.Merge(c.Reports(), c.Alive())
+		time.Sleep(time.Second)
+		crashed(c, 0, 3, 7)
+		must.True(t, isBlocked(c, 7))
+		other.Merge(c.Reports(), c.Alive())
+		other.Tick()
+		must.True(t, isBlocked(other, 7))
+	})
+}
+
 // A sound part that was blamed by chance must be released once it is answered.
 func TestBlockedPartIsTriedAgainAndReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/crashreports.go
+++ b/gateway/crashreports.go
@@ -66,20 +66,31 @@
 
 func ageMs(now, at time.Duration) uint32 { return uint32(max(0, now-at).Milliseconds()) }
 
-// Alive returns upstreams that did not end, though requests broke off at them, for other
-// routers.
-func (c *Crashes) Alive() []uint32 {
+// AliveReport is an upstream that did not end, though a request broke off at it.
+type AliveReport struct {
+	Upstream uint32 // short hash of its key
+	AgeMs    uint32 // since it was alive
+}
+
+// Alive returns the upstreams that did not end, for other routers.
+func (c *Crashes) Alive() []AliveReport {
 	if !c.any.Load() {
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Collect(maps.Keys(c.alive))
+	now := c.now()
+	out := make([]AliveReport, 0, len(c.alive))
+	for upstream, at := range c.alive {
+		out = append(out, AliveReport{Upstream: upstream, AgeMs: ageMs(now, at)})
+	}
+	slices.SortFunc(out, func(a, b AliveReport) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+	return out[:min(len(out), maxReportedParts)]
 }
 
 // Merge takes over what another router tells, and reports whether a part that was never
 // answered has a new crash.
-func (c *Crashes) Merge(reports []PartReport, alive []uint32) (news bool) {
+func (c *Crashes) Merge(reports []PartReport, alive []AliveReport) (news bool) {
 	if len(reports) == 0 && len(alive) == 0 {
 		return false
 	}
@@ -87,10 +98,8 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	at := func(ms uint32) time.Duration { return now - time.Duration(ms)*time.Millisecond }
-	for _, upstream := range alive[:min(len(alive), maxCrashedParts)] {
-		if _, known := c.alive[upstream]; !known {
-			c.removeUpstream(upstream)
-		}
+	for _, a := range alive[:min(len(alive), maxReportedParts)] {
+		c.setAlive(a.Upstream, at(a.AgeMs))
 	}
 	for _, r := range reports[:min(len(reports), maxReportedParts)] {
 		p := c.record(r.Part)
@@ -105,8 +114,8 @@
 		}
 		inUse := r.Requested && time.Duration(r.RequestedMs)*time.Millisecond <= blockMemory
 		for i, upstream := range r.Upstreams[:min(len(r.Upstreams), len(r.AgesMs))] {
-			_, isAlive := c.alive[upstream]
-			if isAlive || !inUse && now-at(r.AgesMs[i]) > crashMemory {
+			aliveAt, known := c.alive[upstream]
+			if known && at(r.AgesMs[i]) <= aliveAt || !inUse && now-at(r.AgesMs[i]) > crashMemory {
 				continue
 			}
 			if p.add(blame.Crash{Upstream: upstream, At: at(r.AgesMs[i])}) && !p.isAnswered {
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -65,7 +65,7 @@
 	// Crashes are the prompt parts with which upstreams have ended, at any router, and Alive
 	// the upstreams that broke requests off and did not end.
 	Crashes []gateway.PartReport
-	Alive   []uint32
+	Alive   []gateway.AliveReport
 }
 
 // Placements are prompt placements as parallel slices: the parts, and short hashes of
