gateway: no state of a request that a standby attempt may change

The identifiers of the prompt's parts were computed at their first use, and a plain flag said that a request is being answered; a standby attempt, which runs beside, reads both. They are computed at admission, and the flag is atomic. Found by reading; the race detector had not met it.

--- a/gateway/blocked.go
+++ b/gateway/blocked.go
@@ -25,13 +25,15 @@
 
 // partIDs returns the identifiers of the prompt's shared parts. The last part belongs to
 // the request alone.
-func (req *request) partIDs() []uint64 {
-	if req.ids == nil && len(req.Parts) > 1 {
-		for _, part := range req.Parts[:len(req.Parts)-1] {
-			req.ids = append(req.ids, PartID(part.ID))
-		}
+func partIDs(parts []PromptPart) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		ids = append(ids, PartID(part.ID))
 	}
-	return req.ids
+	return ids
 }
 
 // refusesBlocked reports whether a request is refused since one of its parts crashes
@@ -40,7 +42,7 @@
 	if !g.crashes.Any() {
 		return false
 	}
-	part, blocked := g.crashes.Blocked(req.partIDs())
+	part, blocked := g.crashes.Blocked(req.ids)
 	if !blocked {
 		return false
 	}
@@ -58,7 +60,7 @@
 	if req.trial || !g.crashes.Any() {
 		return false
 	}
-	_, blocked := g.crashes.Blocked(req.partIDs())
+	_, blocked := g.crashes.Blocked(req.ids)
 	return blocked
 }
 
@@ -70,11 +72,11 @@
 // was not ended by a part, but with its host or network.
 func (g *Gateway) recordBrokenOff(req *request, s *send, err error) {
 	var network net.Error
-	if req.answering || errors.As(err, &network) && network.Timeout() {
+	if req.answering.Load() || errors.As(err, &network) && network.Timeout() {
 		return
 	}
-	if ids := req.partIDs(); len(ids) > 0 {
-		g.crashes.RecordCrash(s.key().Sum(), ids)
+	if len(req.ids) > 0 {
+		g.crashes.RecordCrash(s.key().Sum(), req.ids)
 	}
 }
 
@@ -83,11 +85,10 @@
 func (g *Gateway) recordAnswering(req *request, s *send, ended bool) {
 	proven := ended && s.record.framing != forward.FramingClose ||
 		!s.firstDelivered.IsZero() && time.Since(s.firstDelivered) >= answeringTime
-	if req.answering || len(req.Parts) < 2 || !proven {
+	if len(req.ids) == 0 || !proven || req.answering.Swap(true) {
 		return
 	}
-	req.answering = true
-	g.crashes.RecordAnswered(req.partIDs())
+	g.crashes.RecordAnswered(req.ids)
 }
 
 // CheckBlockedParts blocks and releases prompt parts by what is known now, and logs the
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -202,7 +202,7 @@
 // not blamed, however many hosts fall silent at once.
 func TestSilentUpstreamIsNoCrash(t *testing.T) {
 	g := &Gateway{crashes: NewCrashes()}
-	req := &request{Meta: Meta{Parts: []PromptPart{{ID: "a"}, {ID: "own"}}}}
+	req := &request{ids: partIDs([]PromptPart{{ID: "a"}, {ID: "own"}})}
 	s := &send{target: target{upstream: &catalog.Upstream{ID: "i-1"}}}
 	g.recordBrokenOff(req, s, errors.Wrap(&forward.Error{Cause: syscall.ETIMEDOUT, Outcome: forward.MayHaveRun}, "read answer"))
 	must.False(t, g.crashes.Any())
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -109,7 +109,7 @@
 		Remaining:    time.Until(req.deadline),
 		MinRemaining: minAttemptTime,
 	})
-	if decision != retry.DecisionRetry || failure != retry.FailureNotSent && g.crashes.Suspected(req.partIDs()) {
+	if decision != retry.DecisionRetry || failure != retry.FailureNotSent && g.crashes.Suspected(req.ids) {
 		return false
 	}
 	if a.retryReserved || failure == retry.FailureNotSent && a.sent == 0 {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"dandelionrill.example/fleet/decide/admit"
@@ -39,14 +40,14 @@
 	body     []byte
 	parts    []uint64 // keys of the prompt's shared parts
 	prompt   place.Prompt
-	ids      []uint64 // identifiers of the prompt's shared parts, see partIDs
+	ids      []uint64 // identifiers of the prompt's shared parts, whatever the model
 
 	// Progress and result.
 	sends            []sendRecord
-	retryDenied      bool // the budget had no retry left
-	trial            bool // let through although a part of its prompt is blocked
-	answering        bool // recorded as being answered
-	headWritten      bool // status and headers of an answer were delivered
+	retryDenied      bool        // the budget had no retry left
+	trial            bool        // let through although a part of its prompt is blocked
+	answering        atomic.Bool // recorded as being answered; standby attempts read it too
+	headWritten      bool        // status and headers of an answer were delivered
 	version          boundVersion
 	deliveredEventID string
 	lastEvent        time.Time     // when the last events were delivered
@@ -135,6 +136,7 @@
 	}
 	req.deadline = req.arrived.Add(requestTimeout(req.Meta.Deadline, req.route.Timeout))
 	req.parts, req.prompt = sharedParts(&req.Meta)
+	req.ids = partIDs(req.Parts)
 	if g.exceedsDrainTime(req) {
 		return refused("router is stopping", retryAfterShort), false
 	}
