--- a/feed/outage_test.go
+++ b/feed/outage_test.go
@@ -136,3 +136,15 @@
 		must.Zero(t, f.Steady())
 	})
 }
+
+// Two failures with a long time without calls between them are no outage of that length.
+func TestFailuresFarApartAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPassiveFeed(Snapshot{Revision: 5})
+		for range 3 {
+			f.recordFailure(time.Now(), store.ErrUnavailable)
+			must.False(t, f.inOutage())
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -69,6 +69,19 @@
 	})
 }
 
+// What shows that an upstream was alive may arrive after its end: that crash counts.
+func TestLateReportOfAnAliveUpstreamKeepsItsCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCrashes()
+		crashed(c, 0, 3, 7)
+		early := uint32((time.Minute).Milliseconds())
+		c.Merge(nil, []AliveReport{{Upstream: 0, AgeMs: early}, {Upstream: 1, AgeMs: early}, {Upstream: 2, AgeMs: early}})
+		must.Eq(t, 3, c.Count(7))
+		c.Merge(nil, []AliveReport{{Upstream: 1}})
+		must.Eq(t, 2, c.Count(7))
+	})
+}
+
 // A sound part that was blamed by chance must be released once it is answered.
 func TestBlockedPartIsTriedAgainAndReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
