--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -38,12 +38,18 @@
 
 // startHost runs the background tasks of a host, without its listener for callers.
 func (s *storeFixture) startHost(t *testing.T, name string, seeds ...string) *Host {
+	t.Helper()
+	return s.startHostIn(t, "", name, seeds...)
+}
+
+// startHostIn is startHost in a failure domain.
+func (s *storeFixture) startHostIn(t *testing.T, domain, name string, seeds ...string) *Host {
 	t.Helper()
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	h, err := New(Options{
 		Settings: platform.Settings{
-			Host: name, PeersAddress: peers.Addr().String(), StoreAddress: s.address, SeedAddresses: seeds, FirstStart: true,
+			Host: name, FailureDomain: domain, PeersAddress: peers.Addr().String(), StoreAddress: s.address, SeedAddresses: seeds, FirstStart: true,
 		},
 		Log: &log.Logger{Handler: discard.New()},
 	})
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -39,6 +39,7 @@
 	Attempt string
 	At      time.Time
 	Leaving bool          // the answer says that the replica leaves
+	Limit   string        // the limit that the answer names; empty if none
 	Wait    time.Duration // the answer says that the replica wants no requests for so long; 0: it does not
 }
 
@@ -50,6 +51,7 @@
 	running     int
 	full        bool
 	leaving     bool
+	limit       string // named in all answers, if not empty
 	refuseUntil time.Time // no requests are accepted until then
 	trouble     Trouble
 	crashPart   string // prompt part under which the replica ends
@@ -91,6 +93,14 @@
 	r.leaving = leaving
 }
 
+// SetLimit makes the replica name the text as its limit in all its answers, in requests a
+// second of all routers together; an empty text ends that. It does not enforce the limit.
+func (r *Replica) SetLimit(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = text
+}
+
 // RefuseFor makes the replica turn all requests away for a time, and say in each answer
 // how much of it is left.
 func (r *Replica) RefuseFor(d time.Duration) {
@@ -171,6 +181,9 @@
 	if arrival.Leaving {
 		w.Header().Set(wire.HeaderLeaving, "1")
 	}
+	if arrival.Limit != "" {
+		w.Header().Set(wire.HeaderLimit, arrival.Limit)
+	}
 	if req.URL.Path == wire.CacheListPath {
 		r.listCache(w)
 		return
@@ -221,7 +234,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	a := Arrival{Attempt: attempt, At: now, Leaving: r.leaving, Wait: max(0, r.refuseUntil.Sub(now))}
+	a := Arrival{Attempt: attempt, At: now, Leaving: r.leaving, Limit: r.limit, Wait: max(0, r.refuseUntil.Sub(now))}
 	if attempt != "" {
 		r.arrived = append(r.arrived, a)
 	}
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -21,6 +21,7 @@
 	HeaderLastEvent = "Last-Event-Id"
 	HeaderResumes   = "Resumes" // the attempt that brought the first event of the stream
 	HeaderLeaving   = "Server-Leaving"
+	HeaderLimit     = "Server-Limit" // requests a second that the replica takes of all routers together
 	HeaderModel     = "Dandelionrill-Model"
 	HeaderPrompt    = "Dandelionrill-Prompt-Prefix"
 	headerDeadline  = "Dandelionrill-Deadline-Ms"
