gateway, gossip: keep the limits that upstreams name, all routers together

Class: what an upstream says of itself is not evidence until somebody decodes it, and one router's knowledge is not the fleet's.

Now an answer's limit is a statement on its upstream; the newest one counts, routers tell each other, and an answer that names none ends it a second after the last that did. Of each such upstream one router, found by hash among the first 16 that answer, holds a token bucket with the limit's rate and a burst of 1 + a quarter of a second. Each send needs a permit of it: the first attempt, retries and standby attempts. The holder is asked by one call of up to 250 ms; a router that does not answer is passed over until it does; one that others ask although it does not take itself for the holder grants an eighth of the rate. Denied, the request goes to another upstream; with none left it is refused at once, with a Retry-After. No store is involved.

Why that keeps the rule: in 4 s one bucket grants 4L + 1 + L/4, and two fallbacks at most L + 2 more, where 6L + 5 are allowed (TestNoWindowExceedsWhatIsAllowed).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,6 +129,9 @@
 		LookUpStream: func(ctx context.Context, attempt uint64) (uint32, bool) {
 			return h.mesh.LookUpStream(ctx, attempt)
 		},
+		Permit: func(ctx context.Context, key catalog.Key, rate float64) (bool, time.Duration) {
+			return h.mesh.Permit(ctx, key.Sum(), rate)
+		},
 	})
 	h.configuration = h.newFeed(platform.KindConfiguration, configurationWatchTimeout, h.applyConfiguration)
 	h.upstreams = h.newFeed(platform.KindUpstreams, upstreamsWatchTimeout, h.applyUpstreams)
@@ -145,6 +148,8 @@
 		Streams:       h.gateway.Streams(),
 		Leaving:       h.gateway.Leaving(),
 		Crashes:       h.gateway.Crashes(),
+		Limits:        h.gateway.Limits(),
+		MergeLimit:    h.gateway.MergeLimit,
 		MarkLeaving: func(key catalog.Key, age time.Duration) {
 			h.gateway.MarkLeaving(key, gateway.LeavingPeer, age)
 		},
@@ -156,7 +161,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry host")
 	}
-	h.gateway.Crashes().OnChange(h.mesh.AnnounceCrashes)
+	h.gateway.Crashes().OnChange(h.mesh.AnnounceNews)
+	h.gateway.Limits().OnChange(h.mesh.AnnounceNews)
 	return h, nil
 }
 
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -145,3 +145,58 @@
 		})
 	}
 }
+
+// Guards against limits that are left idle or exceeded when all upstreams name one and more
+// is asked for: what exceeds them is refused at once, has not run, and is told when to come
+// back.
+func TestNamedLimitsAreUsedAndTheRestIsRefused(t *testing.T) {
+	t.Parallel()
+	f := newLimitFleet(t, 5, []string{"12", "3"})
+	f.call(3*time.Second, 12*time.Millisecond)
+	from := time.Now()
+	const duration = 8 * time.Second
+	replies := f.call(duration, 12*time.Millisecond)
+	served := 0
+	refused := make(map[string]bool)
+	for _, r := range replies {
+		if r.status == http.StatusOK {
+			served++
+			continue
+		}
+		must.Eq(t, http.StatusServiceUnavailable, r.status)
+		must.Positive(t, r.retryAfter)
+		must.Less(t, time.Second, r.took)
+		refused[r.attempt] = true
+	}
+	must.GreaterEq(t, int(0.8*15*duration.Seconds()), served, must.Sprint("of a limit of 15 a second"))
+	for i, limit := range []float64{12, 3} {
+		must.LessEq(t, allowedInWindow(limit), mostInWindow(f.ups[i], from))
+		for _, a := range f.ups[i].Arrivals() {
+			must.False(t, refused[a.Attempt], must.Sprint("refused, and sent to an upstream"))
+		}
+	}
+}
+
+// Guards against a limit that outlives what the upstream says, at any router, and against
+// values that are no limit.
+func TestNamedLimitEnds(t *testing.T) {
+	t.Parallel()
+	f := newLimitFleet(t, 5, []string{"5"})
+	f.call(2*time.Second, 15*time.Millisecond)
+	for _, h := range f.hosts {
+		await(t, "limit known", func() bool { return h.gateway.Limits().Count() == 1 })
+	}
+	for _, text := range []string{"-1", "none", "1e400"} {
+		f.ups[0].SetLimit(text)
+		f.call(1500*time.Millisecond, 15*time.Millisecond)
+		must.Eq(t, 1, f.hosts[0].gateway.Limits().Count(), must.Sprint("no statement: ", text))
+	}
+	f.ups[0].SetLimit("")
+	f.call(2*time.Second, 15*time.Millisecond)
+	for _, h := range f.hosts {
+		await(t, "limit ended", func() bool { return h.gateway.Limits().Count() == 0 })
+	}
+	for _, r := range f.call(2*time.Second, 15*time.Millisecond) {
+		must.Eq(t, http.StatusOK, r.status)
+	}
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -45,8 +45,8 @@
 	fetchSource   *catalog.Upstream // upstream that has more of the prompt cached; nil if none is known
 }
 
-// choose returns the upstream for the next send. There is none for a prompt with a part
-// that crashes upstreams.
+// choose returns the upstream for the next send, for which a permit may be needed. There is
+// none for a prompt with a part that crashes upstreams.
 func (g *Gateway) choose(req *request, a *attempts) (target, bool) {
 	if g.isBlocked(req) {
 		return target{}, false
@@ -61,7 +61,7 @@
 		replicas = append(replicas, place.Replica{
 			Seed:     u.Hash,
 			Load:     status.Load,
-			Tried:    a.tried[u.Key()] || status.Held > 0 || req.version.excludes(u),
+			Tried:    a.tried[u.Key()] || status.Held > 0 || g.limits.denied(u.Key()) > 0 || a.avoidsLimited && g.limits.limited(u.Key()) || req.version.excludes(u),
 			Local:    u.FailureDomain == g.opts.FailureDomain,
 			Draining: g.isLeaving(u),
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -32,6 +32,10 @@
 	// retryReserved is true if the next retry is already withdrawn from the
 	// budget.
 	retryReserved bool
+	// reserved is the upstream for the next send; nil if it is not chosen yet.
+	reserved *target
+	// avoidsLimited excludes the upstreams that name a limit.
+	avoidsLimited bool
 }
 
 // dispatch sends a request to one upstream after another until it has ended.
@@ -39,7 +43,7 @@
 	g.depositRetry(req.service)
 	a := &attempts{tried: make(map[catalog.Key]bool)}
 	for {
-		chosen, ok := g.choose(req, a)
+		chosen, ok := g.reserve(ctx, req, a)
 		if !ok {
 			return g.endWithoutUpstream(req, a)
 		}
@@ -73,6 +77,9 @@
 	if g.isBlocked(req) {
 		return refused(reasonBlocked, retryAfterBlocked)
 	}
+	if left, limited := g.limitEnd(req, a); limited {
+		return g.refuseLimited(left)
+	}
 	if req.version.bound {
 		return g.versionGone(req)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -107,6 +108,9 @@
 	if t.fetchSource != nil {
 		s.record.fetchSource = t.fetchSource.ID
 	}
+	if rate, limited := g.limits.Rate(s.key()); limited {
+		s.record.limit = strconv.FormatFloat(rate, 'g', 4, 64)
+	}
 	a.tried[s.key()] = true
 	g.board.BeginRequest(s.key())
 	return s
@@ -158,7 +162,7 @@
 	}
 	response := s.response
 	switch {
-	case response.Status >= http.StatusInternalServerError && !req.headWritten && g.reserveRetry(req, a):
+	case response.Status >= http.StatusInternalServerError && !req.headWritten && g.reserveRetry(ctx, req, a):
 		s.drain()
 		return failed(http.StatusBadGateway, "upstream failed"), retry.FailureMayHaveRun, resultUpstreamFailure
 	case req.headWritten && response.Status >= http.StatusMultipleChoices:
@@ -227,6 +231,7 @@
 	if answer.RetryAfter > 0 {
 		g.hold(key, answer.RetryAfter)
 	}
+	g.recordLimit(key, answer.Limit)
 	return answer
 }
 
@@ -264,16 +269,21 @@
 
 // reserveRetry reports whether a failure answer of an upstream can be dropped
 // because the request will be retried elsewhere. If so, the retry is withdrawn
-// from the budget.
-func (g *Gateway) reserveRetry(req *request, a *attempts) bool {
+// from the budget, and its upstream is chosen.
+func (g *Gateway) reserveRetry(ctx context.Context, req *request, a *attempts) bool {
 	if !req.route.Repeatable() || a.sent+1 >= req.route.MaxAttempts {
 		return false
 	}
-	if _, ok := g.choose(req, a); !ok {
+	t, ok := g.reserve(ctx, req, a)
+	if !ok {
+		return false
+	}
+	if a.retryReserved = g.withdrawRetry(req.service); !a.retryReserved {
+		g.limits.putStash(t.upstream.Key())
 		return false
 	}
-	a.retryReserved = g.withdrawRetry(req.service)
-	return a.retryReserved
+	a.reserved = &t
+	return true
 }
 
 // impliesNotRun reports whether a caller would take the status to mean that the
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -13,3 +13,10 @@
 		}
 	}
 }
+
+// Len returns the number of upstreams of which permits are kept.
+func (p *Permits) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.buckets)
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -137,9 +137,15 @@
 }
 
 func newFixture(t *testing.T, replicas ...*replica) *fixture {
+	t.Helper()
+	return newFixtureWith(t, func(*gateway.Options) {}, replicas...)
+}
+
+// newFixtureWith is newFixture with options that configure changes.
+func newFixtureWith(t *testing.T, configure func(*gateway.Options), replicas ...*replica) *fixture {
 	t.Helper()
 	f := &fixture{}
-	f.gateway = gateway.New(gateway.Options{
+	opts := gateway.Options{
 		Protocol: platform.Protocol{}, Log: &log.Logger{Handler: discard.New()}, FailureDomain: "a", MaxBufferedBodyBytes: 1 << 20,
 		LookUpStream: func(_ context.Context, attempt uint64) (uint32, bool) {
 			if f.lookUp == nil {
@@ -154,7 +160,9 @@
 			Prompt: place.PromptOptions{Multiple: 2, Slack: 4}, Least: place.LeastOptions{RemoteCost: 1, FailureCost: 20}, RetryRatio: 0.1, RetryExtra: 20,
 			Eject: eject.Options{Base: time.Millisecond, MaxEjectedShare: 0.5},
 		},
-	})
+	}
+	configure(&opts)
+	f.gateway = gateway.New(opts)
 	f.gateway.SetTable(routing.NewTable(&routing.Configuration{
 		Version: 1, Routes: defaultRoutes(),
 		Limits:    routing.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,10 @@
 	// LookUpStream asks other routers for the version that began a stream, by its
 	// StreamKey; nil means that none knows. It returns when ctx ends.
 	LookUpStream func(ctx context.Context, attempt uint64) (version uint32, known bool)
+	// Permit asks for a permit to send one request to an upstream that names a limit, in
+	// requests a second. If it is denied, wait is the time after which it may be asked for
+	// again. Nil means that this router sends alone.
+	Permit func(ctx context.Context, key catalog.Key, rate float64) (granted bool, wait time.Duration)
 }
 
 // Policy holds the parameters of a gateway's placement, retry and ejection
@@ -50,6 +54,7 @@
 	prompts *Prompts
 	streams *Streams
 	leaving *Leaving
+	limits  *Limits
 	crashes *Crashes
 	metrics *metrics
 	slowest *slowestAnswers
@@ -81,12 +86,19 @@
 	if opts.LookUpStream == nil {
 		opts.LookUpStream = func(context.Context, uint64) (uint32, bool) { return 0, false }
 	}
+	if opts.Permit == nil {
+		permits := NewPermits()
+		opts.Permit = func(_ context.Context, key catalog.Key, rate float64) (bool, time.Duration) {
+			return permits.Grant(key.Sum(), rate)
+		}
+	}
 	g := &Gateway{
 		opts:         opts,
 		board:        NewBoard(opts.Policy.Eject),
 		prompts:      NewPrompts(),
 		streams:      NewStreams(),
 		leaving:      NewLeaving(),
+		limits:       NewLimits(),
 		crashes:      NewCrashes(),
 		metrics:      newMetrics(),
 		slowest:      newSlowestAnswers(time.Now()),
@@ -181,6 +193,7 @@
 	}
 	g.board.RemoveUnlisted(listed)
 	g.prompts.RemoveUnlisted(listed)
+	g.limits.RemoveUnlisted(listed)
 }
 
 // SetPolicy replaces the policy, except for its ejection options.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -68,6 +68,10 @@
 	holds           expvar.Int // times at which an upstream asked for no requests for a time
 	blockedParts    expvar.Int // prompt parts that crash upstreams
 	blockedRequests expvar.Int // requests refused for such a part
+	limits          expvar.Int // limits that upstreams name
+	permitsGranted  expvar.Int // permits to send to such an upstream that were asked for and granted
+	permitsDenied   expvar.Int // and that were denied
+	limitedRequests expvar.Int // requests refused for want of a permit
 	firstByte       *histogram // time until the first byte of an answer was ready to deliver
 	completeAnswer  *histogram // time until the end of a complete answer
 	dialTime        *histogram
@@ -87,6 +91,10 @@
 	m.vars.Set("holds", &m.holds)
 	m.vars.Set("blocked_parts", &m.blockedParts)
 	m.vars.Set("blocked_requests", &m.blockedRequests)
+	m.vars.Set("limits", &m.limits)
+	m.vars.Set("permits_granted", &m.permitsGranted)
+	m.vars.Set("permits_denied", &m.permitsDenied)
+	m.vars.Set("limited_requests", &m.limitedRequests)
 	m.vars.Set("first_byte", m.firstByte)
 	m.vars.Set("whole", m.completeAnswer)
 	m.vars.Set("dial_time", m.dialTime)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -8,6 +8,8 @@
 import (
 	"net/http"
 	"time"
+
+	"dandelionrill.example/fleet/decide/limit"
 )
 
 // PromptPart is one part of a prompt. Requests may share parts; an engine can
@@ -53,6 +55,7 @@
 	// RetryAfter is how long the upstream wants no requests from this router, with a
 	// refusal; 0 if it names no time.
 	RetryAfter time.Duration
+	Limit      limit.Named // what the upstream says of its limit
 }
 
 // ReportedLoad is the load that an upstream reports with an answer.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -93,7 +93,7 @@
 }
 
 // describeSends formats the sends of a request: upstream, its software version, its
-// load when it was chosen, how many of the prompt's shared parts it had cached, its failure rate in
+// load when it was chosen, how many of the prompt's shared parts it had cached, the limit that it named, its failure rate in
 // excess of its pool's, the upstream from which more of the prompt was fetched,
 // how the end of the answer was found, the bytes of an incomplete event there, result,
 // and duration.
@@ -111,6 +111,9 @@
 		if parts > 0 {
 			fmt.Fprintf(&b, " held=%d/%d", s.cachedParts, parts)
 		}
+		if s.limit != "" {
+			b.WriteString(" limit=" + s.limit)
+		}
 		if s.failureExcess > 0 {
 			fmt.Fprintf(&b, " failing=%.2f", s.failureExcess)
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,6 +61,7 @@
 	version       string  // of the upstream
 	load          int     // requests in progress at the upstream when it was chosen
 	cachedParts   int     // leading shared parts of the prompt that it was known to have cached
+	limit         string  // that it named, in requests a second; empty if none
 	failureExcess float64 // failure rate in excess of its pool's
 	fetchSource   string
 	standby       bool            // made while another upstream was silent
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -123,7 +123,7 @@
 		return
 	}
 	if w.attempts.sent+2 < w.req.route.MaxAttempts {
-		if _, ok := w.gateway.choose(w.req, w.attempts); ok {
+		if t, ok := w.gateway.choose(w.req, w.attempts); ok && !w.gateway.limits.limited(t.upstream.Key()) {
 			w.standby.cancel(errNotNeeded)
 			return
 		}
@@ -139,8 +139,12 @@
 	if !w.allowed() {
 		return false
 	}
-	t, ok := w.gateway.choose(w.req, w.attempts)
-	if !ok || !w.gateway.withdrawRetry(w.req.service) {
+	t, ok := w.gateway.reserveNow(w.req, w.attempts)
+	if !ok {
+		return false
+	}
+	if !w.gateway.withdrawRetry(w.req.service) {
+		w.gateway.limits.putStash(t.upstream.Key())
 		return false
 	}
 	w.standby, w.done = w.gateway.beginSend(w.ctx, t, w.attempts), make(chan struct{})
--- a/gossip/crashes_test.go
+++ b/gossip/crashes_test.go
@@ -80,7 +80,7 @@
 		r := other.newReport()
 		m.applyReport(&r)
 		must.Eq(t, 1, len(m.announcements))
-		must.True(t, m.crashNews.Load())
+		must.True(t, m.news.Load())
 		m.applyReport(&r)
 		must.Eq(t, 1, len(m.announcements))
 		for _, p := range partners(m) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -1,8 +1,9 @@
 // Package gossip exchanges state between the routers of a fleet: how recent their
 // copies of the store's kinds are, their requests in progress at each upstream,
 // which upstreams have read which prompt parts, which software version began which
-// stream, with which prompt parts upstreams have ended, and how many answers of plain
-// upstreams failed. Large fleets exchange reports within failure domains, and sums of
+// stream, with which prompt parts upstreams have ended, which limits upstreams name, and how many
+// answers of plain upstreams failed. It also shares out the permits to send to upstreams
+// that name limits. Large fleets exchange reports within failure domains, and sums of
 // whole domains between them. Reports from peers are optional: a router without peers
 // still works.
 package gossip
@@ -141,6 +142,11 @@
 	// Crashes are the prompt parts with which upstreams have ended; nil means a record of
 	// its own.
 	Crashes *gateway.Crashes
+	// Limits are the limits that upstreams name; nil means a record of its own.
+	Limits *gateway.Limits
+	// MergeLimit is called for each limit in the report of another router, and reports
+	// whether a limit begins or ends by it; nil merges it into Limits.
+	MergeLimit func(key catalog.Key, report gateway.LimitReport) (news bool)
 	// UpstreamKey returns the key of the upstream whose key has the short hash; nil
 	// means that no upstream is known.
 	UpstreamKey func(sum uint32) (catalog.Key, bool)
@@ -159,7 +165,8 @@
 	catchingUp    []atomic.Bool // by kind: whether a catchUp is in progress
 	fetchingHeld  atomic.Bool   // whether a fetchHeld is in progress
 	announcements chan struct{}
-	crashNews     atomic.Bool   // the next announcement also goes to other failure domains
+	news          atomic.Bool // the next announcement also goes to other failure domains
+	holders       permitHolders
 	lookups       chan struct{} // holds an element for each lookup in progress
 
 	mu            sync.Mutex
@@ -203,6 +210,15 @@
 	if opts.Crashes == nil {
 		opts.Crashes = gateway.NewCrashes()
 	}
+	if opts.Limits == nil {
+		opts.Limits = gateway.NewLimits()
+	}
+	if opts.MergeLimit == nil {
+		opts.MergeLimit = func(key catalog.Key, report gateway.LimitReport) bool {
+			news, _, _ := opts.Limits.Merge(key, report)
+			return news
+		}
+	}
 	if opts.MarkLeaving == nil {
 		opts.MarkLeaving = func(catalog.Key, time.Duration) {}
 	}
@@ -211,6 +227,7 @@
 	}
 	m := &Mesh{opts: opts, key: place.Key(opts.Address), seeds: opts.Seeds, peers: make(map[string]*peer), announcements: make(chan struct{}, 1)}
 	m.lookups = make(chan struct{}, maxLookups)
+	m.holders = newPermitHolders()
 	m.catchingUp = make([]atomic.Bool, len(opts.Feeds))
 	m.clients = link.NewPool(link.ClientOptions{
 		PrivateNetwork:    true,
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -66,6 +66,9 @@
 	// the upstreams that broke requests off and did not end.
 	Crashes []gateway.PartReport
 	Alive   []gateway.AliveReport
+	// Limits are the limits that upstreams name, to any router, and those that have ended a
+	// short time ago.
+	Limits []gateway.LimitReport
 }
 
 // Placements are prompt placements as parallel slices: the parts, and short hashes of
@@ -108,7 +111,7 @@
 	r := Report{
 		Router: m.opts.Router, Address: m.opts.Address, Domain: m.opts.FailureDomain, Stamps: make([]feed.Stamp, len(m.opts.Feeds)),
 		Era: m.opts.Eras.Newest(), Configuration: m.opts.Held.Version(), Compact: true, Leaving: m.opts.Leaving.Reports(),
-		Crashes: m.opts.Crashes.Reports(), Alive: m.opts.Crashes.Alive(),
+		Crashes: m.opts.Crashes.Reports(), Alive: m.opts.Crashes.Alive(), Limits: m.opts.Limits.Reports(),
 	}
 	if at, returned := m.opts.Eras.Since(); returned {
 		r.EraAge = time.Since(at)
@@ -227,8 +230,14 @@
 			m.opts.MarkLeaving(key, time.Duration(l.AgeMs)*time.Millisecond)
 		}
 	}
-	if m.opts.Crashes.Merge(r.Crashes, r.Alive) && m.currentRole().speaker {
-		m.AnnounceCrashes()
+	news := m.opts.Crashes.Merge(r.Crashes, r.Alive)
+	for _, l := range r.Limits {
+		if key, ok := m.opts.UpstreamKey(l.Upstream); ok && m.opts.MergeLimit(key, l) {
+			news = true
+		}
+	}
+	if news && m.currentRole().speaker {
+		m.AnnounceNews()
 	}
 	origin := gateway.OriginDomain
 	if domain != own {
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -34,6 +34,7 @@
 		if _, ok := wanted[address]; !ok {
 			delete(m.peers, address)
 			m.clients.Remove(address)
+			m.forgetHolder(address)
 		}
 	}
 	for address, domain := range wanted {
@@ -89,10 +90,10 @@
 	}
 }
 
-// AnnounceCrashes makes this router call its peers soon, because it knows of new crashes of
-// upstreams.
-func (m *Mesh) AnnounceCrashes() {
-	m.crashNews.Store(true)
+// AnnounceNews makes this router call its peers soon, because it knows of new crashes of
+// upstreams, or of limits that have begun or ended.
+func (m *Mesh) AnnounceNews() {
+	m.news.Store(true)
 	select {
 	case m.announcements <- struct{}{}:
 	default: // an announcement is already pending
@@ -101,9 +102,9 @@
 
 // announceToPeers calls peers that answered the last call, announceSpacing apart: the
 // partners in a small fleet or in this failure domain, maxAnnouncePeers of them at most,
-// and the partners in other domains if this router is a watcher or knows of new crashes.
+// and the partners in other domains if this router is a watcher or has other news.
 func (m *Mesh) announceToPeers(ctx context.Context) {
-	crossing := m.crashNews.Swap(false) || m.Watcher()
+	crossing := m.news.Swap(false) || m.Watcher()
 	m.mu.Lock()
 	marked := 0
 	for _, p := range m.peers { // in random order
