agent: keep the limit that the upstream names

All requests to an upstream pass its agent, so that one bucket there keeps the limit for all routers, by the same statements and bucket (decide/limit). What exceeds it is refused as not run, with the Retry-After of an overload; it ends a second after the last answer that named it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,9 @@
 		answers:     newAnswers(opts.KeptAnswerBytes, opts.MaxAnswerBytes),
 		upstream:    newUpstream(opts.Upstream),
 	}
+	if opts.ReadLimit != nil {
+		a.upstream.onHead = func(h http.Header) { a.observeLimit(opts.ReadLimit(h)) }
+	}
 	a.ledger = ticket.NewLedger(ticket.Options{
 		Incarnation: incarnation,
 		Windows:     opts.Windows,
--- a/agent/limiter.go
+++ b/agent/limiter.go
@@ -7,13 +7,14 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/admit"
 	"dandelionrill.example/fleet/decide/fair"
+	"dandelionrill.example/fleet/decide/limit"
 	"dandelionrill.example/fleet/decide/retry"
 	"dandelionrill.example/fleet/wire"
 )
 
 // limiter limits the requests that run on the upstream at once to the load bound.
 // Further requests wait in bounded queues, one per customer, which are served by
-// weight.
+// weight. Requests beyond the rate that the upstream names are refused.
 type limiter struct {
 	mu          sync.Mutex
 	bound       *admit.Bound
@@ -26,6 +27,8 @@
 	maxQueued   int
 	completions retry.Meter // requests that ran and ended
 	refusals    retry.Meter
+	named       limit.Statement // on the requests a second that the upstream takes
+	permits     limit.Bucket
 }
 
 // waiter is one request at the limiter. ready is closed when it may run.
@@ -55,19 +58,20 @@
 		return nil, wire.ReasonCustomerLimit
 	}
 	w := &waiter{customer: c.ID, tokens: args.PromptLoad, ready: make(chan struct{})}
-	if l.queue.Len() == 0 && l.running < l.limit() {
+	mayRun := l.queue.Len() == 0 && l.running < l.limit()
+	if !mayRun && !args.MayQueue || !l.takePermit() {
+		return nil, wire.ReasonOverload
+	}
+	if mayRun {
 		l.outstanding[c.ID]++
 		l.admit(w)
 		return w, ""
 	}
-	if !args.MayQueue {
-		return nil, wire.ReasonOverload
-	}
-	limit := c.MaxQueued
-	if limit == 0 {
-		limit = l.maxQueued
+	maxQueued := c.MaxQueued
+	if maxQueued == 0 {
+		maxQueued = l.maxQueued
 	}
-	if err := l.queue.Push(c.ID, max(1, c.Weight), args.Priority, 1+args.PromptLoad, limit, w); err != nil {
+	if err := l.queue.Push(c.ID, max(1, c.Weight), args.Priority, 1+args.PromptLoad, maxQueued, w); err != nil {
 		return nil, wire.ReasonQueueFull
 	}
 	l.outstanding[c.ID]++
@@ -75,6 +79,27 @@
 	return w, ""
 }
 
+// takePermit reports whether the rate that the upstream names allows another request, and
+// counts it. The caller holds mu.
+func (l *limiter) takePermit() bool {
+	if !l.named.Limited {
+		return true
+	}
+	granted, _ := l.permits.Take(l.now(), l.named.Rate)
+	return granted
+}
+
+// observeLimit records what an answer says of the upstream's limit, and reports whether a
+// limit begins or ends by it.
+func (l *limiter) observeLimit(named limit.Named) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next, _ := l.named.After(l.now(), named)
+	changed = next.Limited != l.named.Limited
+	l.named = next
+	return changed
+}
+
 // release frees the slot of w, or removes w from the queue if it was not
 // admitted.
 func (l *limiter) release(w *waiter) {
--- a/agent/options.go
+++ b/agent/options.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"net"
+	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/apex/log"
 
 	"dandelionrill.example/fleet/board"
+	"dandelionrill.example/fleet/decide/limit"
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/timeline"
 )
@@ -56,6 +58,10 @@
 	DrainTimeout    time.Duration // longest graceful shutdown
 	DrainQuiet      time.Duration // how long no submission must have arrived before a graceful shutdown may end
 
+	// ReadLimit decodes the limit that an answer of the upstream names; nil means that it
+	// names none. It may be called concurrently.
+	ReadLimit func(http.Header) limit.Named
+
 	// OnConfigVersion is called with the configuration version in each message
 	// from a peer. It must not block. It may be nil.
 	OnConfigVersion func(host string, version uint64)
--- a/agent/submit.go
+++ b/agent/submit.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"dandelionrill.example/fleet/config"
+	"dandelionrill.example/fleet/decide/limit"
 	"dandelionrill.example/fleet/decide/ticket"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
+	"github.com/apex/log"
 )
 
 // verdict is the agent's decision on a submitted request.
@@ -149,6 +151,14 @@
 	return v
 }
 
+// observeLimit records what an answer says of the upstream's limit.
+func (a *Agent) observeLimit(named limit.Named) {
+	if a.limiter.observeLimit(named) {
+		a.opts.Log.WithFields(log.Fields{"host": a.opts.Host, "limited": named.Kind == limit.PerSecond, "per_second": named.Rate}).
+			Info("limit that the upstream names has begun or ended")
+	}
+}
+
 // checkRules returns the index of the configuration in force if that
 // configuration allows the request, and otherwise the reason for a refusal.
 func (a *Agent) checkRules(args *wire.SubmitArgs) (*config.Index, wire.Reason) {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -51,6 +51,7 @@
 	base   *url.URL
 	dialer net.Dialer
 	client *http.Client
+	onHead func(http.Header) // called with the header of each answer; may be nil
 }
 
 func newUpstream(base *url.URL) *upstream {
@@ -134,6 +135,9 @@
 		return false, errors.Wrap(err, "agent: call upstream")
 	}
 	defer resp.Body.Close()
+	if u.onHead != nil {
+		u.onHead(resp.Header)
+	}
 	if args.Idempotent && isBusy(resp.StatusCode) {
 		return false, errBusy
 	}
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -11,6 +11,7 @@
 	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/peers"
+	"dandelionrill.example/fleet/platform"
 	"dandelionrill.example/fleet/settings"
 	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/timeline"
@@ -54,6 +55,7 @@
 		WindowDuration: s.WindowDuration, Windows: int(s.WindowsKept), MaxRecords: int(s.MaxTickets),
 		UpstreamTimeout: s.UpstreamTimeout, UnreadRetention: s.KeptAnswerTime, DrainTimeout: s.DrainTimeout, DrainQuiet: s.DrainQuiet,
 		Listener:        listeners[0],
+		ReadLimit:       platform.ReadLimit,
 		OnConfigVersion: func(host string, version uint64) { configController.ObservePeerVersion(host, version) },
 	})
 	if err != nil {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -51,7 +51,7 @@
 	running     int
 	full        bool
 	leaving     bool
-	limit       string // named in all answers, if not empty
+	limit       string    // named in all answers, if not empty
 	refuseUntil time.Time // no requests are accepted until then
 	trouble     Trouble
 	crashPart   string // prompt part under which the replica ends
