--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -166,7 +166,7 @@
 	fetchingHeld  atomic.Bool   // whether a fetchHeld is in progress
 	announcements chan struct{}
 	news          atomic.Bool // the next announcement also goes to other failure domains
-	holders       permitHolders
+	owners        limitOwners
 	lookups       chan struct{} // holds an element for each lookup in progress
 
 	mu            sync.Mutex
@@ -227,7 +227,7 @@
 	}
 	m := &Mesh{opts: opts, key: place.Key(opts.Address), seeds: opts.Seeds, peers: make(map[string]*peer), announcements: make(chan struct{}, 1)}
 	m.lookups = make(chan struct{}, maxLookups)
-	m.holders = newPermitHolders()
+	m.owners = newLimitOwners()
 	m.catchingUp = make([]atomic.Bool, len(opts.Feeds))
 	m.clients = link.NewPool(link.ClientOptions{
 		PrivateNetwork:    true,
--- a/gossip/permits.go
+++ b/gossip/permits.go
@@ -12,24 +12,24 @@
 	"dandelionrill.example/fleet/gateway"
 )
 
-// The limit of an upstream is kept by one router, the holder, which the others ask for a
+// The limit of an upstream is kept by one router, the owner, which the others ask for a
 // permit before each send. All routers determine it alike, without any agreement: by hash,
-// among the first maxHolders routers of the common order that answer.
+// among the first maxOwners routers of the common order that answer.
 const (
-	// maxHolders is the number of routers that hold limits, so that the connections of a
+	// maxOwners is the number of routers that own limits, so that the connections of a
 	// large fleet stay few.
-	maxHolders = 16
-	// maxPermitAttempts is the number of holders that are asked for one permit.
+	maxOwners = 16
+	// maxPermitAttempts is the number of owners that are asked for one permit.
 	maxPermitAttempts = 2
 	// permitTimeout limits one call for a permit. It allows for a few round trips between
 	// failure domains.
 	permitTimeout = 250 * time.Millisecond
-	// holderCheckInterval is the time between two checks whether a holder that did not
+	// ownerCheckInterval is the time between two checks whether an owner that did not
 	// answer does so again, and between two of one that others cannot reach.
-	holderCheckInterval = time.Second
-	// holderRetryTime is the time after which a permit may be asked for again when no holder
+	ownerCheckInterval = time.Second
+	// ownerRetryTime is the time after which a permit may be asked for again when no owner
 	// answered.
-	holderRetryTime = 200 * time.Millisecond
+	ownerRetryTime = 200 * time.Millisecond
 )
 
 // PermitArgs are the arguments of a call for a permit. With an upstream of 0 the call only
@@ -45,9 +45,9 @@
 	WaitMs  uint32 // until there may be a permit, if it was denied
 }
 
-// permitHolders is what a router knows of the holders of limits, and the permits that it
+// limitOwners is what a router knows of the owners of limits, and the permits that it
 // grants itself.
-type permitHolders struct {
+type limitOwners struct {
 	permits *gateway.Permits
 
 	mu      sync.Mutex
@@ -55,34 +55,34 @@
 	checked map[string]time.Time // when a router was last checked, by address
 }
 
-func newPermitHolders() permitHolders {
-	return permitHolders{permits: gateway.NewPermits(), down: make(map[string]bool), checked: make(map[string]time.Time)}
+func newLimitOwners() limitOwners {
+	return limitOwners{permits: gateway.NewPermits(), down: make(map[string]bool), checked: make(map[string]time.Time)}
 }
 
-// Permit asks the holder of an upstream's limit, in requests a second, for a permit to send
+// Permit asks the owner of an upstream's limit, in requests a second, for a permit to send
 // one request to the upstream. If there is none, wait is the time after which it may be
 // asked for again. upstream is the short hash of its key.
 func (m *Mesh) Permit(ctx context.Context, upstream uint32, rate float64) (granted bool, wait time.Duration) {
 	for range maxPermitAttempts {
-		holder := m.permitHolder(upstream)
-		if holder == m.opts.Address {
+		owner := m.limitOwner(upstream)
+		if owner == m.opts.Address {
 			return m.grant(upstream, rate, 1)
 		}
-		reply, err := m.askHolder(ctx, holder, &PermitArgs{Upstream: upstream, Rate: rate})
+		reply, err := m.askOwner(ctx, owner, &PermitArgs{Upstream: upstream, Rate: rate})
 		if err == nil {
 			return reply.Granted, time.Duration(reply.WaitMs) * time.Millisecond
 		}
 		if ctx.Err() != nil {
 			break
 		}
-		m.markHolder(holder, true)
-		m.opts.Log.WithError(err).WithField("peer", holder).Warn("router that holds limits does not answer")
+		m.markOwner(owner, true)
+		m.opts.Log.WithError(err).WithField("peer", owner).Warn("router that owns limits does not answer")
 	}
-	return false, holderRetryTime
+	return false, ownerRetryTime
 }
 
-// askHolder calls a router for a permit.
-func (m *Mesh) askHolder(ctx context.Context, address string, args *PermitArgs) (reply PermitReply, err error) {
+// askOwner calls a router for a permit.
+func (m *Mesh) askOwner(ctx context.Context, address string, args *PermitArgs) (reply PermitReply, err error) {
 	client, err := m.clients.Client(address)
 	if err != nil {
 		return PermitReply{}, err
@@ -100,18 +100,18 @@
 			rate = known
 		}
 	}
-	return m.holders.permits.Grant(upstream, rate*share)
+	return m.owners.permits.Grant(upstream, rate*share)
 }
 
-// permitHolder returns the address of the router that holds the limit of an upstream.
-func (m *Mesh) permitHolder(upstream uint32) string {
-	candidates := m.holderCandidates()
+// limitOwner returns the address of the router that owns the limit of an upstream.
+func (m *Mesh) limitOwner(upstream uint32) string {
+	candidates := m.ownerCandidates()
 	return candidates[place.Owner(uint64(upstream), candidates)]
 }
 
-// holderCandidates returns the addresses of the first routers of the common order that
+// ownerCandidates returns the addresses of the first routers of the common order that
 // answer, this one among them if it is. There is at least one.
-func (m *Mesh) holderCandidates() []string {
+func (m *Mesh) ownerCandidates() []string {
 	m.mu.Lock()
 	candidates := make([]string, 0, len(m.peers)+1)
 	for address, p := range m.peers {
@@ -120,64 +120,64 @@
 		}
 	}
 	m.mu.Unlock()
-	m.holders.mu.Lock()
+	m.owners.mu.Lock()
 	candidates = slices.DeleteFunc(candidates, func(address string) bool {
-		if m.holders.down[address] {
-			m.checkHolder(address)
+		if m.owners.down[address] {
+			m.checkOwner(address)
 		}
-		return m.holders.down[address]
+		return m.owners.down[address]
 	})
-	m.holders.mu.Unlock()
+	m.owners.mu.Unlock()
 	candidates = append(candidates, m.opts.Address)
 	slices.SortFunc(candidates, func(a, b string) int { return cmp.Compare(place.Key(a), place.Key(b)) })
-	return candidates[:min(len(candidates), maxHolders)]
+	return candidates[:min(len(candidates), maxOwners)]
 }
 
-// checkHolder calls a router to see whether it answers, unless that was done a short time
-// ago. m.holders.mu must be held.
-func (m *Mesh) checkHolder(address string) {
-	if time.Since(m.holders.checked[address]) < holderCheckInterval {
+// checkOwner calls a router to see whether it answers, unless that was done a short time
+// ago. m.owners.mu must be held.
+func (m *Mesh) checkOwner(address string) {
+	if time.Since(m.owners.checked[address]) < ownerCheckInterval {
 		return
 	}
-	m.holders.checked[address] = time.Now()
+	m.owners.checked[address] = time.Now()
 	go func() {
-		_, err := m.askHolder(context.Background(), address, &PermitArgs{})
-		m.markHolder(address, err != nil)
+		_, err := m.askOwner(context.Background(), address, &PermitArgs{})
+		m.markOwner(address, err != nil)
 	}()
 }
 
-// markHolder records whether a router answers calls for permits.
-func (m *Mesh) markHolder(address string, down bool) {
-	m.holders.mu.Lock()
-	defer m.holders.mu.Unlock()
+// markOwner records whether a router answers calls for permits.
+func (m *Mesh) markOwner(address string, down bool) {
+	m.owners.mu.Lock()
+	defer m.owners.mu.Unlock()
 	if !down {
-		delete(m.holders.down, address)
+		delete(m.owners.down, address)
 		return
 	}
-	m.holders.down[address], m.holders.checked[address] = true, time.Now()
+	m.owners.down[address], m.owners.checked[address] = true, time.Now()
 }
 
-// forgetHolder drops what is known of a router that has left the fleet.
-func (m *Mesh) forgetHolder(address string) {
-	m.holders.mu.Lock()
-	defer m.holders.mu.Unlock()
-	delete(m.holders.down, address)
-	delete(m.holders.checked, address)
+// forgetOwner drops what is known of a router that has left the fleet.
+func (m *Mesh) forgetOwner(address string) {
+	m.owners.mu.Lock()
+	defer m.owners.mu.Unlock()
+	delete(m.owners.down, address)
+	delete(m.owners.checked, address)
 }
 
 // Permit grants a permit to another router. Where this router takes another one to be the
-// holder, it grants a small share only, and checks whether that one answers.
+// owner, it grants a small share only, and checks whether that one answers.
 func (r *receiver) Permit(args *PermitArgs, reply *PermitReply) error {
 	m := r.mesh
 	if args.Upstream == 0 || !(args.Rate >= 0) {
 		return nil
 	}
 	share := 1.0
-	if holder := m.permitHolder(args.Upstream); holder != m.opts.Address {
+	if owner := m.limitOwner(args.Upstream); owner != m.opts.Address {
 		share = limit.FallbackShare
-		m.holders.mu.Lock()
-		m.checkHolder(holder)
-		m.holders.mu.Unlock()
+		m.owners.mu.Lock()
+		m.checkOwner(owner)
+		m.owners.mu.Unlock()
 	}
 	granted, wait := m.grant(args.Upstream, args.Rate, share)
 	reply.Granted, reply.WaitMs = granted, uint32(wait.Milliseconds())
--- a/gossip/permits_test.go
+++ b/gossip/permits_test.go
@@ -12,22 +12,22 @@
 	"github.com/shoenig/test/must"
 )
 
-// All routers must turn to the same holder, without any agreement, and the holders of many
+// All routers must turn to the same owner, without any agreement, and the owners of many
 // limits must be several routers, yet few in a large fleet.
-func TestRoutersAgreeOnTheHolderOfALimit(t *testing.T) {
-	for _, size := range []struct{ routers, domains, most int }{{5, 3, 5}, {28, 4, maxHolders}, {68, 6, maxHolders}, {300, 12, maxHolders}} {
+func TestRoutersAgreeOnTheOwnerOfALimit(t *testing.T) {
+	for _, size := range []struct{ routers, domains, most int }{{5, 3, 5}, {28, 4, maxOwners}, {68, 6, maxOwners}, {300, 12, maxOwners}} {
 		fleet := newFleet(t, size.routers, size.domains)
-		holders := make(map[string]int)
+		owners := make(map[string]int)
 		for upstream := range uint32(120) {
 			key := catalog.Key{ID: fmt.Sprint("i-", upstream)}
-			holder := fleet[0].permitHolder(key.Sum())
+			owner := fleet[0].limitOwner(key.Sum())
 			for i := 1; i < len(fleet); i += 1 + len(fleet)/20 {
-				must.Eq(t, holder, fleet[i].permitHolder(key.Sum()))
+				must.Eq(t, owner, fleet[i].limitOwner(key.Sum()))
 			}
-			holders[holder]++
+			owners[owner]++
 		}
-		must.Between(t, size.most-2, len(holders), size.most)
-		for _, n := range holders {
+		must.Between(t, size.most-2, len(owners), size.most)
+		for _, n := range owners {
 			must.LessEq(t, 120/size.most*3, n, must.Sprint("limits at one router"))
 		}
 	}
@@ -62,16 +62,16 @@
 	return n
 }
 
-// Guards against a limit that is left idle, or granted twice, when the router that holds it
+// Guards against a limit that is left idle, or granted twice, when the router that owns it
 // ends: the others turn to the next one, and come back when it answers again.
-func TestNextRouterHoldsTheLimitOfOneThatEnded(t *testing.T) {
+func TestNextRouterOwnsTheLimitOfOneThatEnded(t *testing.T) {
 	const upstream, rate = 77, 20.0
 	fleet := startFleet(t, 4)
-	holder := fleet[0].mesh.permitHolder(upstream)
+	owner := fleet[0].mesh.limitOwner(upstream)
 	must.Between(t, 18, granted(t, fleet, upstream, rate, time.Second), 28)
 	var others []*router
 	for _, r := range fleet {
-		if r.address == holder {
+		if r.address == owner {
 			ended, end := context.WithCancel(t.Context())
 			end()
 			_ = r.mesh.Server().Shutdown(ended)
@@ -80,37 +80,37 @@
 		others = append(others, r)
 	}
 	must.Between(t, 12, granted(t, others, upstream, rate, time.Second), 28)
-	next := others[0].mesh.permitHolder(upstream)
-	must.NotEq(t, holder, next)
+	next := others[0].mesh.limitOwner(upstream)
+	must.NotEq(t, owner, next)
 	for _, r := range others {
-		must.Eq(t, next, r.mesh.permitHolder(upstream))
+		must.Eq(t, next, r.mesh.limitOwner(upstream))
 	}
 }
 
-// A router that others take for the holder by mistake, since they cannot reach it, grants a
+// A router that others take for the owner by mistake, since they cannot reach it, grants a
 // small share, and none for what makes no sense.
-func TestRouterThatIsNotTheHolderGrantsAShare(t *testing.T) {
+func TestRouterThatIsNotTheOwnerGrantsAShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet(t, 5, 1)
 		const upstream, rate = 77, 40.0
 		var granted, shared int
 		for _, m := range fleet {
 			for _, other := range fleet {
-				m.markHolder(other.opts.Address, false)
+				m.markOwner(other.opts.Address, false)
 			}
 		}
-		holder := fleet[0].permitHolder(upstream)
+		owner := fleet[0].limitOwner(upstream)
 		for range 4000 {
 			time.Sleep(time.Millisecond)
 			for _, m := range fleet {
-				// The check of the holder would make a call.
-				m.holders.mu.Lock()
-				m.holders.checked[holder] = time.Now()
-				m.holders.mu.Unlock()
+				// The check of the owner would make a call.
+				m.owners.mu.Lock()
+				m.owners.checked[owner] = time.Now()
+				m.owners.mu.Unlock()
 				var reply PermitReply
 				must.NoError(t, (&receiver{mesh: m}).Permit(&PermitArgs{Upstream: upstream, Rate: rate}, &reply))
 				switch {
-				case reply.Granted && m.opts.Address == holder:
+				case reply.Granted && m.opts.Address == owner:
 					granted++
 				case reply.Granted:
 					shared++
@@ -178,7 +178,7 @@
 			local, crossing := c.perDomain()-1, c.perDomain()-1+c.domains-1
 			worst = announceTime(local) + announceTime(crossing) + announceTime(local) + 3*callTimeout
 		}
-		// Two holders may not answer before a third router is asked.
+		// Two owners may not answer before a third router is asked.
 		must.Less(t, c.bound, worst+maxPermitAttempts*permitTimeout, must.Sprintf("%d routers", c.routers))
 	}
 }
--- a/gossip/schedule.go
+++ b/gossip/schedule.go
@@ -34,7 +34,7 @@
 		if _, ok := wanted[address]; !ok {
 			delete(m.peers, address)
 			m.clients.Remove(address)
-			m.forgetHolder(address)
+			m.forgetOwner(address)
 		}
 	}
 	for address, domain := range wanted {
--- a/soak/check.go
+++ b/soak/check.go
@@ -42,6 +42,9 @@
 	for _, phase := range s.crashing {
 		s.checkCrashingPart(phase, byAttempt)
 	}
+	for _, phase := range s.limited {
+		s.checkLimits(phase, outcomes, byAttempt)
+	}
 	for _, phase := range s.taking {
 		s.checkTakenUp(phase, outcomes)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -17,12 +17,13 @@
 	FaultVersions   = "versions"    // upstreams of several versions, and callers that take streams up again
 	FaultLeaving    = "leaving"     // upstreams that say in their answers that they leave
 	FaultRetryAfter = "retry-after" // upstreams that turn requests away and say for how long
+	FaultLimits     = "limits"      // upstreams that name the requests a second that they take
 	FaultTrouble    = "trouble"     // upstreams whose answers end inside an event, or never
 	FaultParts      = "parts"       // a prompt part that crashes each upstream that answers it
 	FaultStops      = "stops"       // stops of routers with repeated signals, and slow streams meanwhile
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultTrouble, FaultParts, FaultStops}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultStops}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -47,6 +47,7 @@
 	leaving    []period // fault-free phases in which an upstream says in its answers that it leaves
 	troubled   []period // phases in which one upstream at a time spoils its answers, but no fault occurs
 	crashing   []*crashingPhase
+	limited    []*limitPhase
 	refusing   []period // fault-free phases in which upstreams turn requests away for a time
 }
 
@@ -146,6 +147,10 @@
 			s.logf("round %d: upstreams turn requests away for a time", round)
 			s.runRefusingPhase()
 		}
+		if s.opts.Faults.has(FaultLimits) {
+			s.logf("round %d: upstreams name limits", round)
+			s.runLimitPhase()
+		}
 		if s.opts.Faults.has(FaultTrouble) {
 			s.logf("round %d: upstreams spoil their answers", round)
 			s.runTroublePhase()
