gateway: log the fingerprint of a request that broke off

Its hash of customer, method, host, path and body now stands in the line of each request that broke off. No decision changes.

--- a/gateway/record.go
+++ b/gateway/record.go
@@ -67,8 +67,11 @@
 	if len(f.req.sends) > 0 {
 		fields["sends"] = describeSends(f.req.sends, len(f.req.parts))
 	}
-	if len(f.req.parts) > 0 && f.req.brokeOff() {
-		fields["parts"] = describeParts(f.req.Parts)
+	if f.req.brokeOff() {
+		fields["fingerprint"] = formatPart(f.req.fingerprint())
+		if len(f.req.parts) > 0 {
+			fields["parts"] = describeParts(f.req.Parts)
+		}
 	}
 	return fields
 }
--- a/gateway/record_test.go
+++ b/gateway/record_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"dandelionrill.example/fleet/forward"
+	"dandelionrill.example/fleet/routing"
 	"github.com/shoenig/test/must"
 )
 
@@ -24,9 +26,25 @@
 
 // The parts that requests had in common when an upstream ended must be told apart from logs.
 func TestRequestThatBrokeOffNamesItsParts(t *testing.T) {
-	req := &request{Meta: Meta{Parts: []PromptPart{{ID: "a"}, {ID: "b"}, {ID: "own"}}}, parts: []uint64{1, 2}}
+	req := &request{Meta: Meta{Parts: []PromptPart{{ID: "a"}, {ID: "b"}, {ID: "own"}}}, parts: []uint64{1, 2}, http: &http.Request{}}
 	req.sends = []sendRecord{{result: resultAnswered}}
 	must.Nil(t, requestFields{req: req}.Fields().Get("parts"))
 	req.sends = []sendRecord{{result: resultCut}, {result: resultAnswered}}
 	must.Eq(t, any("a,b"), requestFields{req: req}.Fields().Get("parts"))
 }
+
+// Whether the same request broke off at several upstreams must be told from logs.
+func TestRequestThatBrokeOffNamesItsFingerprint(t *testing.T) {
+	fingerprint := func(customer, method, host, target, body, result string) any {
+		req := &request{http: &http.Request{Method: method, Host: host, RequestURI: target}, body: []byte(body), customer: &routing.Customer{Name: customer}}
+		req.sends = []sendRecord{{result: result}}
+		return requestFields{req: req}.Fields().Get("fingerprint")
+	}
+	cut := fingerprint("c", "POST", "h", "/a/b", "x", resultCut)
+	must.NotNil(t, cut)
+	must.Eq(t, cut, fingerprint("c", "POST", "h", "/a/b", "x", forward.MayHaveRun.String()))
+	must.Nil(t, fingerprint("c", "POST", "h", "/a/b", "x", resultAnswered))
+	for _, other := range [][5]string{{"d", "POST", "h", "/a/b", "x"}, {"c", "PUT", "h", "/a/b", "x"}, {"c", "POST", "i", "/a/b", "x"}, {"c", "POST", "h", "/a/b?y", "x"}, {"c", "POST", "h", "/a/b", ""}, {"", "POST", "h", "/a/bx", ""}} {
+		must.NotEq(t, cut, fingerprint(other[0], other[1], other[2], other[3], other[4], resultCut), must.Sprint(other))
+	}
+}
