--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -49,7 +49,7 @@
 	must.NoError(t, err)
 	h, err := New(Options{
 		Settings: platform.Settings{
-			Host: name, FailureDomain: domain, PeersAddress: peers.Addr().String(), StoreAddress: s.address, SeedAddresses: seeds, FirstStart: true,
+			Host: name, FailureDomain: domain, PeersAddress: peers.Addr().String(), StoreAddress: s.address, SeedAddresses: seeds, FirstStart: true, MemoryBytes: 256 << 20,
 		},
 		Log: &log.Logger{Handler: discard.New()},
 	})
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -54,8 +54,9 @@
 	limit       string    // named in all answers, if not empty
 	refuseUntil time.Time // no requests are accepted until then
 	trouble     Trouble
-	crashPart   string // prompt part under which the replica ends
-	crash       func() // ends it
+	crashPart   string     // prompt part under which the replica ends
+	crashOn     *CrashedBy // request under which it ends; nil if there is none
+	crash       func()     // ends it
 	runs        []Run
 	arrived     []Arrival
 	cached      map[string]cachedPart // prompt parts by identifier
@@ -118,11 +119,29 @@
 	r.crashPart, r.crash = part, crash
 }
 
-// crashes calls crash if the prompt has the part, and reports whether it did.
-func (r *Replica) crashes(prompt string) bool {
+// CrashedBy is a request that ends each replica which runs it.
+type CrashedBy struct{ Customer, Path, Body string }
+
+// CrashOnRequest makes the replica call crash when it begins to run the request. crash is to
+// end it with all its connections.
+func (r *Replica) CrashOnRequest(request CrashedBy, crash func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashOn, r.crash = &request, crash
+}
+
+// crashes calls crash if the request or its prompt is to crash the replica, and reports
+// whether it did.
+func (r *Replica) crashes(req *http.Request, body []byte) bool {
 	r.mu.Lock()
-	part, crash := r.crashPart, r.crash
+	part, request, crash := r.crashPart, r.crashOn, r.crash
 	r.mu.Unlock()
+	if request != nil && *request == (CrashedBy{req.Header.Get(wire.HeaderTenant), req.URL.Path, string(body)}) {
+		time.Sleep(r.opts.EventInterval)
+		crash()
+		return true
+	}
+	prompt := req.Header.Get(wire.HeaderPrompt)
 	if part == "" || !strings.Contains(","+prompt, ","+part+":") || strings.HasPrefix(prompt[strings.LastIndex(prompt, ",")+1:], part+":") {
 		return false
 	}
@@ -194,7 +213,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
 		return
 	}
 	if arrival.Wait > 0 {
@@ -210,7 +230,7 @@
 	}
 	defer r.end()
 	r.cachePrompt(req.Header.Get(wire.HeaderModel), req.Header.Get(wire.HeaderPrompt))
-	if r.crashes(req.Header.Get(wire.HeaderPrompt)) {
+	if r.crashes(req, body) {
 		panic(http.ErrAbortHandler) // the connection is closed already
 	}
 	w.Header().Set(wire.HeaderSignature, r.opts.ID+"."+attempt)
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -24,6 +24,7 @@
 	HeaderLimit     = "Server-Limit" // requests a second that the replica takes of all routers together
 	HeaderModel     = "Dandelionrill-Model"
 	HeaderPrompt    = "Dandelionrill-Prompt-Prefix"
+	HeaderTenant    = "Dandelionrill-Tenant" // the customer, as the replica gets to know it
 	headerDeadline  = "Dandelionrill-Deadline-Ms"
 )
 
@@ -97,12 +98,13 @@
 }
 
 // Configuration is a version of the configuration with one host, one service and
-// one customer.
+// one or two customers.
 type Configuration struct {
 	Version  uint64
 	Host     string
 	Service  string
 	Key      string
+	OtherKey string // of a second customer; empty if there is none
 	Timeout  time.Duration
 	Attempts int
 	Routes   []Route
@@ -117,12 +119,16 @@
 			Service: c.Service, MaxAttempts: c.Attempts, Resumable: r.Resumable, Sticky: r.Sticky,
 		})
 	}
+	customers := []map[string]any{{"name": "desk", "apiKeys": []string{c.Key}}}
+	if c.OtherKey != "" {
+		customers = append(customers, map[string]any{"name": "other", "apiKeys": []string{c.OtherKey}})
+	}
 	return encode(map[string]any{
 		"version":  c.Version,
 		"routes":   routes,
 		"services": []map[string]any{{"name": c.Service, "maxConns": 500}},
 		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
-		"tenants":  []map[string]any{{"name": "desk", "apiKeys": []string{c.Key}}},
+		"tenants":  customers,
 	})
 }
 
