gateway: blame requests that crash upstreams, as prompt parts are blamed

A plain request has none, so each send of it, at each router, looked like the first. Class: blame that is tied to one kind of evidence; what the work is and who fails under it belong to every request.

Now each request has a fingerprint (customer, method, host, path, body) that is recorded, told, blamed, blocked, tried and listed in the store like a part that it has alone, by the same code; one with a prompt has a second one with all parts, since bodies may be alike. Of equal explanations the request is blamed before its parts, so that what differs in path, caller or body is served. The check moved behind the body. Answered fingerprints have a table of their own, so that they displace no parts; reports put the newest ends first, so that bystanders displace no news. A request with several blocked parts is tried only if all may be. One attempt's own sends are no reason not to repeat it (Suspected): an earlier attempt's are.

--- a/decide/blame/blame.go
+++ b/decide/blame/blame.go
@@ -1,9 +1,10 @@
-// Package blame finds the prompt parts that crash upstreams, from which parts the
+// Package blame finds the prompt parts and requests that crash upstreams, from which parts the
 // requests had that were in progress when upstreams ended, and which parts were answered.
 //
 // A part that crashes each upstream that begins to answer it is in a request at every such
 // end, and in none that goes on. Other parts of these requests, and those of bystanders at
-// the same upstreams, are answered elsewhere, or their ends are explained by the part.
+// the same upstreams, are answered elsewhere, or their ends are explained by the part. A request
+// that crashes upstreams whatever its parts is a part of its own.
 package blame
 
 import (
@@ -37,6 +38,7 @@
 	Crashes    []Crash // of different upstreams
 	Answered   time.Duration
 	IsAnswered bool // whether it has ever been answered
+	IsRequest  bool // the part stands for a whole request, which always has the same parts
 }
 
 // since returns the crashes after the part was last answered.
@@ -54,7 +56,8 @@
 }
 
 // compare orders suspects by how well they explain their crashes, the best first: a part
-// that was never answered before one that was, then by the number of crashes.
+// that was never answered before one that was, then by the number of crashes, then a whole
+// request before parts that others may have.
 func (s suspect) compare(other suspect) int {
 	if s.part.IsAnswered != other.part.IsAnswered {
 		if s.part.IsAnswered {
@@ -62,7 +65,13 @@
 		}
 		return -1
 	}
-	return cmp.Compare(len(other.crashes), len(s.crashes))
+	if c := cmp.Compare(len(other.crashes), len(s.crashes)); c != 0 || s.part.IsRequest == other.part.IsRequest {
+		return c
+	}
+	if s.part.IsRequest {
+		return -1
+	}
+	return 1
 }
 
 // Blamed returns the parts that crash upstreams: the one that explains its crashes best,
--- a/decide/blame/blame_test.go
+++ b/decide/blame/blame_test.go
@@ -124,3 +124,13 @@
 		must.Eq(t, []uint64{bad}, Blamed(testOptions, at+time.Second, all), must.Sprint("seed ", seed))
 	}
 }
+
+// A request that always has the same parts explains the same as they do: it alone is blamed,
+// since others may have a part of it. A part with further crashes explains more.
+func TestRequestIsBlamedBeforeItsParts(t *testing.T) {
+	request := Part{Key: 1, Crashes: crashes(1, 2, 3), IsRequest: true}
+	must.Eq(t, []uint64{1}, blamed(Part{Key: 2, Crashes: crashes(1, 2, 3)}, request))
+	must.Eq(t, []uint64{1}, blamed(request, Part{Key: 2, Crashes: crashes(1, 2, 3)}))
+	must.Eq(t, []uint64{2}, blamed(request, Part{Key: 2, Crashes: crashes(1, 2, 3, 4)}))
+	must.Eq(t, []uint64{2}, blamed(answered(request, 5*time.Second), Part{Key: 2, Crashes: crashes(1, 2, 3)}))
+}
--- a/gateway/blocked.go
+++ b/gateway/blocked.go
@@ -14,13 +14,14 @@
 	// answeringTime is how long after its first event a stream must go on to count as
 	// being answered: an upstream that a part crashes ends as it begins to write.
 	answeringTime = 500 * time.Millisecond
-	// retryAfterBlocked is the Retry-After of a request with a part that crashes upstreams.
+	// retryAfterBlocked is the Retry-After of a request that crashes upstreams.
 	retryAfterBlocked = 30 * time.Second
-	// reasonBlocked is the reason of its refusal.
-	reasonBlocked = "a part of the prompt crashes upstreams"
+	// reasonBlockedPart and reasonBlockedRequest are the reasons of its refusal.
+	reasonBlockedPart    = "a part of the prompt crashes upstreams"
+	reasonBlockedRequest = "the request crashes upstreams"
 )
 
-// Crashes returns the record of the prompt parts with which upstreams have ended.
+// Crashes returns the record of the requests and prompt parts with which upstreams have ended.
 func (g *Gateway) Crashes() *Crashes { return g.crashes }
 
 // partIDs returns the identifiers of the prompt's shared parts. The last part belongs to
@@ -36,35 +37,55 @@
 	return ids
 }
 
-// refusesBlocked reports whether a request is refused since one of its parts crashes
+// refusesBlocked reports whether a request is refused since it, or one of its parts, crashes
 // upstreams.
 func (g *Gateway) refusesBlocked(req *request) bool {
 	if !g.crashes.Any() {
 		return false
 	}
-	part, blocked := g.crashes.Blocked(req.ids)
+	id, blocked := g.crashes.Blocked(req.ids)
 	if !blocked {
 		return false
 	}
-	if !g.crashes.RecordRefused(part) {
+	if !g.crashes.RecordRefused(req.ids...) {
 		req.trial = true
-		g.opts.Log.WithFields(log.Fields{"id": req.AttemptID, "part": formatPart(part)}).Info("request with a blocked prompt part let through")
+		g.opts.Log.WithFields(log.Fields{"id": req.AttemptID, blockedField(id): formatPart(id)}).Info("blocked request let through")
 		return false
 	}
 	g.metrics.blockedRequests.Add(1)
+	req.blockedBy = id
 	return true
 }
 
+// refusedAsBlocked returns the refusal of a blocked request.
+func (req *request) refusedAsBlocked() end {
+	if isFingerprint(req.blockedBy) {
+		return refused(reasonBlockedRequest, retryAfterBlocked)
+	}
+	return refused(reasonBlockedPart, retryAfterBlocked)
+}
+
 // isBlocked reports whether a request must not be sent to an upstream any more.
 func (g *Gateway) isBlocked(req *request) bool {
 	if req.trial || !g.crashes.Any() {
 		return false
 	}
-	_, blocked := g.crashes.Blocked(req.ids)
+	id, blocked := g.crashes.Blocked(req.ids)
+	if blocked {
+		req.blockedBy = id
+	}
 	return blocked
 }
 
-// formatPart formats the identifier of a part for logs.
+// blockedField returns the name of the log field for what is blocked.
+func blockedField(id uint64) string {
+	if isFingerprint(id) {
+		return "fingerprint"
+	}
+	return "part"
+}
+
+// formatPart formats the identifier of a request or a part for logs.
 func formatPart(part uint64) string { return strconv.FormatUint(part, 16) }
 
 // recordBrokenOff records that an upstream closed or reset the connection of a request,
@@ -75,9 +96,7 @@
 	if req.answering.Load() || errors.As(err, &network) && network.Timeout() {
 		return
 	}
-	if len(req.ids) > 0 {
-		g.crashes.RecordCrash(s.key().Sum(), req.ids)
-	}
+	g.crashes.RecordCrash(s.key().Sum(), req.ids)
 }
 
 // recordAnswering records that a request is being answered, or was answered. A stream
@@ -85,27 +104,30 @@
 func (g *Gateway) recordAnswering(req *request, s *send, ended bool) {
 	proven := ended && s.record.framing != forward.FramingClose ||
 		!s.firstDelivered.IsZero() && time.Since(s.firstDelivered) >= answeringTime
-	if len(req.ids) == 0 || !proven || req.answering.Swap(true) {
+	if !proven || req.answering.Swap(true) {
 		return
 	}
 	g.crashes.RecordAnswered(req.ids)
 }
 
-// CheckBlockedParts blocks and releases prompt parts by what is known now, and logs the
-// changes. It is to be called a few times a second, from one goroutine at a time.
+// CheckBlockedParts blocks and releases requests and prompt parts by what is known now, and
+// logs the changes. It is to be called a few times a second, from one goroutine at a time.
 func (g *Gateway) CheckBlockedParts() {
 	g.crashes.Tick()
 	current := make(map[uint64]bool)
 	for _, part := range g.crashes.BlockedParts() {
 		current[part] = true
 		if !g.loggedBlocked[part] {
-			g.opts.Log.WithFields(log.Fields{"part": formatPart(part), "upstreams": g.crashes.Count(part)}).
-				Warn("prompt part crashes upstreams; requests with it are refused")
+			message := "prompt part crashes upstreams; requests with it are refused"
+			if isFingerprint(part) {
+				message = "request crashes upstreams; it is refused"
+			}
+			g.opts.Log.WithFields(log.Fields{blockedField(part): formatPart(part), "upstreams": g.crashes.Count(part)}).Warn(message)
 		}
 	}
 	for part := range g.loggedBlocked {
 		if !current[part] {
-			g.opts.Log.WithField("part", formatPart(part)).Info("prompt part is no longer blocked")
+			g.opts.Log.WithField(blockedField(part), formatPart(part)).Info("no longer blocked, since it does not crash upstreams, or did not come for long")
 		}
 	}
 	g.loggedBlocked = current
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -64,12 +64,14 @@
 	storedAt    time.Duration // since when it is listed
 }
 
-// Crashes records with which prompt parts upstreams have ended, here and at other routers,
-// and blocks the parts that crash them. Its methods may be called concurrently.
+// Crashes records with which requests and prompt parts upstreams have ended, here and at other
+// routers, and blocks those that crash them. A request is recorded by its fingerprint, like a
+// part that it has alone. Its methods may be called concurrently.
 type Crashes struct {
 	start    time.Time
-	answered answeredParts
-	any      atomic.Bool // there are records
+	answered answeredParts // prompt parts
+	requests answeredParts // fingerprints, of which there are many more
+	any      atomic.Bool   // there are records
 	blocked  atomic.Pointer[map[uint64]struct{}]
 	changed  func() // called when there is something to tell others; may be nil
 
@@ -129,19 +131,31 @@
 func (c *Crashes) RecordAnswered(parts []uint64) {
 	now := c.now()
 	for _, part := range parts {
-		c.answered.record(part, now)
+		c.answeredOf(part).record(part, now)
 	}
 	if !c.any.Load() {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	known := false
 	for _, part := range parts {
 		if p := c.parts[part]; p != nil {
 			p.setAnswered(now)
+			known = true
 		}
 	}
-	c.evaluate()
+	if known {
+		c.evaluate()
+	}
+}
+
+// answeredOf returns the record of when requests with an identifier were answered.
+func (c *Crashes) answeredOf(id uint64) *answeredParts {
+	if isFingerprint(id) {
+		return &c.requests
+	}
+	return &c.answered
 }
 
 // setAnswered records that a request with the part was answered.
@@ -161,7 +175,7 @@
 	defer c.mu.Unlock()
 	news := false
 	for _, part := range parts {
-		if at, known := c.answered.last(part); known && now-at < answeredQuietTime {
+		if at, known := c.answeredOf(part).last(part); known && now-at < answeredQuietTime {
 			continue
 		}
 		p := c.record(part)
@@ -191,7 +205,7 @@
 		c.evict()
 	}
 	p = &partCrashes{trialDelay: rand.N(trialInterval)}
-	if at, known := c.answered.last(part); known {
+	if at, known := c.answeredOf(part).last(part); known {
 		p.answeredAt, p.isAnswered = at, true
 	}
 	c.parts[part] = p
@@ -258,8 +272,9 @@
 }
 
 // Suspected reports whether upstreams have ended with a part that was never answered, so
-// that a request with it must not be repeated at another one.
-func (c *Crashes) Suspected(parts []uint64) bool {
+// that a request with it must not be repeated at another one. tried reports whether the request
+// was sent to an upstream: for a request itself, its own sends alone are no reason.
+func (c *Crashes) Suspected(parts []uint64, tried func(upstream uint32) bool) bool {
 	if !c.any.Load() {
 		return false
 	}
@@ -267,25 +282,38 @@
 	defer c.mu.Unlock()
 	return slices.ContainsFunc(parts, func(part uint64) bool {
 		p := c.parts[part]
-		return p != nil && !p.isAnswered && len(p.crashes) >= suspectedCrashes
+		return p != nil && !p.isAnswered && len(p.crashes) >= suspectedCrashes &&
+			(!isFingerprint(part) || slices.ContainsFunc(p.crashes, func(crash blame.Crash) bool { return !tried(crash.Upstream) }))
 	})
 }
 
-// RecordRefused records that a request with a blocked part is to be refused. If the part
-// may be sound and was not tried lately, it returns false: the request is to be let through.
-func (c *Crashes) RecordRefused(part uint64) (refuse bool) {
+// RecordRefused records that a request is to be refused for those of its parts that are
+// blocked. If all of them may be sound and were not tried lately, it returns false: the request
+// is to be let through.
+func (c *Crashes) RecordRefused(parts ...uint64) (refuse bool) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.parts[part]
-	if p == nil {
-		return true
+	blocked := *c.blocked.Load()
+	var tried []*partCrashes
+	for _, part := range parts {
+		if _, ok := blocked[part]; !ok {
+			continue
+		}
+		p := c.parts[part]
+		if p == nil {
+			return true
+		}
+		p.requestedAt, p.isRequested = now, true
+		refuse = refuse || p.ended() >= certainCrashes || now-p.lastEnd() < trialInterval+p.trialDelay
+		tried = append(tried, p)
 	}
-	p.requestedAt, p.isRequested = now, true
-	if p.ended() >= certainCrashes || now-p.lastEnd() < trialInterval+p.trialDelay {
+	if refuse {
 		return true
 	}
-	p.triedAt, p.isTried = now, true
+	for _, p := range tried {
+		p.triedAt, p.isTried = now, true
+	}
 	return false
 }
 
@@ -349,7 +377,7 @@
 		}
 		enough = enough || len(p.crashes) >= crashesToBlame
 		if len(p.crashes) > 0 {
-			parts = append(parts, blame.Part{Key: part, Crashes: p.crashes, Answered: p.answeredAt, IsAnswered: p.isAnswered})
+			parts = append(parts, blame.Part{Key: part, Crashes: p.crashes, Answered: p.answeredAt, IsAnswered: p.isAnswered, IsRequest: isFingerprint(part)})
 		}
 	}
 	if enough {
--- a/gateway/crashreports.go
+++ b/gateway/crashreports.go
@@ -24,7 +24,7 @@
 }
 
 // Reports returns what to tell other routers: blocked parts first, then those with the most
-// crashes.
+// crashes, then those with the newest ones.
 func (c *Crashes) Reports() []PartReport {
 	if !c.any.Load() {
 		return nil
@@ -40,7 +40,9 @@
 			}
 			return -len(c.parts[part].crashes)
 		}
-		slices.SortFunc(keys, func(a, b uint64) int { return cmp.Compare(rank(a), rank(b)) })
+		slices.SortFunc(keys, func(a, b uint64) int {
+			return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(c.parts[b].lastEnd(), c.parts[a].lastEnd()))
+		})
 		keys = keys[:maxReportedParts]
 	}
 	out := make([]PartReport, 0, len(keys))
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -38,6 +38,16 @@
 	avoidsLimited bool
 }
 
+// hasTried reports whether the request was sent to the upstream whose key has the short hash.
+func (a *attempts) hasTried(upstream uint32) bool {
+	for key := range a.tried {
+		if key.Sum() == upstream {
+			return true
+		}
+	}
+	return false
+}
+
 // dispatch sends a request to one upstream after another until it has ended.
 func (g *Gateway) dispatch(ctx context.Context, w http.ResponseWriter, req *request) end {
 	g.depositRetry(req.service)
@@ -75,7 +85,7 @@
 		return failed(http.StatusBadGateway, "no other upstream to try")
 	}
 	if g.isBlocked(req) {
-		return refused(reasonBlocked, retryAfterBlocked)
+		return req.refusedAsBlocked()
 	}
 	if left, limited := g.limitEnd(req, a); limited {
 		return g.refuseLimited(left)
@@ -116,7 +126,7 @@
 		Remaining:    time.Until(req.deadline),
 		MinRemaining: minAttemptTime,
 	})
-	if decision != retry.DecisionRetry || failure != retry.FailureNotSent && g.crashes.Suspected(req.ids) {
+	if decision != retry.DecisionRetry || failure != retry.FailureNotSent && g.crashes.Suspected(req.ids, a.hasTried) {
 		return false
 	}
 	if a.retryReserved || failure == retry.FailureNotSent && a.sent == 0 {
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -52,6 +52,9 @@
 	if f.req.retryDenied {
 		fields["retry"] = "no budget"
 	}
+	if f.req.blockedBy != 0 {
+		fields["blocked"] = formatPart(f.req.blockedBy)
+	}
 	if f.end.status != 0 {
 		fields["status"] = f.end.status
 	}
@@ -68,7 +71,7 @@
 		fields["sends"] = describeSends(f.req.sends, len(f.req.parts))
 	}
 	if f.req.brokeOff() {
-		fields["fingerprint"] = formatPart(f.req.fingerprint())
+		fields["fingerprint"] = formatPart(f.req.fingerprint(nil))
 		if len(f.req.parts) > 0 {
 			fields["parts"] = describeParts(f.req.Parts)
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -40,12 +40,13 @@
 	body     []byte
 	parts    []uint64 // keys of the prompt's shared parts
 	prompt   place.Prompt
-	ids      []uint64 // identifiers of the prompt's shared parts, whatever the model
+	ids      []uint64 // identifiers of what may crash upstreams; nil until the body is read
 
 	// Progress and result.
 	sends            []sendRecord
 	retryDenied      bool        // the budget had no retry left
-	trial            bool        // let through although a part of its prompt is blocked
+	blockedBy        uint64      // what it was refused for; 0 if it was not
+	trial            bool        // let through although it, or a part of its prompt, is blocked
 	answering        atomic.Bool // recorded as being answered; standby attempts read it too
 	headWritten      bool        // status and headers of an answer were delivered
 	version          boundVersion
@@ -97,6 +98,10 @@
 	if !ok {
 		return e
 	}
+	req.ids = req.workIDs()
+	if g.refusesBlocked(req) {
+		return req.refusedAsBlocked()
+	}
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
 	detach := context.AfterFunc(g.running, cancel)
@@ -137,13 +142,9 @@
 	}
 	req.deadline = req.arrived.Add(requestTimeout(req.Meta.Deadline, req.route.Timeout))
 	req.parts, req.prompt = sharedParts(&req.Meta)
-	req.ids = partIDs(req.Parts)
 	if g.exceedsDrainTime(req) {
 		return refused("router is stopping", retryAfterShort), false
 	}
-	if g.refusesBlocked(req) {
-		return refused(reasonBlocked, retryAfterBlocked), false
-	}
 	return end{}, true
 }
 
