soak: a request that comes again and crashes upstreams

The fault requests does what parts does, with one request (customer, path and body) of one of the four routes in place of a prompt part; all other requests of the soak share the rest of its fingerprint.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -27,7 +27,7 @@
 	first    string        // attempt that began the stream; equal to attempt if this one did
 	received int           // events of the stream over all attempts
 	version  string        // of the events received
-	crashing string        // part of the prompt that crashes upstreams; empty if it has none
+	crashing string        // prompt part or path that crashes upstreams; empty if it has none
 	leaveAt  int           // number of events after which the caller leaves the stream; 0: never
 	router   int
 	started  time.Time
@@ -74,7 +74,7 @@
 		if n%2 == 0 && c.soak.slowStreams.Load() && isStream(o.route) {
 			o.path, o.deadline = "slow", slowTimeout
 		}
-		c.addCrashingPart(&o)
+		c.addCrashingWork(&o)
 		c.leaveLater(&o)
 		c.send(&o)
 		c.soak.record(o)
@@ -128,9 +128,12 @@
 // callers share.
 const documentCount = 8
 
+// requestBody is the body of all requests.
+var requestBody = strings.Repeat("x", 2000)
+
 func (c *caller) request(o *outcome) (*http.Response, error) {
 	url := "http://" + c.soak.fleet.routers[o.router].callerAddress + o.route + o.path
-	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(strings.Repeat("x", 2000)))
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(requestBody))
 	if err != nil {
 		return nil, err
 	}
@@ -140,7 +143,7 @@
 	if isStream(o.route) {
 		document := int(o.first[len(o.first)-1]) % documentCount
 		prompt := []string{"a0:300", fmt.Sprintf("d%d:4000", document), o.first + ":100"}
-		if o.crashing != "" {
+		if o.crashing != "" && o.path != o.crashing {
 			prompt = slices.Insert(prompt, 1+document%2, o.crashing+":200")
 		}
 		wire.SetPrompt(r.Header, "m", prompt...)
--- a/soak/check.go
+++ b/soak/check.go
@@ -40,7 +40,7 @@
 	s.checkLeaving(byAttempt)
 	s.checkBudget(byAttempt)
 	for _, phase := range s.crashing {
-		s.checkCrashingPart(phase, byAttempt)
+		s.checkCrashingWork(phase, byAttempt)
 	}
 	for _, phase := range s.limited {
 		s.checkLimits(phase, outcomes, byAttempt)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -20,10 +20,11 @@
 	FaultLimits     = "limits"      // upstreams that name the requests a second that they take
 	FaultTrouble    = "trouble"     // upstreams whose answers end inside an event, or never
 	FaultParts      = "parts"       // a prompt part that crashes each upstream that answers it
+	FaultRequests   = "requests"    // a request that comes again and crashes each upstream that runs it
 	FaultStops      = "stops"       // stops of routers with repeated signals, and slow streams meanwhile
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultStops}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultRequests, FaultStops}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,9 +32,9 @@
 	random *rand.Rand
 	fleet  *fleet
 
-	slowStreams  atomic.Bool            // callers open slow streams too
-	leaveStreams atomic.Bool            // callers leave streams and take them up again
-	crashingPart atomic.Pointer[string] // that some prompts have; nil if none does
+	slowStreams  atomic.Bool                  // callers open slow streams too
+	leaveStreams atomic.Bool                  // callers leave streams and take them up again
+	crashingWork atomic.Pointer[crashingWork] // that some requests are; nil if none is
 
 	mu         sync.Mutex
 	outcomes   []outcome
@@ -157,7 +157,11 @@
 		}
 		if s.opts.Faults.has(FaultParts) {
 			s.logf("round %d: a prompt part crashes upstreams", round)
-			s.runCrashingPhase(round)
+			s.runCrashingPhase(crashingWork{name: fmt.Sprint("bad", round)})
+		}
+		if s.opts.Faults.has(FaultRequests) {
+			s.logf("round %d: a request crashes upstreams", round)
+			s.runCrashingPhase(crashingWork{name: fmt.Sprint("bad", round), route: routePrefixes[s.random.IntN(len(routePrefixes))]})
 		}
 		s.logf("round %d: fault-free phase", round)
 		s.runFaultFreePhase()
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -97,6 +97,9 @@
 	Sticky      bool      `json:"sticky"`
 }
 
+// Customer is the name of the first customer of a Configuration.
+const Customer = "desk"
+
 // Configuration is a version of the configuration with one host, one service and
 // one or two customers.
 type Configuration struct {
@@ -119,7 +122,7 @@
 			Service: c.Service, MaxAttempts: c.Attempts, Resumable: r.Resumable, Sticky: r.Sticky,
 		})
 	}
-	customers := []map[string]any{{"name": "desk", "apiKeys": []string{c.Key}}}
+	customers := []map[string]any{{"name": Customer, "apiKeys": []string{c.Key}}}
 	if c.OtherKey != "" {
 		customers = append(customers, map[string]any{"name": "other", "apiKeys": []string{c.OtherKey}})
 	}
