gateway: a stream that is to be continued waits for a permit

A resumable stream whose upstream broke off was cut at once where the only upstreams that could continue it had reached the limits that they name, although the next permit may be a moment away. It waits for up to 1.5 s now; callers leave a stream that pauses for two seconds. New requests are refused at once as before. TestStreamWaitsForAPermitToGoOn: the stream ended after two of four events without the wait.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -36,6 +36,8 @@
 	reserved *target
 	// avoidsLimited excludes the upstreams that name a limit.
 	avoidsLimited bool
+	// permitWait is how long the request has waited for permits.
+	permitWait time.Duration
 }
 
 // hasTried reports whether the request was sent to the upstream whose key has the short hash.
@@ -55,6 +57,9 @@
 	for {
 		chosen, ok := g.reserve(ctx, req, a)
 		if !ok {
+			if req.headWritten && g.awaitPermit(ctx, req, a) {
+				continue
+			}
 			return g.endWithoutUpstream(req, a)
 		}
 		e, failure := g.attempt(ctx, w, req, chosen, a)
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -188,3 +188,39 @@
 	must.Eq(t, http.StatusOK, <-done)
 	must.Eq(t, 2, sends.Load())
 }
+
+// A stream that broke off in the middle is not cut because the upstream that could continue it
+// has no permit at the moment; a new request is refused at once meanwhile.
+func TestStreamWaitsForAPermitToGoOn(t *testing.T) {
+	var permits atomic.Int64
+	first := newReplica(t, "i-first", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(signature, "sig")
+		events(w, 1, 2)
+		permits.Store(0)
+		time.AfterFunc(300*time.Millisecond, func() { permits.Store(1) })
+		panic(http.ErrAbortHandler)
+	})
+	limited := newReplica(t, "i-limited", naming("3", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(signature, "sig")
+		events(w, 3, 4)
+	}))
+	f := newFixtureWith(t, func(o *gateway.Options) {
+		o.Permit = func(context.Context, catalog.Key, float64) (bool, time.Duration) {
+			return permits.Add(-1) >= 0, 50 * time.Millisecond
+		}
+	}, limited)
+	f.do(t, f.newRequest(t, http.MethodPost, "/stream/", "{}"))
+	must.Eq(t, 1, f.gateway.Limits().Count())
+	response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/resume/", "{}"))
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	time.Sleep(100 * time.Millisecond)
+	f.setUpstreams(first, limited)
+	for {
+		response, body := f.do(t, f.newRequest(t, http.MethodPost, "/resume/", "{}"))
+		must.Eq(t, http.StatusOK, response.StatusCode)
+		if first.runs.Load() > 0 {
+			must.Eq(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n", body)
+			return
+		}
+	}
+}
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -24,6 +24,9 @@
 	minLimitSpread = time.Second
 	// maxPermitBuckets is the number of upstreams whose permits one router keeps.
 	maxPermitBuckets = 4096
+	// maxPermitWait is how long a stream that is to be continued waits for permits: callers
+	// leave a stream that pauses for longer.
+	maxPermitWait = 1500 * time.Millisecond
 	// reasonLimited is the reason of a refusal.
 	reasonLimited = "all upstreams of the service have reached the limits that they name"
 )
@@ -209,6 +212,24 @@
 	return left, limited
 }
 
+// awaitPermit waits until an upstream that can continue a stream may have a permit. It returns
+// false if there is none in time: the stream has to be cut, which a wait may spare its caller.
+func (g *Gateway) awaitPermit(ctx context.Context, req *request, a *attempts) bool {
+	left, limited := g.limitEnd(req, a)
+	if !limited || a.permitWait+left > maxPermitWait || time.Until(req.deadline) < left+minAttemptTime {
+		return false
+	}
+	a.permitWait += left
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // refuseLimited returns the refusal of a request for which no upstream has a permit. The
 // returns of callers are spread over the time until there are more permits, or longer.
 func (g *Gateway) refuseLimited(left time.Duration) end {
