--- a/gateway/caches_test.go
+++ b/gateway/caches_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/decide/limit"
 	"github.com/shoenig/test/must"
 )
 
@@ -54,3 +55,13 @@
 	must.Eq(t, cacheList, assigned.requests()[0].URL.Path)
 	must.Eq(t, 0, other.runs.Load())
 }
+
+// A read of the cache list counts against the limit that an upstream names, and has no permit.
+func TestCachesOfUpstreamsWithALimitAreNotRead(t *testing.T) {
+	limited, other := newReplica(t, "i-limited", answering("{}")), newReplica(t, "i-other", answering("{}"))
+	f := newFixture(t, limited, other)
+	f.gateway.Limits().Record(limited.upstreamKey(), limit.Named{Kind: limit.PerSecond, Rate: 2})
+	f.gateway.ReadCaches(context.Background(), func(*catalog.Upstream) bool { return true })
+	must.Zero(t, limited.runs.Load())
+	must.Eq(t, 1, other.runs.Load())
+}
