--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -71,6 +72,16 @@
 		news, _, _ = a.Merge(limitedKey, old[0])
 		must.False(t, news)
 		must.Zero(t, a.Count())
+		for _, report := range []gateway.LimitReport{
+			{Limited: true, Rate: math.NaN()}, {Limited: true, Rate: -1}, {Limited: true, Rate: math.Inf(1)}, {Limited: true, Rate: 1e6},
+		} {
+			news, _, _ = a.Merge(limitedKey, report)
+			must.False(t, news, must.Sprint(report))
+		}
+		b.Record(limitedKey, perSecond(3))
+		b.Merge(limitedKey, gateway.LimitReport{Limited: true, Rate: 9})
+		rate, _ := b.Rate(limitedKey)
+		must.Eq(t, 3, rate, must.Sprint("not newer by more than the way here may take"))
 		time.Sleep(11 * time.Second)
 		must.SliceEmpty(t, a.Reports())
 	})
@@ -152,6 +163,30 @@
 	must.Eq(t, 5, sends()-before)
 }
 
+// A request that meets many upstreams without a permit asks for a few, and then turns to
+// those without a limit, also if they are farther away.
+func TestRequestAsksForFewPermits(t *testing.T) {
+	var asked atomic.Int64
+	f := newFixtureWith(t, func(o *gateway.Options) {
+		o.Permit = func(context.Context, catalog.Key, float64) (bool, time.Duration) {
+			asked.Add(1)
+			return false, time.Second
+		}
+	})
+	remote := newReplica(t, "i-remote", answering("ok"))
+	upstreams := []catalog.Upstream{remote.upstream()}
+	upstreams[0].FailureDomain = "b"
+	for i := range 20 {
+		r := newReplica(t, fmt.Sprint("i-", i), answering("ok"))
+		upstreams = append(upstreams, r.upstream())
+		f.gateway.Limits().Record(r.upstreamKey(), perSecond(3))
+	}
+	f.gateway.SetCatalog(catalog.New(2, upstreams))
+	response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, 8, asked.Load())
+}
+
 // A standby attempt does not wait for a permit while the request could go on: it is made
 // once one is at hand.
 func TestStandbyAttemptHasAPermit(t *testing.T) {
