gateway: what a request is blocked for is found without changing the request

A standby attempt may look for an upstream beside the request; looking wrote to the request. It was ordered by the watch's lock, but the next reader would have to prove that. Names follow: refuseBlocked makes the refusal, excludes says why an upstream is no candidate. No behaviour changes.

--- a/gateway/blocked.go
+++ b/gateway/blocked.go
@@ -37,44 +37,37 @@
 	return ids
 }
 
-// refusesBlocked reports whether a request is refused since it, or one of its parts, crashes
-// upstreams.
-func (g *Gateway) refusesBlocked(req *request) bool {
-	if !g.crashes.Any() {
-		return false
-	}
-	id, blocked := g.crashes.Blocked(req.ids)
+// refusesBlocked returns the refusal of a request if it, or one of its parts, crashes upstreams.
+func (g *Gateway) refusesBlocked(req *request) (e end, refuses bool) {
+	id, blocked := g.blockedBy(req)
 	if !blocked {
-		return false
+		return end{}, false
 	}
 	if !g.crashes.RecordRefused(req.ids...) {
 		req.trial = true
 		g.opts.Log.WithFields(log.Fields{"id": req.AttemptID, blockedField(id): formatPart(id)}).Info("blocked request let through")
-		return false
+		return end{}, false
 	}
 	g.metrics.blockedRequests.Add(1)
-	req.blockedBy = id
-	return true
+	return req.refuseBlocked(id), true
 }
 
-// refusedAsBlocked returns the refusal of a blocked request.
-func (req *request) refusedAsBlocked() end {
-	if isFingerprint(req.blockedBy) {
+// refuseBlocked returns the refusal of a request that is blocked by what has the identifier.
+func (req *request) refuseBlocked(id uint64) end {
+	req.blockedBy = id
+	if isFingerprint(id) {
 		return refused(reasonBlockedRequest, retryAfterBlocked)
 	}
 	return refused(reasonBlockedPart, retryAfterBlocked)
 }
 
-// isBlocked reports whether a request must not be sent to an upstream any more.
-func (g *Gateway) isBlocked(req *request) bool {
+// blockedBy returns what a request must not be sent to an upstream any more for, if there is
+// such a part.
+func (g *Gateway) blockedBy(req *request) (id uint64, blocked bool) {
 	if req.trial || !g.crashes.Any() {
-		return false
-	}
-	id, blocked := g.crashes.Blocked(req.ids)
-	if blocked {
-		req.blockedBy = id
+		return 0, false
 	}
-	return blocked
+	return g.crashes.Blocked(req.ids)
 }
 
 // blockedField returns the name of the log field for what is blocked.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -48,7 +48,7 @@
 // choose returns the upstream for the next send, for which a permit may be needed. There is
 // none for a prompt with a part that crashes upstreams.
 func (g *Gateway) choose(req *request, a *attempts) (target, bool) {
-	if g.isBlocked(req) {
+	if _, blocked := g.blockedBy(req); blocked {
 		return target{}, false
 	}
 	list := g.catalog.Load().Service(req.service)
@@ -61,7 +61,7 @@
 		replicas = append(replicas, place.Replica{
 			Seed:     u.Hash,
 			Load:     status.Load,
-			Tried:    a.tried[u.Key()] || status.Held > 0 || g.limits.denied(u.Key()) > 0 || a.avoidsLimited && g.limits.limited(u.Key()) || req.version.excludes(u),
+			Tried:    status.Held > 0 || g.excludes(req, a, u),
 			Local:    u.FailureDomain == g.opts.FailureDomain,
 			Draining: g.isLeaving(u),
 
@@ -85,6 +85,13 @@
 	return t, true
 }
 
+// excludes reports whether a request must not be sent to an upstream: it was sent there
+// before, there is no permit for it, or the request goes on at another version.
+func (g *Gateway) excludes(req *request, a *attempts, u *catalog.Upstream) bool {
+	key := u.Key()
+	return a.tried[key] || g.limits.denied(key) > 0 || a.avoidsLimited && g.limits.limited(key) || req.version.excludes(u)
+}
+
 // rank selects among the candidates: by load and failures for requests without
 // shared prompt parts, else by the prompt's home, its cached parts and load.
 // source is the replica to fetch the cached prompt parts from; -1 if none is
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -89,8 +89,8 @@
 	case a.sent > 0 && !req.neverRan():
 		return failed(http.StatusBadGateway, "no other upstream to try")
 	}
-	if g.isBlocked(req) {
-		return req.refusedAsBlocked()
+	if id, blocked := g.blockedBy(req); blocked {
+		return req.refuseBlocked(id)
 	}
 	if left, limited := g.limitEnd(req, a); limited {
 		return g.refuseLimited(left)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -99,8 +99,8 @@
 		return e
 	}
 	req.ids = req.workIDs()
-	if g.refusesBlocked(req) {
-		return req.refusedAsBlocked()
+	if e, refuses := g.refusesBlocked(req); refuses {
+		return e
 	}
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
