gateway: what limits leave over does not pile up at an upstream without one

Cause: the choice falls back to the least loaded upstream, however full, and the others were out of the choice. Class: a fallback without a bound, reached by everybody at once.

While permits are denied, an upstream whose slots are taken is no candidate; with none left the request is refused at once. TestRestIsNotPiledUpAtTheUpstreamWithoutALimit does not end without it.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -55,6 +55,7 @@
 	now := g.board.now()
 	records := make([]eject.Record, 0, len(list))
 	replicas := make([]place.Replica, 0, len(list))
+	limitsBind := false
 	for _, u := range list {
 		status := g.board.Status(u.Key())
 		records = append(records, g.ejectionRecord(u.Key(), status, now))
@@ -67,6 +68,10 @@
 
 			Suspect: !status.Unreachable && !tooSilent(status),
 		})
+		limitsBind = limitsBind || g.limits.denied(u.Key()) > 0
+	}
+	if limitsBind {
+		excludeFull(list, replicas)
 	}
 	for i, weight := range eject.Weights(g.opts.Policy.Eject, now, records) {
 		replicas[i].Weight = weight
@@ -85,6 +90,16 @@
 	return t, true
 }
 
+// excludeFull excludes the upstreams whose slots are taken. What other upstreams do not take
+// because of their limits must not pile up there.
+func excludeFull(list []*catalog.Upstream, replicas []place.Replica) {
+	for i, u := range list {
+		if u.Slots > 0 && replicas[i].Load >= float64(u.Slots) {
+			replicas[i].Tried = true
+		}
+	}
+}
+
 // excludes reports whether a request must not be sent to an upstream: it was sent there
 // before, there is no permit for it, or the request goes on at another version.
 func (g *Gateway) excludes(req *request, a *attempts, u *catalog.Upstream) bool {
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -259,3 +260,48 @@
 		}
 	}
 }
+
+// Guards against what upstreams with limits do not take piling up at one without: once its
+// slots are taken, further requests would only wait there until their deadline. They are refused
+// at once. Without limits that bind, upstreams may queue.
+func TestRestIsNotPiledUpAtTheUpstreamWithoutALimit(t *testing.T) {
+	release := make(chan struct{})
+	open := newReplica(t, "i-open", func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		answering("ok")(w, r)
+	})
+	limited := newReplica(t, "i-limited", answering("ok"))
+	f := newFixtureWith(t, func(o *gateway.Options) {
+		o.Permit = func(context.Context, catalog.Key, float64) (bool, time.Duration) { return false, time.Second }
+	})
+	const slots = 3
+	upstreams := []catalog.Upstream{open.upstream(), limited.upstream()}
+	upstreams[0].Slots = slots
+	f.gateway.SetCatalog(catalog.New(2, upstreams[:1]))
+	var waiting sync.WaitGroup
+	send := func(n int64) {
+		waiting.Go(func() {
+			response, err := f.server.Client().Do(f.newRequest(t, http.MethodPost, "/once/", "{}"))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+		})
+		for open.runs.Load() < n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for n := range int64(slots + 1) {
+		send(n + 1) // one more than it has slots
+	}
+	f.gateway.SetCatalog(catalog.New(3, upstreams))
+	f.gateway.Limits().Record(limited.upstreamKey(), perSecond(2))
+	response, body := f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.StrContains(t, body, "limits")
+	must.Eq(t, slots+1, open.runs.Load())
+	must.Zero(t, limited.runs.Load())
+	close(release)
+	waiting.Wait()
+	response, _ = f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, http.StatusOK, response.StatusCode)
+}
