--- a/soak/parts.go
+++ b/soak/parts.go
@@ -30,7 +30,7 @@
 // crashingWork crashes each upstream that begins to answer it: streams with a prompt part, or
 // all requests of a route with a path.
 type crashingWork struct {
-	name  string // the prompt part, or the path below route
+	name  string // the prompt part, or the path below route; of one phase only
 	route string // empty for a prompt part
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -157,11 +157,11 @@
 		}
 		if s.opts.Faults.has(FaultParts) {
 			s.logf("round %d: a prompt part crashes upstreams", round)
-			s.runCrashingPhase(crashingWork{name: fmt.Sprint("bad", round)})
+			s.runCrashingPhase(crashingWork{name: fmt.Sprint("part", round)})
 		}
 		if s.opts.Faults.has(FaultRequests) {
 			s.logf("round %d: a request crashes upstreams", round)
-			s.runCrashingPhase(crashingWork{name: fmt.Sprint("bad", round), route: routePrefixes[s.random.IntN(len(routePrefixes))]})
+			s.runCrashingPhase(crashingWork{name: fmt.Sprint("crash", round), route: routePrefixes[s.random.IntN(len(routePrefixes))]})
 		}
 		s.logf("round %d: fault-free phase", round)
 		s.runFaultFreePhase()
