--- a/review/harness/cmd/chunks/main.go
+++ b/review/harness/cmd/chunks/main.go
@@ -1,4 +1,4 @@
-// Command chunks plays case 2: the clients of one tenant send large bodies in chunks, at seven
+// Command chunks plays case 4: the clients of one tenant send large bodies in chunks, at seven
 // times the usual rate for a while.
 package main
 
--- a/review/harness/lab/fleet.go
+++ b/review/harness/lab/fleet.go
@@ -33,6 +33,8 @@
 	Contracts string
 	Bounds    string
 	Record    *Record
+	// Later is true if this is not the first start of the whole system.
+	Later bool
 }
 
 // Zones are the zones of a fleet.
@@ -60,7 +62,7 @@
 	for i, a := range addresses {
 		r, err := NewRouter(RouterOptions{
 			Root: o.Root, Dir: dir, Name: fmt.Sprintf("edge-%d", i), Zone: Zones[i%len(Zones)], Store: f.Store.Address,
-			Seeds: seeds[:min(len(seeds), 3)], IP: strings.Split(a.Frontend, ":")[0], MemoryMb: o.MemoryMb, First: true,
+			Seeds: seeds[:min(len(seeds), 3)], IP: strings.Split(a.Frontend, ":")[0], MemoryMb: o.MemoryMb, First: !o.Later,
 			Contracts: o.Contracts, Bounds: o.Bounds,
 		}, a)
 		if err != nil {
