review: case 3, a withdrawn key is served after the store's return

Change: a script with a store that returns from a copy, and two of five routers killed a second later. The second copies of refusals become case 4, the bodies in chunks case 5.

--- a/review/harness/cmd/chunks/main.go
+++ b/review/harness/cmd/chunks/main.go
@@ -1,4 +1,4 @@
-// Command chunks plays case 4: the clients of one tenant send large bodies in chunks, at seven
+// Command chunks plays case 5: the clients of one tenant send large bodies in chunks, at seven
 // times the usual rate for a while.
 package main
 
@@ -59,8 +59,7 @@
 			} else {
 				time.Sleep(work)
 			}
-			_, err := fmt.Fprintf(e.Conn, "HTTP/1.1 200 OK\r\nDandelionrill-Attempt-Id: %s\r\nDandelionrill-Replica-Signature: %s.%s\r\nContent-Length: 2\r\n\r\nok",
-				e.Attempt, id, e.Attempt)
+			_, err := io.WriteString(e.Conn, lab.Success(e.Attempt, id, "ok"))
 			return err == nil
 		})
 		if err != nil {
@@ -72,11 +71,11 @@
 	fleet.Store.Put("config", "main", map[string]any{
 		"version": 7,
 		"routes": []any{
-			map[string]any{"name": "r-1", "host": host, "pathPrefix": "/sheet/", "routeKind": "non_idempotent", "timeoutMs": 15000, "targetLatencyMs": 5000, "priority": 2, "service": service, "maxAttempts": 1, "public": false, "sticky": false, "resumable": false},
+			lab.Route{Name: "r-1", Host: host, Prefix: "/sheet/", Kind: "non_idempotent", Service: service, TimeoutMs: 15000, TargetMs: 5000, Priority: 2, MaxAttempts: 1}.Spec(),
 		},
 		"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false}},
 		"limits":   lab.Limits,
-		"tenants":  []any{map[string]any{"name": "hule930", "apiKeys": []string{key}, "priority": 1}},
+		"tenants":  []any{lab.Tenant(key)},
 	})
 	if err := fleet.Start(); err != nil {
 		return false, err
--- a/review/harness/cmd/entry/main.go
+++ b/review/harness/cmd/entry/main.go
@@ -56,9 +56,7 @@
 				duration = streamTime
 			}
 			time.Sleep(duration)
-			body := answer(e.Attempt)
-			_, err := fmt.Fprintf(e.Conn, "HTTP/1.1 200 OK\r\nDandelionrill-Attempt-Id: %s\r\nDandelionrill-Replica-Signature: %s.%s\r\nContent-Length: %d\r\n\r\n%s",
-				e.Attempt, id, e.Attempt, len(body), body)
+			_, err := io.WriteString(e.Conn, lab.Success(e.Attempt, id, answer(e.Attempt)))
 			return err == nil
 		})
 		if err != nil {
@@ -70,12 +68,12 @@
 	store.Put("config", "main", map[string]any{
 		"version": 7,
 		"routes": []any{
-			map[string]any{"name": "r-1", "host": host, "pathPrefix": "/short/", "routeKind": "idempotent", "timeoutMs": 1500, "targetLatencyMs": 120, "priority": 2, "service": service, "maxAttempts": 2, "public": false, "sticky": false, "resumable": false},
-			map[string]any{"name": "r-2", "host": host, "pathPrefix": "/long/", "routeKind": "non_idempotent", "timeoutMs": 15000, "targetLatencyMs": 5000, "priority": 2, "service": service, "maxAttempts": 1, "public": false, "sticky": false, "resumable": false},
+			lab.Route{Name: "r-1", Host: host, Prefix: "/short/", Kind: "idempotent", Service: service, TimeoutMs: 1500, TargetMs: 120, Priority: 2, MaxAttempts: 2}.Spec(),
+			lab.Route{Name: "r-2", Host: host, Prefix: "/long/", Kind: "non_idempotent", Service: service, TimeoutMs: 15000, TargetMs: 5000, Priority: 2, MaxAttempts: 1}.Spec(),
 		},
 		"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false}},
 		"limits":   lab.Limits,
-		"tenants":  []any{map[string]any{"name": "hule930", "apiKeys": []string{key}, "priority": 1}},
+		"tenants":  []any{lab.Tenant(key)},
 	})
 
 	if err := fleet.Start(); err != nil {
--- a/review/harness/cmd/extra/main.go
+++ b/review/harness/cmd/extra/main.go
@@ -1,4 +1,4 @@
-// Command extra plays case 3: a replica that is full at times sends some of its refusals a second
+// Command extra plays case 4: a replica that is full at times sends some of its refusals a second
 // time, late.
 package main
 
@@ -72,11 +72,11 @@
 	fleet.Store.Put("config", "main", map[string]any{
 		"version": 7,
 		"routes": []any{
-			map[string]any{"name": "r-1", "host": host, "pathPrefix": "/book/", "routeKind": "non_idempotent", "timeoutMs": 4000, "targetLatencyMs": 300, "priority": 2, "service": service, "maxAttempts": attempts, "public": false, "sticky": false, "resumable": false},
+			lab.Route{Name: "r-1", Host: host, Prefix: "/book/", Kind: "non_idempotent", Service: service, TimeoutMs: 4000, TargetMs: 300, Priority: 2, MaxAttempts: attempts}.Spec(),
 		},
 		"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 190, "protocol": "h1", "tls": false}},
 		"limits":   lab.Limits,
-		"tenants":  []any{map[string]any{"name": "hule930", "apiKeys": []string{key}, "priority": 1}},
+		"tenants":  []any{lab.Tenant(key)},
 	})
 	if err := fleet.Start(); err != nil {
 		return false, err
@@ -139,7 +139,7 @@
 		s.held.Add(-1)
 		s.refusals.Add(1)
 		refused = true
-		text = "HTTP/1.1 503 Service Unavailable\r\nDandelionrill-Attempt-Id: " + e.Attempt + "\r\nDandelionrill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		text = lab.AnswerHead("503 Service Unavailable", e.Attempt, lab.HeaderNotRun, "1", "Content-Length", "0")
 		record.Logf("replica %s refuses %s", s.id, e.Attempt)
 	} else {
 		s.slots <- struct{}{}
@@ -152,7 +152,7 @@
 		time.Sleep(work/2 + rand.N(work))
 		<-s.slots
 		s.held.Add(-1)
-		text = fmt.Sprintf("HTTP/1.1 200 OK\r\nDandelionrill-Attempt-Id: %s\r\nDandelionrill-Replica-Signature: %s.%s\r\nContent-Length: 2\r\n\r\nok", e.Attempt, s.id, e.Attempt)
+		text = lab.Success(e.Attempt, s.id, "ok")
 	}
 	s.answers.Add(1)
 	if s.garbles && refused && float64(s.chosen.Load()+1) <= garbled*float64(s.answers.Load()) {
--- a/review/harness/cmd/joined/main.go
+++ b/review/harness/cmd/joined/main.go
@@ -59,7 +59,7 @@
 		return g.list(e)
 	}
 	g.mu.Lock()
-	for entry := range strings.SplitSeq(e.Request.Header.Get("Dandelionrill-Prompt-Prefix"), ",") {
+	for entry := range strings.SplitSeq(e.Request.Header.Get(lab.HeaderPrompt), ",") {
 		part, tokens, _ := strings.Cut(entry, ":")
 		g.cached[part] = tokens
 	}
@@ -70,8 +70,8 @@
 	if strings.HasSuffix(e.Request.URL.Path, "/fast") {
 		pause = fast
 	}
-	if _, err := fmt.Fprintf(e.Conn, "HTTP/1.1 200 OK\r\nDandelionrill-Attempt-Id: %s\r\nDandelionrill-Replica-Signature: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		e.Attempt, g.id, e.Attempt); err != nil {
+	if _, err := io.WriteString(e.Conn, lab.AnswerHead("200 OK", e.Attempt, lab.HeaderSignature, g.id+"."+e.Attempt,
+		"Content-Type", "text/event-stream", "Transfer-Encoding", "chunked")); err != nil {
 		return false
 	}
 	for n := last + 1; n <= events; n++ {
@@ -148,12 +148,12 @@
 	fleet.Store.Put("config", "main", map[string]any{
 		"version": 7,
 		"routes": []any{
-			map[string]any{"name": "r-1", "host": host, "pathPrefix": "/ask/", "routeKind": "streaming", "timeoutMs": 15000, "targetLatencyMs": 500, "priority": 0, "service": service, "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "targetItlMs": 400},
+			lab.Route{Name: "r-1", Host: host, Prefix: "/ask/", Kind: "streaming", Service: service, TimeoutMs: 15000, TargetMs: 500, Priority: 0, MaxAttempts: 2, Sticky: true, Resumable: true}.Spec(),
 		},
 		"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false,
 			"runtime": map[string]any{"slots": 64, "kvCapacity": 527735, "kvBytes": 163840, "linkMbps": 1100000.0, "modelList": []any{map[string]any{"name": "m"}}}}},
 		"limits":  lab.Limits,
-		"tenants": []any{map[string]any{"name": "hule930", "apiKeys": []string{key}, "priority": 1}},
+		"tenants": []any{lab.Tenant(key)},
 	})
 	if err := fleet.Start(); err != nil {
 		return false, err
@@ -248,8 +248,8 @@
 	r := &lab.Request{
 		Method: http.MethodPost, Path: path, Host: host, Attempt: attempt, Key: key, Deadline: left, Body: fmt.Appendf(nil, "question %s %d", path, s.session),
 		Header: map[string]string{
-			"Dandelionrill-Model": "m", "Dandelionrill-Token-Usage": "829,290",
-			"Dandelionrill-Prompt-Prefix": fmt.Sprintf("aa%02d:119,bb%02d:580,cc%04d:130", s.session%4, s.session%12, s.session),
+			lab.HeaderModel: "m", lab.HeaderTokens: "829,290",
+			lab.HeaderPrompt: fmt.Sprintf("aa%02d:119,bb%02d:580,cc%04d:130", s.session%4, s.session%12, s.session),
 		},
 	}
 	if len(s.versions) > 0 {
--- a/review/harness/lab/client.go
+++ b/review/harness/lab/client.go
@@ -35,8 +35,8 @@
 // Head returns the head of a request. length is the value of Content-Length; negative for a
 // body in chunks.
 func (r *Request) Head(length int) string {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nDandelionrill-Attempt-Id: %s\r\nDandelionrill-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		r.Method, r.Path, r.Host, r.Attempt, r.Deadline.Milliseconds(), r.Key)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n",
+		r.Method, r.Path, r.Host, HeaderAttempt, r.Attempt, HeaderDeadline, r.Deadline.Milliseconds(), r.Key)
 	for name, value := range r.Header {
 		head += name + ": " + value + "\r\n"
 	}
--- a/review/harness/lab/replica.go
+++ b/review/harness/lab/replica.go
@@ -84,10 +84,9 @@
 		if err != nil {
 			return
 		}
-		e := &Exchange{Conn: c, Request: req, Body: body, Attempt: req.Header.Get("Dandelionrill-Attempt-Id"), Number: number}
-		if expected := req.Header.Get("Dandelionrill-Expected-Replica"); expected != "" && expected != r.ID {
-			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nDandelionrill-Attempt-Id: "+e.Attempt+
-				"\r\nDandelionrill-Replica-Id: "+r.ID+"\r\nContent-Length: 0\r\n\r\n")
+		e := &Exchange{Conn: c, Request: req, Body: body, Attempt: req.Header.Get(HeaderAttempt), Number: number}
+		if expected := req.Header.Get(HeaderExpected); expected != "" && expected != r.ID {
+			_, _ = io.WriteString(c, AnswerHead("421 Misdirected Request", e.Attempt, HeaderReplica, r.ID, "Content-Length", "0"))
 			continue
 		}
 		if !r.serve(e) {
--- a/review/harness/lab/router.go
+++ b/review/harness/lab/router.go
@@ -213,7 +213,7 @@
 func (r *Router) AwaitReady(limit time.Duration) error {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if resp, err := client.Get("http://" + r.Ready + "/dandelionrill/readyz"); err == nil {
+		if resp, err := client.Get("http://" + r.Ready + names["ready"]); err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
 				return nil
--- a/review/harness/lab/store.go
+++ b/review/harness/lab/store.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -55,6 +56,48 @@
 	objects  map[string]map[string]object
 	history  []event
 	changed  chan struct{}
+	away     bool
+	era      uint64 // 0: the store reports no eras
+	oldest   uint64 // changes up to this revision are gone
+	copied   map[string]map[string]object
+	copiedAt uint64
+}
+
+// SetEra makes the store report its era in all answers.
+func (s *Store) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Copy takes the copy from which Return restores.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied, s.copiedAt = make(map[string]map[string]object), s.revision
+	for kind, objects := range s.objects {
+		s.copied[kind] = maps.Clone(objects)
+	}
+}
+
+// Leave makes the store refuse all calls until Return.
+func (s *Store) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Return brings the store back from its copy, in a new era.
+func (s *Store) Return() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.revision, s.history, s.oldest = s.copied, s.copiedAt, nil, s.copiedAt
+	s.era++
+	s.away = false
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // NewStore starts a store on a free port of 127.0.0.1.
@@ -131,15 +174,23 @@
 	s.changed = make(chan struct{})
 }
 
-const prefix = "/dandelionrill/objects/"
-
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	rest, ok := strings.CutPrefix(r.URL.Path, prefix)
+	rest, ok := strings.CutPrefix(r.URL.Path, names["objects"])
 	if !ok {
 		http.NotFound(w, r)
 		return
 	}
+	s.mu.Lock()
+	away := s.away
+	if s.era != 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
+	s.mu.Unlock()
+	if away {
+		send(w, http.StatusServiceUnavailable, []byte("{}"))
+		return
+	}
 	kind, name, _ := strings.Cut(rest, "/")
 	query := r.URL.Query()
 	switch {
@@ -199,8 +250,16 @@
 				events = append(events, e)
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed, away, gone := s.revision, s.changed, s.away, after > s.revision || after < s.oldest
 		s.mu.Unlock()
+		if away || gone {
+			status := http.StatusGone
+			if away {
+				status = http.StatusServiceUnavailable
+			}
+			send(w, status, []byte("{}"))
+			return
+		}
 		if len(events) > 0 || over {
 			out := []byte(`{"events":[`)
 			for i := range events {
