--- a/forward/conn.go
+++ b/forward/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,6 +27,9 @@
 	maxMismatchedAnswers = 2
 	// maxMismatchedBytes limits the body of a late answer that is skipped.
 	maxMismatchedBytes = 256 << 10
+	// maxRequestsPerConn is the number of requests after which a connection is closed. It bounds
+	// the memory for their identifiers.
+	maxRequestsPerConn = 1024
 )
 
 // conn is one connection to an upstream. It carries one request at a time and
@@ -34,14 +38,21 @@
 	net       net.Conn
 	reader    *bufio.Reader
 	limit     io.LimitedReader // between net and reader; limits the size of heads
-	uses      int
-	sentHEAD  bool // a HEAD request was sent on it: the end of a late answer can't be found
+	sentHEAD  bool             // a HEAD request was sent on it: the end of a late answer can't be found
 	idleSince time.Time
 	// keepAliveTimeout is the idle timeout that the upstream announced: 0 if
 	// none, negative if the upstream closes the connection after its answer.
 	keepAliveTimeout time.Duration
+	// carried are the hashes of the identifiers of the requests sent on it. An answer is told
+	// from a late copy of another one by its identifier alone, so that a connection carries
+	// each only once.
+	carried []uint64
 }
 
+// hasCarried reports whether a request with an identifier of the hash was sent on the
+// connection. Of two identifiers with the same hash the second one uses another connection.
+func (c *conn) hasCarried(idHash uint64) bool { return slices.Contains(c.carried, idHash) }
+
 func newConn(c net.Conn) *conn {
 	out := &conn{net: c}
 	out.limit = io.LimitedReader{R: c, N: maxHeadBytes}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -357,16 +357,16 @@
 }
 
 func TestSweepClosesConnectionsOfUnlistedUpstreams(t *testing.T) {
-	u := serve(t, answerEach(func(int64, *http.Request) string { return answer("1", "ok") }))
+	u := serve(t, answerEach(func(_ int64, r *http.Request) string { return answer(r.Header.Get(idHeader), "ok") }))
 	p := newPool()
-	_, response := send(t, p, u, request("1"))
+	_, response := send(t, p, u, identified("1"))
 	response.Close(true)
 	p.Sweep(time.Now(), func(string) bool { return true })
-	_, response = send(t, p, u, request("1"))
+	_, response = send(t, p, u, identified("2"))
 	response.Close(true)
 	must.Eq(t, 1, u.accepted.Load())
 	p.Sweep(time.Now(), func(string) bool { return false })
-	_, response = send(t, p, u, request("1"))
+	_, response = send(t, p, u, identified("3"))
 	response.Close(true)
 	must.Eq(t, 2, u.accepted.Load())
 }
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 	// Matches reports whether the answer belongs to the request; nil accepts
 	// every answer.
 	Matches func(*Request, *Response) bool
+	// LateAnswer is called for each answer that Matches rejects; may be nil.
+	LateAnswer func(*Request, *Response)
 	// Dialed is called after each dial, also a failed one; may be nil.
 	Dialed func(address string, took time.Duration, err error)
 	// Panicked is called with the value of a panic while a body is written, after which the
@@ -65,6 +68,9 @@
 	if o.Matches == nil {
 		o.Matches = func(*Request, *Response) bool { return true }
 	}
+	if o.LateAnswer == nil {
+		o.LateAnswer = func(*Request, *Response) {}
+	}
 	if o.Dialed == nil {
 		o.Dialed = func(string, time.Duration, error) {}
 	}
@@ -120,20 +126,23 @@
 	return h
 }
 
-// acquire returns the most recently used idle connection that is usable. A nil
-// connection without an error means that there is none, and that a slot for a
-// new connection is reserved.
+// acquire returns the most recently used idle connection that is usable and has not carried
+// a request with the same ID. A nil connection without an error means that there is none, and
+// that a slot for a new connection is reserved.
 func (p *Pool) acquire(address string, r *Request) (*conn, error) {
 	maxIdle := p.opts.MaxIdle
 	if r.NonRepeatable {
 		maxIdle = p.opts.MaxIdleNonRepeatable
 	}
-	s := p.shard(address)
-	if r.ID == "" { // its answer can't be told from a late one
-		return nil, s.reserve(address, r.MaxConnections)
+	s, idHash := p.shard(address), p.idHash(r)
+	mayCarry := func(c *conn) bool {
+		return r.ID != "" && !c.hasCarried(idHash) // without an ID the answer can't be told from a late one
 	}
 	for {
-		c, err := s.pop(address, r.MaxConnections)
+		c, replaced, err := s.take(address, r.MaxConnections, mayCarry)
+		if replaced != nil {
+			_ = replaced.net.Close() // its slot is that of the new connection
+		}
 		if c == nil || err != nil {
 			return nil, err
 		}
@@ -144,26 +153,29 @@
 	}
 }
 
-// pop removes and returns the most recently used idle connection. If there is
-// none, it reserves a slot for a new one and returns nil; most limits the open
-// connections to the address, 0 means no limit.
-func (s *shard) pop(address string, maxOpen int) (*conn, error) {
+// idHash returns the hash by which connections record the ID of a request.
+func (p *Pool) idHash(r *Request) uint64 { return maphash.String(p.seed, r.ID) }
+
+// take removes and returns the most recently used idle connection for which mayCarry returns
+// true. If there is none, it reserves a slot for a new one and returns nil; maxOpen limits the
+// open connections to the address, 0 means no limit. At the limit the longest idle connection
+// makes room: it is removed and returned as replaced.
+func (s *shard) take(address string, maxOpen int, mayCarry func(*conn) bool) (c, replaced *conn, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.forAddress(address)
-	if n := len(h.idle); n > 0 {
-		c := h.idle[n-1]
-		h.idle = h.idle[:n-1]
-		return c, nil
+	for i, c := range slices.Backward(h.idle) {
+		if mayCarry(c) {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			return c, nil, nil
+		}
 	}
-	return nil, h.reserve(maxOpen)
-}
-
-// reserve reserves a slot for a new connection to the address.
-func (s *shard) reserve(address string, maxOpen int) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.forAddress(address).reserve(maxOpen)
+	if err := h.reserve(maxOpen); err == nil || len(h.idle) == 0 {
+		return nil, nil, err
+	}
+	replaced = h.idle[0]
+	h.idle = slices.Delete(h.idle, 0, 1)
+	return nil, replaced, nil
 }
 
 // reserve reserves a slot for a new connection. The mutex of the shard must be held.
--- a/forward/send.go
+++ b/forward/send.go
@@ -19,7 +19,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	ID     string // identifies its answer, see Options.Matches; one without uses a new connection
+	// ID identifies its answer, see Options.Matches. A connection carries each ID only once;
+	// a request without one uses a new connection.
+	ID string
 	// NonRepeatable marks a request that must not run more than once. It is sent
 	// only on connections idle for at most Options.MaxIdleNonRepeatable.
 	NonRepeatable bool
@@ -127,7 +129,7 @@
 func (p *Pool) exchange(ctx context.Context, address string, c *conn, r *Request) (*Response, bool, error) {
 	ex := &exchange{pool: p, address: address, conn: c}
 	ex.stop = context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
-	c.uses++
+	c.carried = append(c.carried, p.idHash(r))
 	c.sentHEAD = c.sentHEAD || r.Method == http.MethodHead
 	open := false
 	defer func() {
@@ -187,6 +189,7 @@
 			}
 			return response, nil
 		}
+		ex.pool.opts.LateAnswer(r, response)
 		if response.Framing == FramingClose || response.Length > maxMismatchedBytes || ex.conn.sentHEAD {
 			return nil, ErrAnswerMismatch
 		}
@@ -231,11 +234,14 @@
 func (ex *exchange) end(complete bool) {
 	ex.once.Do(func() {
 		live := ex.stop()
-		if complete && live && ex.conn.keepAliveTimeout >= 0 && ex.bodySent() && ex.conn.reader.Buffered() == 0 {
+		switch {
+		case !complete || !live || ex.conn.keepAliveTimeout < 0 || !ex.bodySent() || ex.conn.reader.Buffered() > 0:
+			ex.pool.abort(ex.address, ex.conn)
+		case len(ex.conn.carried) >= maxRequestsPerConn:
+			ex.pool.discard(ex.address, ex.conn)
+		default:
 			ex.pool.putIdle(ex.address, ex.conn)
-			return
 		}
-		ex.pool.abort(ex.address, ex.conn)
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,8 +165,9 @@
 		Matches: func(r *forward.Request, a *forward.Response) bool {
 			return opts.Protocol.AnswerAttempt(a.Header) == r.ID
 		},
-		Dialed:   g.metrics.dialed,
-		Panicked: func(r *forward.Request, value any) { g.reportPanic("body", r.ID, value) },
+		LateAnswer: func(*forward.Request, *forward.Response) { g.metrics.lateAnswers.Add(1) },
+		Dialed:     g.metrics.dialed,
+		Panicked:   func(r *forward.Request, value any) { g.reportPanic("body", r.ID, value) },
 	})
 	return g
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -60,6 +60,7 @@
 	sendsByResult     expvar.Map // sends by result
 	dials             expvar.Int
 	dialErrors        expvar.Int
+	lateAnswers       expvar.Int // answers to earlier requests on a connection, which were skipped
 	silences          expvar.Int // silences of upstreams that were treated as faults
 	standbys          expvar.Int // standby attempts while an upstream was silent
 	standbysUsed      expvar.Int // standby attempts that took over
@@ -93,6 +94,7 @@
 	m.vars.Set("sends", &m.sendsByResult)
 	m.vars.Set("dials", &m.dials)
 	m.vars.Set("dial_errors", &m.dialErrors)
+	m.vars.Set("late_answers", &m.lateAnswers)
 	m.vars.Set("silences", &m.silences)
 	m.vars.Set("standbys", &m.standbys)
 	m.vars.Set("standbys_used", &m.standbysUsed)
