--- a/agent/head_test.go
+++ b/agent/head_test.go
@@ -29,7 +29,7 @@
 	must.NoError(t, err)
 	conn, err := net.Dial("tcp", base.Host)
 	must.NoError(t, err)
-	for name, client := range map[string]*http.Client{"pooled": newUpstream(base).client, "single use": newSingleUseClient(conn)} {
+	for name, client := range map[string]*http.Client{"repeatable": newUpstream(base).client, "single use": newSingleUseClient(conn)} {
 		response, err := client.Get(server.URL)
 		must.Error(t, err, must.Sprint(name))
 		if err == nil {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -17,11 +17,10 @@
 )
 
 const (
-	upstreamDialTimeout  = 2 * time.Second
-	upstreamReadBytes    = 32 << 10
-	maxIdleUpstreamConns = 256
-	tailBytes            = 64 // enough for streamEnd and white space after it
-	maxAnswerHeadBytes   = 64 << 10
+	upstreamDialTimeout = 2 * time.Second
+	upstreamReadBytes   = 32 << 10
+	tailBytes           = 64 // enough for streamEnd and white space after it
+	maxAnswerHeadBytes  = 64 << 10
 )
 
 // streamEnd is the last event of a chat completion stream, as the OpenAI API
@@ -59,9 +58,11 @@
 	u.client = &http.Client{
 		CheckRedirect: returnRedirect,
 		Transport: &http.Transport{
-			DialContext:         u.dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleUpstreamConns,
-			DisableCompression:  true,
+			DialContext: u.dialer.DialContext,
+			// Answers bear no identifier: on a connection that is used again, a late copy of
+			// one can't be told from the next one.
+			DisableKeepAlives:  true,
+			DisableCompression: true,
 
 			MaxResponseHeaderBytes: maxAnswerHeadBytes,
 		},
