--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -113,14 +113,14 @@
 	for _, part := range parts {
 		keys = append(keys, partKey(part.Model, part.ID))
 	}
-	g.caches.End(u, keys, err == nil)
-	ended = true
-	if placed {
+	if placed { // before End, which releases those that wait for the list
 		slices.SortFunc(parts, func(a, b CachedPart) int { return cmp.Compare(b.Tokens, a.Tokens) })
 		for _, part := range parts[:min(len(parts), cacheListMaxParts)] {
 			g.prompts.RecordSend(Placement{Part: partKey(part.Model, part.ID), At: u.Key()})
 		}
 	}
+	g.caches.End(u, keys, err == nil)
+	ended = true
 	entry := g.opts.Log.WithFields(log.Fields{
 		"upstream": u.ID, "parts": len(parts), "ms": time.Since(start).Milliseconds(), "catalog": g.catalog.Load().Revision,
 	})
