--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,9 +89,11 @@
 	routerList routerList
 	partList   partList
 
-	upstreamsMu    sync.Mutex // guards the fields below
-	missingEntries catalog.MissingEntries
-	departed       catalog.Departed
+	streamsTried     chan struct{} // closed once the records of recent streams were read, or could not be
+	streamsTriedOnce sync.Once     // closes streamsTried
+	upstreamsMu      sync.Mutex    // guards the fields below
+	missingEntries   catalog.MissingEntries
+	departed         catalog.Departed
 
 	callers    *callerConns
 	stop       stopState
@@ -119,7 +121,9 @@
 		missingEntries: catalog.MissingEntries{GracePeriod: reregistrationWindow},
 		departed:       catalog.Departed{Window: reregistrationWindow + leaseHeartbeats*cmp.Or(s.Heartbeat, defaultHeartbeat)},
 		callers:        newCallerConns(),
-		stop:           stopState{limit: s.Bounds.Stop},
+
+		streamsTried: make(chan struct{}),
+		stop:         stopState{limit: s.Bounds.Stop},
 	}
 	h.held = &heldConfiguration{host: h}
 	h.gateway = gateway.New(gateway.Options{
@@ -135,7 +139,8 @@
 		LookUpStream: func(ctx context.Context, query gateway.StreamQuery) gateway.StreamAnswer {
 			return h.mesh.LookUpStream(ctx, query)
 		},
-		CacheShare: h.cacheShare,
+		AwaitStreams: h.awaitStreams,
+		CacheShare:   h.cacheShare,
 		Permit: func(ctx context.Context, key catalog.Key, rate float64) (bool, time.Duration) {
 			return h.mesh.Permit(ctx, key.Sum(), rate)
 		},
@@ -272,6 +277,7 @@
 	}
 	for _, run := range []func(context.Context){
 		h.mesh.Run, h.register, h.maintain, h.watchSettings, h.readCaches, h.listBlockedParts, h.awaitEvacuations, h.awaitIntroduction,
+		h.storeStreams, h.restoreStreams,
 	} {
 		go h.runTask(ctx, run)
 	}
--- /dev/null
+++ b/entry/session_restart_test.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dandelionrill.example/fleet/gateway"
+	"dandelionrill.example/fleet/platform"
+	"dandelionrill.example/fleet/store"
+	"dandelionrill.example/standin/replica"
+	"dandelionrill.example/standin/wire"
+	"github.com/shoenig/test/must"
+)
+
+// sessionTurn sends a turn of a session to an address, as a caller that does not name the
+// attempt which it goes on with, and returns the version that answers; empty if it is refused.
+func sessionTurn(t *testing.T, address, attempt string, session, received int) (version string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, address+"/resume/x", strings.NewReader(fmt.Sprint("second turn ", session)))
+	must.NoError(t, err)
+	r.Host = "h"
+	wire.SetRequestHeaders(r.Header, attempt, "k", 20*time.Second)
+	wire.SetPrompt(r.Header, "m", "first:10", fmt.Sprintf("subject-%d:10", session), fmt.Sprintf("session-%d:10", session))
+	if received > 0 {
+		r.Header.Set(wire.HeaderLastEvent, fmt.Sprint(received))
+	}
+	response, err := http.DefaultClient.Do(r)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+		return ""
+	}
+	text, ok := readEvent(bufio.NewReader(response.Body))
+	must.True(t, ok)
+	version, ok = replica.ReadEvent(text, attempt, received+1)
+	must.True(t, ok, must.Sprint(text))
+	return version
+}
+
+// storedStreams returns the number of records that the routers have written.
+func (f *restartFleet) storedStreams(t *testing.T) int {
+	t.Helper()
+	records, _, err := f.routers[0].host.store.ListKind(t.Context(), platform.KindStreams)
+	must.NoError(t, err)
+	stored, findings := platform.DecodeStreams(records)
+	must.SliceEmpty(t, findings)
+	most := 0
+	for _, s := range stored {
+		most = max(most, len(s.Streams))
+	}
+	return most
+}
+
+// Guards against streams of sessions that are joined from two versions after all routers were
+// killed: the upstreams that began some of them are lost too, and another version lists the last
+// part of their prompts from earlier turns. Those that began at the version which is left go on:
+// the store holds the records.
+func TestStreamsOfSessionsAfterARestartOfAllRouters(t *testing.T) {
+	t.Parallel()
+	f := newRestartFleet(t)
+	earlier := f.upstreams[0] // of v1
+	began := make([]string, restartStreams)
+	for i := range began {
+		must.Eq(t, "v1", sessionTurn(t, earlier.server.URL, fmt.Sprint("earlier-", i), i, 0))
+	}
+	for i := range began {
+		began[i] = sessionTurn(t, f.routers[i%restartRouters].server.URL, fmt.Sprint("began-", i), i, 0)
+		must.NotEq(t, "", began[i])
+	}
+	await(t, "records in the store", func() bool { return f.storedStreams(t) >= 2*restartStreams })
+	f.kill(restartRouters)
+	for _, u := range f.upstreams {
+		if u.version == "v2" { // their entries are there for some time
+			_ = u.server.Listener.Close()
+			u.server.CloseClientConnections()
+		}
+	}
+	f.restart(t, restartRouters)
+	f.awaitRouters(t, restartRouters)
+	for round, remove := range []bool{false, true} {
+		if remove {
+			f.remove(func(_ int, u *restartUpstream) bool { return u.version == "v2" })
+		}
+		resumed, all := 0, 0
+		for i, version := range began {
+			got := sessionTurn(t, f.routers[(i+1)%restartRouters].server.URL, fmt.Sprintf("again-%d-%d", round, i), i, 1)
+			if version == "v1" {
+				all++
+			}
+			if got != "" {
+				must.Eq(t, version, got, must.Sprint("session ", i))
+				resumed++
+			}
+		}
+		must.GreaterEq(t, minRestartStreams, all)
+		must.Less(t, restartStreams, all)
+		must.GreaterEq(t, all*9, resumed*10)
+		t.Logf("%d of %d streams that began at v1 went on, %d that began at v2 were refused", resumed, all, restartStreams-all)
+	}
+}
+
+// Records that are malformed must be left out, and all others must be read as they were written.
+func TestStoredStreamsAreDecodedAsEncoded(t *testing.T) {
+	want := platform.StoredStreams{Router: "b", At: time.UnixMilli(1700000000000), Streams: []gateway.Stream{
+		{Attempt: 1 << 63, Version: gateway.SeveralVersions}, {Attempt: 1, Version: 7}, {Attempt: 2, Version: 7},
+	}}
+	value, err := platform.EncodeStreams(want)
+	must.NoError(t, err)
+	decoded, findings := platform.DecodeStreams([]store.Record{
+		{Name: "b", Value: value}, {Name: "a", Value: []byte("x")}, {Name: "c", Value: []byte(`{"at":1,"versions":[{"version":1,"keys":"AAAA"}]}`)},
+	})
+	must.Len(t, 2, findings)
+	must.Eq(t, []platform.StoredStreams{want}, decoded)
+}
--- /dev/null
+++ b/entry/streams.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"dandelionrill.example/fleet/gateway"
+	"dandelionrill.example/fleet/platform"
+	"github.com/apex/log"
+)
+
+const (
+	// storeStreamsInterval is the mean time between two writes of the records of recent streams
+	// by one router that watches the store. Streams that began since the last write of all of
+	// them are lost if all routers end.
+	storeStreamsInterval = 1500 * time.Millisecond
+	// storedStreamsAge is how long ago the streams that are written were begun or renewed. A
+	// stream in progress is renewed within that time.
+	storedStreamsAge = 20 * time.Second
+	// maxStoredStreams limits the records of one object, to some 180 KB.
+	maxStoredStreams = 16384
+	// restoredStreamsAge is the age up to which records in the store are of use. It allows for
+	// clocks that differ by some seconds.
+	restoredStreamsAge = gateway.StreamMaxAge + 10*time.Second
+	// obsoleteStreamsAge is the age from which an object that its writer has left behind is
+	// emptied by others.
+	obsoleteStreamsAge = 10 * time.Minute
+	// streamsRestoreWait is how long a lookup waits for the records of a router that has just
+	// started.
+	streamsRestoreWait = 100 * time.Millisecond
+)
+
+// storeStreams keeps the records of recent streams in the store, for a fleet that is killed as
+// a whole, while a service has several versions. The routers that watch the store write what all
+// routers tell each other, so that the calls do not grow with the fleet. It runs until ctx ends.
+func (h *Host) storeStreams(ctx context.Context) {
+	var written []gateway.Stream
+	for ctx.Err() == nil {
+		sleep(ctx, storeStreamsInterval/2+rand.N(storeStreamsInterval))
+		if !h.mesh.Watcher() || !h.gateway.SeveralVersions() {
+			continue
+		}
+		streams := h.gateway.Streams().Recent(storedStreamsAge, maxStoredStreams)
+		if !slices.Equal(streams, written) && h.writeStreams(ctx, h.opts.Settings.Host, streams) {
+			written = streams
+		}
+	}
+}
+
+// writeStreams writes the object of a router, and reports whether it did.
+func (h *Host) writeStreams(ctx context.Context, router string, streams []gateway.Stream) bool {
+	value, err := platform.EncodeStreams(platform.StoredStreams{At: time.Now(), Streams: streams})
+	if err == nil {
+		_, err = h.store.WriteRecord(ctx, platform.KindStreams, router, value)
+	}
+	if err != nil && ctx.Err() == nil {
+		h.log.WithError(err).WithField("router", router).Warn("cannot write the records of recent streams")
+	}
+	return err == nil
+}
+
+// restoreStreams reads the records of recent streams that routers wrote before this one
+// started. Lookups wait for the first attempt only.
+func (h *Host) restoreStreams(ctx context.Context) {
+	tried := func() { h.streamsTriedOnce.Do(func() { close(h.streamsTried) }) }
+	defer tried()
+	if h.opts.Settings.FirstStart {
+		return
+	}
+	for began := time.Now(); ctx.Err() == nil && time.Since(began) < gateway.StreamMaxAge; sleep(ctx, registerRetryDelay) {
+		records, _, err := h.store.ListKind(ctx, platform.KindStreams)
+		if err != nil {
+			h.log.WithError(err).Warn("cannot read the records of recent streams; retrying")
+			tried()
+			continue
+		}
+		stored, findings := platform.DecodeStreams(records)
+		h.logInvalidEntries("streams", findings)
+		h.applyStreams(ctx, stored)
+		return
+	}
+}
+
+// applyStreams records the streams that are recent, and empties objects that are obsolete.
+func (h *Host) applyStreams(ctx context.Context, stored []platform.StoredStreams) {
+	restored := 0
+	for _, s := range stored {
+		switch age := time.Since(s.At); {
+		case age.Abs() <= restoredStreamsAge:
+			for _, stream := range s.Streams {
+				h.gateway.Streams().Record(stream, gateway.OriginStore)
+			}
+			restored += len(s.Streams)
+		case age.Abs() > obsoleteStreamsAge && len(s.Streams) > 0 && h.mesh.Watcher():
+			h.writeStreams(ctx, s.Router, nil)
+		}
+	}
+	h.log.WithFields(log.Fields{"routers": len(stored), "streams": restored}).Info("records of recent streams read")
+}
+
+// awaitStreams waits until the records of recent streams were read or cannot be read now, but
+// only a short time.
+func (h *Host) awaitStreams(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, streamsRestoreWait)
+	defer cancel()
+	select {
+	case <-h.streamsTried:
+	case <-ctx.Done():
+	}
+}
--- a/gateway/cacheindex.go
+++ b/gateway/cacheindex.go
@@ -142,6 +142,21 @@
 	return l != nil && l.whole && !l.readAt.Before(since)
 }
 
+// ReadOfUnlisted returns the short hashes of the keys of upstreams of the services for which
+// listed returns false, and whose whole lists were read within streamMaxAge.
+func (x *CacheIndex) ReadOfUnlisted(services []string, listed func(catalog.Key) bool) []uint32 {
+	oldest := time.Now().Add(-streamMaxAge)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var keys []uint32
+	for key, l := range x.lists {
+		if l.whole && l.readAt.After(oldest) && slices.Contains(services, l.service) && !listed(key) {
+			keys = append(keys, key.Sum())
+		}
+	}
+	return keys
+}
+
 // RemoveUnlisted removes the lists older than streamMaxAge of upstreams for which listed
 // returns false. Until then they tell that a part was not only at the upstreams that are left.
 func (x *CacheIndex) RemoveUnlisted(listed func(catalog.Key) bool) {
--- a/gateway/cachelookup.go
+++ b/gateway/cachelookup.go
@@ -23,8 +23,8 @@
 	Attempt  uint64   // StreamKey of the attempt that brought its first event; 0 if it is not named
 	Part     uint64   // key of the last part of its prompt; 0: cache lists do not matter
 	Services []string // whose upstreams can have begun it
-	// Fingerprint is that of its request; 0 if Part is. The record of an equal request tells
-	// the version if no cache list does, as after the end of the upstream.
+	// Fingerprint is that of its request; 0 if records of equal requests do not matter. Such a
+	// record tells the version if no cache list does, as after the end of the upstream.
 	Fingerprint uint64
 }
 
@@ -43,7 +43,8 @@
 	// Parts and Versions are parallel: an upstream of the version lists the part.
 	Parts    []uint64
 	Versions []uint32
-	// Read are the short hashes of the keys of the upstreams whose lists were read.
+	// Read are the short hashes of the keys of the upstreams whose lists were read, those of
+	// upstreams that have left since included.
 	Read []uint32
 }
 
@@ -99,6 +100,7 @@
 			a.Read = append(a.Read, u.Key().Sum())
 		}
 	}
+	a.Read = append(a.Read, g.caches.ReadOfUnlisted(services, lists(g.catalog.Load()))...)
 	return a
 }
 
@@ -148,16 +150,18 @@
 	// For the log.
 	took            time.Duration
 	asked, answered int // routers
-	versions        int // whose upstreams list the part
+	versions        int // whose upstreams list the part, or that records name
 	unread, listed  int // upstreams of the services
+	others          int // upstreams of other versions than the one found that can have begun the stream too
 }
 
 // lookUp asks other routers for the version that began a stream, and if none has a record of
 // it, for the upstreams that list the last part of its prompt. This part belongs to the
-// request or its session, so that these are the upstreams that began the stream. Lists that
-// neither this router nor another one has read are read here, as far as ctx allows.
+// request or its session, so that the upstream that began the stream is one of these. Lists
+// that neither this router nor another one has read are read here, as far as ctx allows.
 func (g *Gateway) lookUp(ctx context.Context, q StreamQuery) lookup {
 	began := time.Now()
+	g.opts.AwaitStreams(ctx)
 	own := make(chan CacheAnswer, 1)
 	if q.Part != 0 {
 		go func() {
@@ -178,6 +182,7 @@
 		return l
 	}
 	if q.Part == 0 {
+		l.decide(nil, g.addEqual(&answer, q.Fingerprint))
 		return l
 	}
 	caches := answer.Holders
@@ -187,29 +192,68 @@
 		g.readLists(ctx, missing, nil)
 		caches.Add(g.cacheAnswer(began, q.Services, []uint64{q.Part}))
 	}
-	versions := caches.versionsOf(q.Part)
-	listing := len(versions)
-	if version, known := g.streams.Version(q.Fingerprint); known {
-		answer.Equal = append(answer.Equal, version)
+	missing, l.listed = g.unread(q.Services, caches.Read)
+	l.unread = len(missing)
+	l.decide(caches.versionsOf(q.Part), g.addEqual(&answer, q.Fingerprint))
+	switch {
+	case l.result == resumedCached && len(answer.Equal) == 0:
+		// The part may be listed from an earlier turn of its session, while the stream began
+		// at an upstream whose list is not known.
+		l.others = g.unreadOthers(q.Services, l.version, missing, caches.Read)
+		if l.others > 0 {
+			l.result = ""
+		}
+	case l.result == "" && l.listed > 0 && l.unread == 0:
+		l.result = resumedNotHeld
 	}
-	several := false
-	for _, version := range answer.Equal {
-		several = several || version == SeveralVersions
+	return l
+}
+
+// decide sets the version by those whose upstreams list the last part of the prompt, and those
+// of the records of equal requests. They must not contradict each other.
+func (l *lookup) decide(listing, recorded []uint32) {
+	versions := slices.Clone(listing)
+	for _, version := range recorded {
 		if !slices.Contains(versions, version) {
 			versions = append(versions, version)
 		}
 	}
-	missing, l.listed = g.unread(q.Services, caches.Read)
-	l.versions, l.unread = len(versions), len(missing)
-	switch {
-	case several || len(versions) > 1:
+	switch l.versions = len(versions); {
+	case slices.Contains(recorded, SeveralVersions) || len(versions) > 1:
 		l.result = resumedAmbiguous
-	case listing == 1:
+	case len(listing) == 1:
 		l.version, l.result = versions[0], resumedCached
 	case len(versions) == 1:
 		l.version, l.result = versions[0], resumedSameRequest
-	case l.listed > 0 && l.unread == 0:
-		l.result = resumedNotHeld
 	}
-	return l
+}
+
+// addEqual adds this router's record of an equal request to those of the others, and returns
+// all.
+func (g *Gateway) addEqual(answer *StreamAnswer, fingerprint uint64) []uint32 {
+	if fingerprint != 0 {
+		if version, known := g.streams.Version(fingerprint); known {
+			answer.Equal = append(answer.Equal, version)
+		}
+	}
+	return answer.Equal
+}
+
+// unreadOthers returns the number of upstreams of the services, of another version, whose cache
+// lists are not known: those missing, and those that have left before anybody read them.
+func (g *Gateway) unreadOthers(services []string, version uint32, missing []*catalog.Upstream, read []uint32) int {
+	read = slices.Sorted(slices.Values(read))
+	n := 0
+	for _, u := range missing {
+		if u.VersionSum != version {
+			n++
+		}
+	}
+	current := g.catalog.Load()
+	for _, key := range g.versions.Others(services, version) {
+		if current.FindSum(key) == nil && !containsSorted(read, key) {
+			n++
+		}
+	}
+	return n
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,9 @@
 	// LookUpStream asks other routers for the version that began a stream; nil means that
 	// none knows. It returns when ctx ends.
 	LookUpStream func(ctx context.Context, query StreamQuery) StreamAnswer
+	// AwaitStreams waits until the records of streams from before the start of this router are
+	// there, or until ctx ends or they are not to be expected; nil means that there are none.
+	AwaitStreams func(ctx context.Context)
 	// CacheShare returns which upstreams' cache lists this router reads for lookups of other
 	// routers. It is called for each lookup; nil means all.
 	CacheShare func() func(*catalog.Upstream) bool
@@ -114,6 +118,9 @@
 	if opts.LookUpStream == nil {
 		opts.LookUpStream = func(context.Context, StreamQuery) StreamAnswer { return StreamAnswer{} }
 	}
+	if opts.AwaitStreams == nil {
+		opts.AwaitStreams = func(context.Context) {}
+	}
 	if opts.PermitTrial == nil {
 		opts.PermitTrial = func(context.Context) bool { return false }
 	}
@@ -247,10 +254,7 @@
 	g.markConfigured()
 	g.logListedLeaving(previous, c)
 	g.logCold(changes...)
-	listed := func(key catalog.Key) bool {
-		u := c.Find(key.ID)
-		return u != nil && u.Born == key.Born
-	}
+	listed := lists(c)
 	g.board.RemoveUnlisted(listed)
 	g.prompts.RemoveUnlisted(listed)
 	g.caches.RemoveUnlisted(listed)
@@ -258,9 +262,26 @@
 	g.loads.RemoveUnlisted(listed)
 }
 
+// lists returns whether a catalog lists an upstream.
+func lists(c *catalog.Catalog) func(catalog.Key) bool {
+	return func(key catalog.Key) bool {
+		u := c.Find(key.ID)
+		return u != nil && u.Born == key.Born
+	}
+}
+
 // SetPolicy replaces the policy, except for its ejection options.
 func (g *Gateway) SetPolicy(p Policy) { g.policy.Store(&p) }
 
+// SeveralVersions reports whether a service whose requests name prompt parts has several
+// versions, or had within StreamMaxAge.
+func (g *Gateway) SeveralVersions() bool {
+	table, current := g.table.Load(), g.catalog.Load()
+	return table != nil && slices.ContainsFunc(table.PromptedServices(), func(service string) bool {
+		return g.versions.Several(service, current.Service(service))
+	})
+}
+
 // SetRouterCount sets how many routers share the retry budgets and the connection
 // limits of upstreams.
 func (g *Gateway) SetRouterCount(n int) { g.routerCount.Store(int64(max(1, n))) }
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -33,6 +33,7 @@
 	OriginOwn     Origin = 1 << iota // this router's own sends
 	OriginDomain                     // another router of this failure domain
 	OriginForeign                    // a router of another failure domain
+	OriginStore                      // the store, from before this router started; not told to others
 )
 
 // loggedPlacement is a placement that was new to this router.
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -34,11 +34,18 @@
 	resumedVersionGone = "version-gone" // refused, in addition to one of the above
 )
 
-// resumeRefusals are the reasons of refusals by the result of finding the version.
-var resumeRefusals = map[string]string{
-	resumedUnknown:   "the version that began the stream is not known",
-	resumedAmbiguous: "several versions can have begun the stream",
-	resumedNotHeld:   "no upstream lists the prompt of the stream",
+// resumeRefusal is a refusal by the result of finding the version.
+type resumeRefusal struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// resumeRefusals are the refusals by result. Lists that were read, and records, change less soon
+// than what is not known yet.
+var resumeRefusals = map[string]resumeRefusal{
+	resumedUnknown:   {"the version that began the stream is not known", retryAfterShort},
+	resumedAmbiguous: {"several versions can have begun the stream", retryAfterUnknown},
+	resumedNotHeld:   {"no upstream lists the prompt of the stream", retryAfterUnknown},
 }
 
 // streamKey returns the key under which the version of a request's stream is recorded.
@@ -82,8 +89,8 @@
 	}
 	sum, result := g.findVersion(ctx, req)
 	g.metrics.resumed.Add(result, 1)
-	if reason, refuses := resumeRefusals[result]; refuses {
-		return refused(reason, retryAfterShort), false
+	if refusal, refuses := resumeRefusals[result]; refuses {
+		return refused(refusal.reason, refusal.retryAfter), false
 	}
 	req.version = boundVersion{sum: sum, bound: true}
 	if service, ok := g.serviceOfVersion(req.route, sum); ok {
@@ -146,6 +153,7 @@
 	g.opts.Log.WithFields(log.Fields{
 		"id": req.AttemptID, "resumes": req.Resumes, "result": l.result, "ms": l.took.Milliseconds(),
 		"routers_asked": l.asked, "routers_answered": l.answered, "versions": l.versions, "upstreams": l.listed, "unread": l.unread,
+		"others": l.others,
 	}).Info("version of a stream looked up")
 }
 
@@ -188,8 +196,8 @@
 		case found = <-answers:
 			answers = nil
 			g.preferRecord(&found, query.Attempt)
-			if found.result != "" || untilAsked {
-				return found
+			if found.result != "" || untilAsked || query.Attempt == 0 {
+				return found // without an attempt, no record can arrive that tells more
 			}
 		case <-ticker.C:
 			if g.preferRecord(&found, query.Attempt); found.result != "" {
--- /dev/null
+++ b/gateway/resume_session_test.go
@@ -0,0 +1,82 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/gateway"
+	"github.com/shoenig/test/must"
+)
+
+// versionSum returns the short hash of an upstream's version.
+func versionSum(r *replica) uint32 {
+	listed := []catalog.Upstream{r.upstream()}
+	catalog.New(1, listed)
+	return listed[0].VersionSum
+}
+
+// Guards against a stream that is joined from two versions after all routers were killed: the
+// upstream that began it is lost too, and another version lists the last part of the prompt
+// from an earlier turn of the session. As long as the list of one that can have begun the stream
+// is not known, also after its entry is removed, the stream must not go on.
+func TestEarlierTurnOfASessionIsNoProof(t *testing.T) {
+	on, off := &atomic.Bool{}, &atomic.Bool{}
+	on.Store(true)
+	earlier, atEarlier := cachingVersion(t, "i-1", "v1", on, "session")
+	lost, _ := cachingVersion(t, "i-2", "v2", off)
+	f := newStarted(t, earlier, lost)
+	must.Eq(t, http.StatusServiceUnavailable, f.takeUpUnnamed(t, "b", "session"))
+	f.setUpstreams(earlier)
+	must.Eq(t, http.StatusServiceUnavailable, f.takeUpUnnamed(t, "c", "session"))
+	must.Zero(t, atEarlier.Load())
+}
+
+// What is known of the upstream that was lost must count: its list, read by this router or
+// another one before it left, or the record of an equal request. These streams go on.
+func TestStreamOfASessionGoesOnByWhatIsKnown(t *testing.T) {
+	on, off := &atomic.Bool{}, &atomic.Bool{}
+	on.Store(true)
+	for _, c := range []struct {
+		name    string
+		readBy  string
+		equal   string // version of the record of an equal request
+		status  int
+		streams int64
+	}{
+		{name: "nothing", status: http.StatusServiceUnavailable},
+		{name: "own list", readBy: "this", status: http.StatusOK, streams: 1},
+		{name: "list of another router", readBy: "other", status: http.StatusOK, streams: 1},
+		{name: "record of the listed version", equal: "v1", status: http.StatusOK, streams: 1},
+		{name: "record of the lost version", equal: "v2", status: http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			readable := off
+			if c.readBy == "this" {
+				readable = on
+			}
+			earlier, atEarlier := cachingVersion(t, "i-1", "v1", on, "session")
+			lost, _ := cachingVersion(t, "i-2", "v2", readable)
+			sums := map[string]uint32{"v1": versionSum(earlier), "v2": versionSum(lost)}
+			key := lost.upstreamKey()
+			f := newStartedWith(t, func(o *gateway.Options) {
+				o.LookUpStream = func(_ context.Context, _ gateway.StreamQuery) (a gateway.StreamAnswer) {
+					a.Asked, a.Answered = 1, 1
+					if c.readBy == "other" {
+						a.Holders.Read = []uint32{key.Sum()}
+					}
+					if c.equal != "" {
+						a.Equal = []uint32{sums[c.equal]}
+					}
+					return a
+				}
+			}, earlier, lost)
+			f.gateway.ReadCaches(t.Context(), func(*catalog.Upstream) bool { return true })
+			f.setUpstreams(earlier)
+			must.Eq(t, c.status, f.takeUpUnnamed(t, "b", "session"))
+			must.Eq(t, c.streams, atEarlier.Load())
+		})
+	}
+}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -12,9 +12,10 @@
 	streamShards = 16
 	// maxStreamsPerShard is the number of streams recorded in one shard.
 	maxStreamsPerShard = 4096
-	// streamMaxAge is how long a stream can be taken up after its record was made or
+	// StreamMaxAge is how long a stream can be taken up after its record was made or
 	// renewed.
-	streamMaxAge = time.Minute
+	StreamMaxAge = time.Minute
+	streamMaxAge = StreamMaxAge
 	// maxLoggedStreams is the number of records retained for other routers.
 	maxLoggedStreams = 16384
 )
@@ -158,6 +159,23 @@
 	return record.version, known
 }
 
+// Recent returns the records that were made or renewed within maxAge, each once, the newest
+// first and limit at most.
+func (s *Streams) Recent(maxAge time.Duration, limit int) []Stream {
+	oldest := time.Since(s.start) - maxAge
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var streams []Stream
+	seen := make(map[uint64]bool)
+	for i := len(s.log) - 1; i >= 0 && len(streams) < limit && s.log[i].at >= oldest; i-- {
+		if stream := s.log[i].stream; !seen[stream.Attempt] {
+			seen[stream.Attempt] = true
+			streams = append(streams, stream)
+		}
+	}
+	return streams
+}
+
 // StreamsSince returns the newest records of the origins with sequence numbers from
 // after on, limit at most, and the number to pass to the next call. Older ones beyond the
 // limit are left out for good.
--- a/gateway/versionhistory.go
+++ b/gateway/versionhistory.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,16 @@
 	mu     sync.Mutex
 	since  time.Time                       // of the first catalog; zero before
 	listed map[string]map[uint32]time.Time // last listing by service and hash of the version
+	// upstreams are those listed within the first streamMaxAge of this process, by the short
+	// hash of their keys: streams that began at them before it started have no record here.
+	upstreams map[uint32]listedUpstream
+}
+
+// listedUpstream is an upstream that was listed.
+type listedUpstream struct {
+	service string
+	version uint32 // short hash
+	at      time.Time
 }
 
 // Update records the versions in a new catalog, and in the one that it replaces.
@@ -22,12 +34,17 @@
 	defer h.mu.Unlock()
 	if h.listed == nil {
 		h.since, h.listed = now, make(map[string]map[uint32]time.Time)
+		h.upstreams = make(map[uint32]listedUpstream)
 	}
+	starting := now.Sub(h.since) <= streamMaxAge
 	record := func(u *catalog.Upstream) {
 		if h.listed[u.Service] == nil {
 			h.listed[u.Service] = make(map[uint32]time.Time)
 		}
 		h.listed[u.Service][u.VersionSum] = now
+		if starting {
+			h.upstreams[u.Key().Sum()] = listedUpstream{service: u.Service, version: u.VersionSum, at: now}
+		}
 	}
 	old.All(record)
 	current.All(record)
@@ -41,6 +58,39 @@
 			delete(h.listed, service)
 		}
 	}
+	maps.DeleteFunc(h.upstreams, func(_ uint32, u listedUpstream) bool { return now.Sub(u.at) > streamMaxAge })
+}
+
+// Several reports whether several versions of a service are listed, or were within
+// streamMaxAge.
+func (h *versionHistory) Several(service string, listed []*catalog.Upstream) bool {
+	versions := make(map[uint32]bool)
+	for _, u := range listed {
+		versions[u.VersionSum] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for version, at := range h.listed[service] {
+		if time.Since(at) <= streamMaxAge {
+			versions[version] = true
+		}
+	}
+	return len(versions) > 1
+}
+
+// Others returns the short hashes of the keys of the upstreams of the services that are of
+// another version, and were listed within the first streamMaxAge of this process and, if they
+// have left since, within streamMaxAge.
+func (h *versionHistory) Others(services []string, version uint32) []uint32 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var keys []uint32
+	for key, u := range h.upstreams {
+		if u.version != version && time.Since(u.at) <= streamMaxAge && slices.Contains(services, u.service) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
 }
 
 // Only returns the only version of a service that can have begun a stream of the last
