--- a/entry/entry.go
+++ b/entry/entry.go
@@ -86,6 +86,7 @@
 
 	eras       *store.Eras
 	held       *heldConfiguration
+	confirmed  confirmations
 	routerList routerList
 	partList   partList
 
@@ -126,6 +127,7 @@
 		stop:         stopState{limit: s.Bounds.Stop},
 	}
 	h.held = &heldConfiguration{host: h}
+	h.confirmed.host = h
 	h.gateway = gateway.New(gateway.Options{
 		Protocol:             platform.Protocol{},
 		Log:                  opts.Log,
@@ -139,8 +141,9 @@
 		LookUpStream: func(ctx context.Context, query gateway.StreamQuery) gateway.StreamAnswer {
 			return h.mesh.LookUpStream(ctx, query)
 		},
-		AwaitStreams: h.awaitStreams,
-		CacheShare:   h.cacheShare,
+		ConfirmUpstreams: h.confirmed.Confirm,
+		AwaitStreams:     h.awaitStreams,
+		CacheShare:       h.cacheShare,
 		Permit: func(ctx context.Context, key catalog.Key, rate float64) (bool, time.Duration) {
 			return h.mesh.Permit(ctx, key.Sum(), rate)
 		},
--- a/gateway/cacheindex.go
+++ b/gateway/cacheindex.go
@@ -120,9 +120,9 @@
 }
 
 // Holders returns the versions of the upstreams of the services that list a part, each once.
-// Lists older than streamMaxAge do not count; an upstream that has left still does.
+// Lists older than StreamMaxAge do not count; an upstream that has left still does.
 func (x *CacheIndex) Holders(part uint64, services []string) []uint32 {
-	oldest := time.Now().Add(-streamMaxAge)
+	oldest := time.Now().Add(-StreamMaxAge)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var versions []uint32
@@ -143,9 +143,9 @@
 }
 
 // ReadOfUnlisted returns the short hashes of the keys of upstreams of the services for which
-// listed returns false, and whose whole lists were read within streamMaxAge.
+// listed returns false, and whose whole lists were read within StreamMaxAge.
 func (x *CacheIndex) ReadOfUnlisted(services []string, listed func(catalog.Key) bool) []uint32 {
-	oldest := time.Now().Add(-streamMaxAge)
+	oldest := time.Now().Add(-StreamMaxAge)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var keys []uint32
@@ -157,10 +157,10 @@
 	return keys
 }
 
-// RemoveUnlisted removes the lists older than streamMaxAge of upstreams for which listed
+// RemoveUnlisted removes the lists older than StreamMaxAge of upstreams for which listed
 // returns false. Until then they tell that a part was not only at the upstreams that are left.
 func (x *CacheIndex) RemoveUnlisted(listed func(catalog.Key) bool) {
-	oldest := time.Now().Add(-streamMaxAge)
+	oldest := time.Now().Add(-StreamMaxAge)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for key, l := range x.lists {
--- a/gateway/cachelookup.go
+++ b/gateway/cachelookup.go
@@ -162,13 +162,14 @@
 func (g *Gateway) lookUp(ctx context.Context, q StreamQuery) lookup {
 	began := time.Now()
 	g.opts.AwaitStreams(ctx)
-	own := make(chan CacheAnswer, 1)
+	own, confirmed := make(chan CacheAnswer, 1), make(chan bool, 1)
 	if q.Part != 0 {
 		go func() {
 			readCtx, cancel := context.WithTimeout(ctx, CacheWait)
 			defer cancel()
 			own <- g.LookUpCaches(readCtx, q.Services, []uint64{q.Part})
 		}()
+		go func() { confirmed <- g.confirmUpstreams(ctx) }()
 	}
 	askCtx, cancel := ctx, context.CancelFunc(func() {})
 	if q.Part != 0 {
@@ -187,6 +188,7 @@
 	}
 	caches := answer.Holders
 	caches.Add(<-own)
+	current := <-confirmed || g.hearsOthers(&l)
 	missing, _ := g.unread(q.Services, caches.Read)
 	if len(missing) > 0 {
 		g.readLists(ctx, missing, nil)
@@ -200,7 +202,7 @@
 		// The part may be listed from an earlier turn of its session, while the stream began
 		// at an upstream whose list is not known.
 		l.others = g.unreadOthers(q.Services, l.version, missing, caches.Read)
-		if l.others > 0 {
+		if l.others > 0 || !current {
 			l.result = ""
 		}
 	case l.result == "" && l.listed > 0 && l.unread == 0:
@@ -239,6 +241,12 @@
 	return answer.Equal
 }
 
+// hearsOthers reports whether other routers answered a lookup, or there are none. They tell
+// this router at once of upstreams that are new.
+func (g *Gateway) hearsOthers(l *lookup) bool {
+	return l.answered > 0 || g.routerCount.Load() == 1
+}
+
 // unreadOthers returns the number of upstreams of the services, of another version, whose cache
 // lists are not known: those missing, and those that have left before anybody read them.
 func (g *Gateway) unreadOthers(services []string, version uint32, missing []*catalog.Upstream, read []uint32) int {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,10 @@
 	// LookUpStream asks other routers for the version that began a stream; nil means that
 	// none knows. It returns when ctx ends.
 	LookUpStream func(ctx context.Context, query StreamQuery) StreamAnswer
+	// ConfirmUpstreams reads what has changed in the list of upstreams, puts it in use, and
+	// reports whether the list is the newest one of a moment after the call. Nil means that it
+	// always is.
+	ConfirmUpstreams func(ctx context.Context) bool
 	// AwaitStreams waits until the records of streams from before the start of this router are
 	// there, or until ctx ends or they are not to be expected; nil means that there are none.
 	AwaitStreams func(ctx context.Context)
@@ -118,6 +122,9 @@
 	if opts.LookUpStream == nil {
 		opts.LookUpStream = func(context.Context, StreamQuery) StreamAnswer { return StreamAnswer{} }
 	}
+	if opts.ConfirmUpstreams == nil {
+		opts.ConfirmUpstreams = func(context.Context) bool { return true }
+	}
 	if opts.AwaitStreams == nil {
 		opts.AwaitStreams = func(context.Context) {}
 	}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -121,31 +121,57 @@
 			return sum, resumedKnown
 		}
 	}
-	only, hasOnly := g.onlyVersion(req.service)
-	var query StreamQuery
-	if req.Resumes != "" {
-		query.Attempt = req.streamKey()
+	only, hasOnly := g.onlyVersion(req)
+	confirmed := false
+	if hasOnly {
+		// The stream began before this request came: a list from before may lack its version.
+		confirmed = g.confirmUpstreams(ctx)
+		only, hasOnly = g.onlyVersion(req)
 	}
-	if !hasOnly {
-		if query.Part, query.Services = g.cacheQuery(req); query.Part != 0 {
-			query.Fingerprint = req.fingerprint(req.Parts)
+	query := g.streamQuery(req, hasOnly, confirmed)
+	if query.Attempt == 0 && query.Fingerprint == 0 {
+		if hasOnly {
+			return only, resumedOnlyVersion
 		}
+		return 0, resumedUnknown
 	}
-	if query.Attempt != 0 || query.Part != 0 {
-		found := g.awaitVersion(ctx, req.AttemptID, query, hasOnly)
-		if found.result == "" {
-			found.version, found.result = only, resumedUnknown
-			if hasOnly {
-				found.result = resumedOnlyVersion
-			}
+	found := g.awaitVersion(ctx, req.AttemptID, query, hasOnly)
+	if found.result == "" {
+		found.result = resumedUnknown
+		if hasOnly && (confirmed || g.hearsOthers(&found)) {
+			found.version, found.result = only, resumedOnlyVersion
 		}
-		g.logLookup(req, &found)
-		return found.version, found.result
 	}
-	if hasOnly {
-		return only, resumedOnlyVersion
+	g.logLookup(req, &found)
+	return found.version, found.result
+}
+
+// confirmUpstreams reports whether the list of upstreams is the newest one of a moment after
+// the call.
+func (g *Gateway) confirmUpstreams(ctx context.Context) (ok bool) {
+	defer g.recoverPanic("confirmation", "")
+	ctx, cancel := context.WithTimeout(ctx, CacheWait)
+	defer cancel()
+	return g.opts.ConfirmUpstreams(ctx)
+}
+
+// streamQuery returns what to ask for the stream that a request takes up; it is zero if nothing
+// needs to be asked. hasOnly is true if its service has one version, by a list that is the
+// newest one if confirmed is true.
+func (g *Gateway) streamQuery(req *request, hasOnly, confirmed bool) StreamQuery {
+	var q StreamQuery
+	if req.Resumes != "" {
+		q.Attempt = req.streamKey()
+	}
+	part, services := g.cacheQuery(req)
+	if part == 0 || hasOnly && confirmed {
+		return q
+	}
+	q.Fingerprint = req.fingerprint(req.Parts)
+	if !hasOnly {
+		q.Part, q.Services = part, services
 	}
-	return 0, resumedUnknown
+	return q
 }
 
 // logLookup logs that a request waited for the version of its stream.
@@ -157,13 +183,22 @@
 	}).Info("version of a stream looked up")
 }
 
-// onlyVersion returns the version of a service if it has only one. A router whose list of
-// upstreams was not confirmed recently may have missed another one.
-func (g *Gateway) onlyVersion(service string) (sum uint32, ok bool) {
+// onlyVersion returns the version of a request's service if that has only one, and nothing
+// tells that the stream began elsewhere. A router whose list of upstreams was not confirmed
+// recently may have missed another one.
+func (g *Gateway) onlyVersion(req *request) (sum uint32, ok bool) {
 	if _, age := g.opts.ConfirmationAges(); age > maxConfirmationAge {
 		return 0, false
 	}
-	return g.versions.Only(service, g.catalog.Load().Service(service))
+	sum, ok = g.versions.Only(req.service, g.catalog.Load().Service(req.service))
+	if !ok {
+		return 0, false
+	}
+	if part, _ := g.cacheQuery(req); part != 0 {
+		recorded, known := g.streams.Version(req.fingerprint(req.Parts))
+		ok = !known || recorded == sum
+	}
+	return sum, ok
 }
 
 // awaitVersion waits, for the request with attemptID, until the record of its stream arrives,
--- a/gateway/resume_session_test.go
+++ b/gateway/resume_session_test.go
@@ -80,3 +80,54 @@
 		})
 	}
 }
+
+// Guards against a router that was cut off, or stood still, while upstreams of a new version
+// joined: its list has one version, of which a stream that began at the new one must not go on.
+// It goes on where the newest list, or what other routers record, shows that it may.
+func TestOnlyVersionIsThatOfTheNewestList(t *testing.T) {
+	on := &atomic.Bool{}
+	on.Store(true)
+	for _, c := range []struct {
+		name      string
+		confirmed bool
+		joined    bool // the newest list has another version, and the stream began there
+		routers   int
+		answered  int
+		equal     bool // another router has a record of the request
+		status    int
+		streams   int64
+	}{
+		{name: "one version", confirmed: true, routers: 3, status: http.StatusOK, streams: 1},
+		{name: "another version has joined", confirmed: true, joined: true, routers: 3, status: http.StatusServiceUnavailable},
+		{name: "cut off", joined: true, routers: 3, status: http.StatusServiceUnavailable},
+		{name: "cut off from the store", joined: true, routers: 3, answered: 2, equal: true, status: http.StatusServiceUnavailable},
+		{name: "store is away", routers: 3, answered: 2, status: http.StatusOK, streams: 1},
+		{name: "store is away, one router", routers: 1, status: http.StatusOK, streams: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, atFirst := cachingVersion(t, "i-1", "v1", on, "session")
+			second, _ := cachingVersion(t, "i-2", "v2", on, "session")
+			var f *fixture
+			f = newStartedWith(t, func(o *gateway.Options) {
+				o.ConfirmUpstreams = func(context.Context) bool {
+					if c.confirmed && c.joined {
+						f.setUpstreams(first, second)
+					}
+					return c.confirmed
+				}
+				o.LookUpStream = func(_ context.Context, q gateway.StreamQuery) (a gateway.StreamAnswer) {
+					a.Asked, a.Answered = c.routers-1, c.answered
+					if c.equal {
+						must.NotEq(t, 0, q.Fingerprint)
+						a.Equal = []uint32{versionSum(second)}
+					}
+					return a
+				}
+			}, first)
+			f.gateway.AgeVersionHistory(historyAge)
+			f.gateway.SetRouterCount(c.routers)
+			must.Eq(t, c.status, f.takeUpUnnamed(t, "b", "session"))
+			must.Eq(t, c.streams, atFirst.Load())
+		})
+	}
+}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -15,7 +15,6 @@
 	// StreamMaxAge is how long a stream can be taken up after its record was made or
 	// renewed.
 	StreamMaxAge = time.Minute
-	streamMaxAge = StreamMaxAge
 	// maxLoggedStreams is the number of records retained for other routers.
 	maxLoggedStreams = 16384
 )
@@ -81,7 +80,7 @@
 }
 
 // Record records the version of a stream; a version that is already known stays, or becomes
-// SeveralVersions under a fingerprint that is recorded with another one. A record that is new, or has reached a quarter of streamMaxAge, is retained for other routers.
+// SeveralVersions under a fingerprint that is recorded with another one. A record that is new, or has reached a quarter of StreamMaxAge, is retained for other routers.
 func (s *Streams) Record(stream Stream, origin Origin) {
 	now := time.Since(s.start)
 	if !s.shard(stream.Attempt).use(&stream, now) {
@@ -113,7 +112,7 @@
 		if stream.Version = record.version; conflicts {
 			stream.Version = SeveralVersions
 		}
-		if !conflicts && now-record.used < streamMaxAge/4 {
+		if !conflicts && now-record.used < StreamMaxAge/4 {
 			return false
 		}
 	}
@@ -125,9 +124,9 @@
 	return true
 }
 
-// expire drops the records that are older than streamMaxAge. s.mu must be held.
+// expire drops the records that are older than StreamMaxAge. s.mu must be held.
 func (s *streamShard) expire(now time.Duration) {
-	for len(s.order) > 0 && now-s.order[0].at > streamMaxAge {
+	for len(s.order) > 0 && now-s.order[0].at > StreamMaxAge {
 		s.dropFirst()
 	}
 }
@@ -180,7 +179,7 @@
 // after on, limit at most, and the number to pass to the next call. Older ones beyond the
 // limit are left out for good.
 func (s *Streams) StreamsSince(after uint64, origins Origin, limit int) ([]Stream, uint64) {
-	oldest := time.Since(s.start) - streamMaxAge
+	oldest := time.Since(s.start) - StreamMaxAge
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	end := s.firstNumber + uint64(len(s.log))
--- a/gossip/lookups.go
+++ b/gossip/lookups.go
@@ -185,11 +185,13 @@
 		if l.query.Attempt != 0 {
 			args.Attempts = append(args.Attempts, l.query.Attempt)
 		}
+		if l.query.Fingerprint != 0 {
+			args.Fingerprints = append(args.Fingerprints, l.query.Fingerprint)
+		}
 		if l.query.Part == 0 {
 			continue
 		}
 		args.Parts = append(args.Parts, l.query.Part)
-		args.Fingerprints = append(args.Fingerprints, l.query.Fingerprint)
 		for _, service := range l.query.Services {
 			if !slices.Contains(args.Services, service) {
 				args.Services = append(args.Services, service)
