--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -45,6 +45,7 @@
 	failureExcess float64           // its failure rate in excess of its pool's
 	fetchSource   *catalog.Upstream // upstream that has more of the prompt cached; nil if none is known
 	cost          *sendCost         // nil if it is not predicted
+	counted       bool              // it counts at the upstream already
 	permitAsked   time.Time         // when the permit for a cold upstream was asked for; zero if there is none
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -177,6 +177,7 @@
 	if !ok {
 		return false
 	}
+	g.uncount(&t) // its send begins once the turn has come again
 	if a.retryReserved = g.withdrawRetry(req.service); !a.retryReserved {
 		g.limits.putStash(t.upstream.Key())
 		return false
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -162,17 +162,42 @@
 		}
 	}
 	for range maxPermitCalls {
-		t, ok := g.choose(req, a)
+		t, ok := g.chooseCounted(req, a)
 		if !ok {
 			return target{}, false
 		}
-		if g.permit(ctx, &t) {
+		if t.counted || g.permit(ctx, &t) {
 			return t, true
 		}
 	}
 	a.avoidsLimited = true
 	defer func() { a.avoidsLimited = false }()
-	return g.choose(req, a)
+	return g.chooseCounted(req, a)
+}
+
+// chooseCounted is choose for a request that is sent at once. If it has a turn and needs no
+// permit, it counts at the upstream before others of its service choose: turns that are granted
+// together would all choose the upstream that has the fewest requests.
+func (g *Gateway) chooseCounted(req *request, a *attempts) (target, bool) {
+	if req.turn == nil {
+		return g.choose(req, a)
+	}
+	req.turn.queue.choosing.Lock()
+	defer req.turn.queue.choosing.Unlock()
+	t, ok := g.choose(req, a)
+	if ok && !g.needsPermit(t.upstream) {
+		g.board.BeginRequest(t.upstream.Key())
+		t.counted = true
+	}
+	return t, ok
+}
+
+// uncount ends the count of a target to which nothing is sent at once.
+func (g *Gateway) uncount(t *target) {
+	if t.counted {
+		g.board.EndRequest(t.upstream.Key())
+		t.counted = false
+	}
 }
 
 // reserveNow is like reserve, but does not wait: if the chosen upstream names a limit and
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -80,6 +80,8 @@
 	gateway *Gateway
 	service string
 
+	choosing sync.Mutex // held while a request with a turn chooses its upstream
+
 	mu      sync.Mutex
 	waiting *queue.Queue[*turn]
 	window  window.Window
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -88,7 +88,9 @@
 		s.record.limit = strconv.FormatFloat(rate, 'g', 4, 64)
 	}
 	a.tried[s.key()] = true
-	g.board.BeginRequest(s.key())
+	if !t.counted {
+		g.board.BeginRequest(s.key())
+	}
 	t.cost.begin()
 	return s
 }
