--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -129,8 +129,8 @@
 		only, hasOnly = g.onlyVersion(req)
 	}
 	query := g.streamQuery(req, hasOnly, confirmed)
-	if query.Attempt == 0 && query.Fingerprint == 0 {
-		if hasOnly {
+	if query.Attempt == 0 && query.Fingerprint == 0 { // there is nothing to ask for
+		if hasOnly && confirmed {
 			return only, resumedOnlyVersion
 		}
 		return 0, resumedUnknown
--- a/gateway/resume_only_test.go
+++ b/gateway/resume_only_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -23,6 +24,25 @@
 	must.Eq(t, 0, listed.runs.Load())
 }
 
+// Nobody can be asked for a stream without prompt parts whose caller names no attempt. The one
+// version of a list that is not the newest one must not be taken for its version.
+func TestOnlyVersionOfAStreamWithoutParts(t *testing.T) {
+	only := newVersion(t, "i-1", "v1", breaking)
+	confirmed := false
+	f := newFixtureWith(t, func(o *gateway.Options) {
+		o.ConfirmUpstreams = func(context.Context) bool { return confirmed }
+	}, only)
+	r := f.newResumable(t, "b", "")
+	r.Header.Set(lastEvent, "2")
+	f.refused(t, r)
+	must.Zero(t, only.runs.Load())
+	confirmed = true
+	r = f.newResumable(t, "c", "")
+	r.Header.Set(lastEvent, "2")
+	_, body := f.do(t, r)
+	must.Eq(t, endText, body)
+}
+
 // A router that has just started lists one version, and another one may have left while it was
 // away. Its history, which is empty, must not be taken for a proof that there was one version.
 func TestOnlyVersionNeedsAHistory(t *testing.T) {
