--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,9 +26,10 @@
 	FaultCold       = "cold"        // new upstreams that are cold for a time
 	FaultEvacuation = "evacuation"  // evacuated failure domains
 	FaultQueue      = "queue"       // more plain requests than their pool has slots
+	FaultCopies     = "copies"      // upstreams that write answers a second time, late
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultRequests, FaultStops, FaultRestart, FaultCold, FaultEvacuation, FaultQueue}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultRequests, FaultStops, FaultRestart, FaultCold, FaultEvacuation, FaultQueue, FaultCopies}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -152,7 +152,11 @@
 		return nil, errors.Wrap(err, "soak: upstream")
 	}
 	u.server = &http.Server{Handler: u.replica, ReadHeaderTimeout: time.Minute}
-	go func() { _ = u.server.Serve(l) }() // returns when the fleet is closed
+	serving := l
+	if f.faults.has(FaultCopies) {
+		serving = copyingListener{l}
+	}
+	go func() { _ = u.server.Serve(serving) }() // returns when the fleet is closed
 	if u.proxy, err = NewProxy(l.Addr().String()); err != nil {
 		return nil, errors.Wrap(err, "soak: upstream")
 	}
