--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,9 +92,10 @@
 
 	streamsTried     chan struct{} // closed once the records of recent streams were read, or could not be
 	streamsTriedOnce sync.Once     // closes streamsTried
-	upstreamsMu      sync.Mutex    // guards the fields below
-	missingEntries   catalog.MissingEntries
-	departed         catalog.Departed
+
+	upstreamsMu    sync.Mutex // guards the fields below
+	missingEntries catalog.MissingEntries
+	departed       catalog.Departed
 
 	callers    *callerConns
 	stop       stopState
