--- a/entry/session_restart_test.go
+++ b/entry/session_restart_test.go
@@ -117,3 +117,38 @@
 	must.Len(t, 2, findings)
 	must.Eq(t, []platform.StoredStreams{want}, decoded)
 }
+
+// Records are written while a service has several versions, and not otherwise: no store call is
+// made for streams without a release. What a router has left behind long ago is emptied.
+func TestStreamsAreStoredDuringReleasesOnly(t *testing.T) {
+	t.Parallel()
+	s := newStoreFixture(t)
+	c := wire.Configuration{
+		Version: 7, Host: "h", Service: "s", Key: "k", Timeout: time.Second, Attempts: 1,
+		Routes: []wire.Route{{Prefix: "/resume/", Kind: wire.RouteStreaming, Resumable: true, Sticky: true}},
+	}
+	s.SetObject(wire.KindConfiguration, wire.NameConfiguration, c.Spec())
+	s.SetObject(wire.KindUpstreams, "i-1", wire.Upstream("s", "127.0.0.1:9", "v1", false))
+	h := s.startHost(t, "r-1")
+	await(t, "router initialized", h.initialized)
+	await(t, "watcher", h.mesh.Watcher)
+	h.gateway.Streams().Record(gateway.Stream{Attempt: 1, Version: 7}, gateway.OriginOwn)
+	stored := func() []platform.StoredStreams {
+		records, _, err := h.store.ListKind(t.Context(), platform.KindStreams)
+		must.NoError(t, err)
+		decoded, findings := platform.DecodeStreams(records)
+		must.SliceEmpty(t, findings)
+		return decoded
+	}
+	time.Sleep(2 * storeStreamsInterval) // a write would have been due
+	must.SliceEmpty(t, stored())
+	s.SetObject(wire.KindUpstreams, "i-2", wire.Upstream("s", "127.0.0.1:9", "v2", false))
+	await(t, "records in the store", func() bool { return len(stored()) == 1 })
+	must.Eq(t, []gateway.Stream{{Attempt: 1, Version: 7}}, stored()[0].Streams)
+	h.applyStreams(t.Context(), []platform.StoredStreams{
+		{Router: "r-1", At: time.Now().Add(-2 * obsoleteStreamsAge), Streams: []gateway.Stream{{Attempt: 2, Version: 7}}},
+	})
+	must.SliceEmpty(t, stored()[0].Streams)
+	_, known := h.gateway.Streams().Version(2)
+	must.False(t, known)
+}
--- a/gateway/resume_session_test.go
+++ b/gateway/resume_session_test.go
@@ -81,6 +81,45 @@
 	}
 }
 
+// Guards against a router that has started a moment ago and is cut off while a new version joins: the
+// lists of the upstreams that it knows are no proof, unless its list of upstreams is the newest one,
+// or others that would have told it of a new one answer.
+func TestCacheListIsNoProofWithoutTheNewestUpstreams(t *testing.T) {
+	on := &atomic.Bool{}
+	on.Store(true)
+	for _, c := range []struct {
+		name                string
+		confirmed, joined   bool
+		answered, wantServe int
+	}{
+		{name: "confirmed", confirmed: true, wantServe: 1},
+		{name: "another version has joined", confirmed: true, joined: true},
+		{name: "cut off"},
+		{name: "store is away", answered: 1, wantServe: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, atFirst := cachingVersion(t, "i-1", "v1", on, "session")
+			second, _ := cachingVersion(t, "i-2", "v2", on, "session")
+			var f *fixture
+			f = newStartedWith(t, func(o *gateway.Options) {
+				o.ConfirmUpstreams = func(context.Context) bool {
+					if c.joined {
+						f.setUpstreams(first, second)
+					}
+					return c.confirmed
+				}
+				o.LookUpStream = func(context.Context, gateway.StreamQuery) gateway.StreamAnswer {
+					return gateway.StreamAnswer{Asked: 2, Answered: c.answered}
+				}
+			}, first)
+			f.gateway.SetRouterCount(3)
+			status := f.takeUpUnnamed(t, "b", "session")
+			must.Eq(t, int64(c.wantServe), atFirst.Load())
+			must.Eq(t, c.wantServe == 1, status == http.StatusOK)
+		})
+	}
+}
+
 // Guards against a router that was cut off, or stood still, while upstreams of a new version
 // joined: its list has one version, of which a stream that began at the new one must not go on.
 // It goes on where the newest list, or what other routers record, shows that it may.
--- a/gateway/streams_test.go
+++ b/gateway/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -31,6 +32,21 @@
 	must.SliceEmpty(t, expired)
 }
 
+// What is written to the store must be the newest state of each recent record, once.
+func TestRecentStreamsAreTheNewestOnce(t *testing.T) {
+	s := NewStreams()
+	const equal = fingerprintTag // the key of an equal request
+	s.Record(Stream{Attempt: 1, Version: 7}, OriginOwn)
+	s.start = s.start.Add(-time.Second)
+	s.Record(Stream{Attempt: equal, Version: 7}, OriginForeign)
+	s.Record(Stream{Attempt: 2, Version: 8}, OriginStore)
+	s.Record(Stream{Attempt: equal, Version: 8}, OriginOwn)
+	want := []Stream{{Attempt: equal, Version: SeveralVersions}, {Attempt: 2, Version: 8}, {Attempt: 1, Version: 7}}
+	must.Eq(t, want, s.Recent(time.Minute, 9))
+	must.Eq(t, want[:2], s.Recent(time.Second, 9))
+	must.Eq(t, want[:1], s.Recent(time.Minute, 1))
+}
+
 // The memory for records is limited; the oldest are dropped first.
 func TestStreamRecordsAreLimited(t *testing.T) {
 	s := NewStreams()
--- a/gossip/streams_test.go
+++ b/gossip/streams_test.go
@@ -42,6 +42,17 @@
 	must.Eq(t, 2, answer.Answered)
 }
 
+// A record of an equal request must be found where no cache lists are asked for, as while the
+// store cannot confirm that there is one version only.
+func TestEqualRequestIsLookedUpAlone(t *testing.T) {
+	second := startRouter(t, "r2")
+	first := newRouter(t, "r1", second.address)
+	second.streams.Record(gateway.Stream{Attempt: 9, Version: 3}, gateway.OriginForeign)
+	answer := first.mesh.LookUpStream(context.Background(), gateway.StreamQuery{Fingerprint: 9})
+	must.False(t, answer.Known)
+	must.Eq(t, []uint32{3}, answer.Equal)
+}
+
 // After a restart of all routers many streams are taken up at once. Each must be looked up,
 // without a call for each; and a peer that does not answer must hold no lookup beyond its time.
 func TestLookupsShareCalls(t *testing.T) {
