decide/cost: Speed stays within its limits on every processor

Cause: the logarithm of a speed is limited, and At returns its exponential. Log and Exp are written in assembly for some processors, and exp(log(0.7)) misses 0.7 by its rounding on x86-64.

Change: At limits its result as well.

--- a/decide/cost/slowness.go
+++ b/decide/cost/slowness.go
@@ -141,5 +141,8 @@
 	return s.log * math.Exp2(-float64(max(0, now-s.at))/float64(speedHalfLife))
 }
 
-// At returns the factor by which answers are expected to take longer than normal.
-func (s Speed) At(now time.Duration) float64 { return math.Exp(s.decayed(now)) }
+// At returns the factor by which answers are expected to take longer than normal. The
+// exponential of a logarithm may miss the limits by its rounding, which differs by processor.
+func (s Speed) At(now time.Duration) float64 {
+	return min(max(math.Exp(s.decayed(now)), minSpeed), maxSlowness)
+}
