--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -71,6 +71,9 @@
 			}
 			return g.endWithoutUpstream(req, a)
 		}
+		if len(req.sends) == 0 {
+			g.recordDrainElapsed(req)
+		}
 		e, failure := g.attempt(ctx, w, req, chosen, a)
 		if failure == 0 {
 			return req.afterDelivery(e)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -147,6 +147,9 @@
 		g.metrics.completeAnswer.Record(took)
 		g.slowest.record(req.route.Name, took, time.Now())
 	}
+	if e.kind == endRefused {
+		g.recordDrainElapsed(req)
+	}
 	fields := requestFields{req: req, end: e, took: took, catalog: g.catalog.Load().Revision}
 	fields.tableAge, fields.catalogAge = g.opts.ConfirmationAges()
 	g.opts.Log.WithFields(fields).Info("request")
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -67,6 +67,12 @@
 	if f.req.queueRefusal != "" {
 		fields["queue"] = f.req.queueRefusal
 	}
+	if f.req.bodyRead > 0 {
+		fields["body_ms"] = f.req.bodyRead.Milliseconds()
+	}
+	if f.req.drainElapsed > 0 {
+		fields["drain_ms"] = f.req.drainElapsed.Milliseconds()
+	}
 	if f.req.firstByte > 0 {
 		fields["first_ms"] = f.req.firstByte.Milliseconds()
 	}
--- a/gateway/record_test.go
+++ b/gateway/record_test.go
@@ -27,6 +27,23 @@
 	must.Eq(t, "i-5@a load=0 predicted=12/180ms slow=2.50 answered 0ms", describeSends(predicted, 0))
 }
 
+// Whether a request was late in a stop by its own body must be told from logs.
+func TestRequestNamesItsTimesInAStop(t *testing.T) {
+	g := New(Options{})
+	req := &request{body: []byte("x"), arrived: time.Now().Add(-2 * time.Second)}
+	req.recordBodyRead()
+	g.recordDrainElapsed(req)
+	fields := requestFields{req: req}.Fields()
+	must.NotNil(t, fields.Get("body_ms"))
+	must.Nil(t, fields.Get("drain_ms"))
+	g.draining.Store(&drainState{started: time.Now().Add(-time.Second)})
+	g.recordDrainElapsed(req)
+	must.NotNil(t, requestFields{req: req}.Fields().Get("drain_ms"))
+	without := &request{arrived: req.arrived}
+	without.recordBodyRead()
+	must.Nil(t, requestFields{req: without}.Fields().Get("body_ms"))
+}
+
 // The parts that requests had in common when an upstream ended must be told apart from logs.
 func TestRequestThatBrokeOffNamesItsParts(t *testing.T) {
 	req := &request{Meta: Meta{Parts: []PromptPart{{ID: "a"}, {ID: "b"}, {ID: "own"}}}, parts: []uint64{1, 2}, http: &http.Request{}}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -56,6 +56,8 @@
 	deliveredEventID string
 	lastEvent        time.Time     // when the last events were delivered
 	maxEventPause    time.Duration // longest pause between two deliveries of events
+	bodyRead         time.Duration // time until the body was read; 0 if there is none
+	drainElapsed     time.Duration // of a graceful shutdown, when it was passed on first or refused; 0 if there is none
 	firstByte        time.Duration // time until the first byte of the answer was ready to deliver
 }
 
@@ -103,6 +105,7 @@
 	if !ok {
 		return e
 	}
+	req.recordBodyRead()
 	req.ids = req.workIDs()
 	if e, refuses := g.refusesBlocked(req); refuses {
 		return e
