--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -98,8 +98,10 @@
 }
 
 // longAttempt returns an attempt whose slow stream takes two seconds.
-func longAttempt() string {
-	attempt := "long"
+func longAttempt() string { return longAttemptOf("long") }
+
+// longAttemptOf is longAttempt with a prefix.
+func longAttemptOf(attempt string) string {
 	for replica.Events(attempt) < 20 {
 		attempt += "-"
 	}
