gateway: measure the time of answers from when their request was complete

Change: the time until the body was read does not count.

Measured: TestSlowBodyIsNoSlowAnswer fails without the change (503 for a prompt request, 2 s before the end), and passes with it.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -145,7 +145,7 @@
 	if e.kind == endAnswered {
 		g.metrics.firstByte.Record(req.firstByte)
 		g.metrics.completeAnswer.Record(took)
-		g.slowest.record(req.route.Name, took, time.Now())
+		g.slowest.record(req.route.Name, took-req.bodyRead, time.Now())
 	}
 	if e.kind == endRefused {
 		g.recordDrainElapsed(req)
--- a/gateway/slowest.go
+++ b/gateway/slowest.go
@@ -21,7 +21,7 @@
 	return &slowestAnswers{began: now, current: make(map[string]time.Duration)}
 }
 
-// record records the duration of an answer.
+// record records how long an answer took after its request was complete.
 func (s *slowestAnswers) record(route string, took time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -84,3 +84,18 @@
 		must.Zero(t, up.runs.Load())
 	})
 }
+
+// Guards against sound requests that are refused in a graceful shutdown since the body of
+// another one had been slow: the time of the body says nothing of how long answers take.
+func TestSlowBodyIsNoSlowAnswer(t *testing.T) {
+	up := newReplica(t, "i-1", answering("ok"))
+	f := newFixture(t, up)
+	c := newSlowCaller(t, f, "/once/", false)
+	await(func() bool { return f.gateway.Active() == 1 })
+	time.Sleep(1500 * time.Millisecond)
+	c.finish(t)
+	must.Eq(t, http.StatusOK, c.answer(t).StatusCode)
+	f.gateway.Drain(2 * time.Second) // 1.4 s without the margin
+	response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, http.StatusOK, response.StatusCode)
+}
