gateway: decide whether a request still fits a stop when it is passed on

Cause: admit asks once, when the head of a request has arrived, whether a stop leaves enough time. The rest of the body may take seconds, as may the queue; the version of a stream 0.3 s, permits more. The request was then passed on, although it would have been refused by then. The check and the act were apart in time.

Change: a stopWatch holds each request until it is passed on. LatestInDrain (decide/admit) gives until when the end of a request must have arrived, and until when it must be passed on. Once that is over the request is refused at once, 503 "router is stopping" and Connection: close, whatever it waits for; a read of its body is interrupted. It is asked again before each send as long as no upstream has run the request; retries of what may have run go on. Bodies that end more than 3 s after the SIGTERM are still served if the route's answers take under a third of the time that is left, measured from their bodies; the queue predicts with the same bound.

Requests that were served before and are refused now: streams of up to 2.2 s whose bodies end after 2.8 s, and others whose bodies end less than 1.6 s before the end of the stop.

TestArrivingBodyIsRefusedAtOnceInAStop, TestRefusedRequestIsNotPassedOnAgainLateInAStop, TestTakeUpIsRefusedAtOnceInAStop, TestRequestIsNotPassedOnLateInAStopWithAPermit and TestQueuedRequestIsRefusedAtOnceInAStop fail on the code before.

--- a/decide/admit/drain.go
+++ b/decide/admit/drain.go
@@ -8,11 +8,14 @@
 	drainAcceptPeriod = 3 * time.Second
 	// drainMinTime is the time that a request accepted in drainAcceptPeriod has at least.
 	drainMinTime = time.Second
+	// drainSpareFactor is how many times as long as lately a request whose end arrives after
+	// drainAcceptPeriod may take.
+	drainSpareFactor = 3
 	// drainMargin is kept free before the end of the shutdown.
 	drainMargin = 600 * time.Millisecond
 )
 
-// Work describes a request that arrives during a graceful shutdown.
+// Work describes a request during a graceful shutdown.
 type Work struct {
 	Timeout  time.Duration // 0 if none
 	Expected time.Duration // how long requests of its kind have taken lately; 0 if unknown
@@ -27,5 +30,27 @@
 	if elapsed <= drainAcceptPeriod && left >= max(drainMinTime, w.Expected) {
 		return true
 	}
-	return w.Timeout > 0 && w.Timeout <= left
+	return w.fits(left)
+}
+
+// fits reports whether the work ends in the time that is left even if it takes its whole
+// timeout.
+func (w Work) fits(left time.Duration) bool { return w.Timeout > 0 && w.Timeout <= left }
+
+// LatestInDrain returns until when the end of a request must have arrived that FitsDrain has
+// accepted, and until when it must be passed on. Both count from the start of the shutdown, as
+// elapsed does, at which w.Timeout is left. After drainAcceptPeriod the end of a request may
+// still come if its kind has lately taken much less than the time that is left: its caller
+// would have to send all of it again.
+func LatestInDrain(w Work, elapsed, limit time.Duration) (arrival, send time.Duration) {
+	if w.fits(limit - elapsed - drainMargin) {
+		return elapsed + w.Timeout, elapsed + w.Timeout
+	}
+	end := limit - drainMargin
+	send = end - max(drainMinTime, w.Expected)
+	arrival = min(drainAcceptPeriod, send)
+	if w.Expected > 0 {
+		arrival = max(arrival, end-max(drainMinTime, drainSpareFactor*w.Expected))
+	}
+	return arrival, send
 }
--- a/decide/admit/drain_test.go
+++ b/decide/admit/drain_test.go
@@ -41,3 +41,58 @@
 		must.Eq(t, c.want, FitsDrain(c.work, c.elapsed, limit), must.Sprint(c.name))
 	}
 }
+
+// Guards against requests that are accepted by their heads and passed on when they cannot end
+// any more. A request whose end came in time may still wait; one that ends in time whatever it
+// takes may do so until its deadline.
+func TestLatestInDrain(t *testing.T) {
+	const (
+		limit = 8 * time.Second
+		ms    = time.Millisecond
+	)
+	for _, c := range []struct {
+		name          string
+		work          Work
+		elapsed       time.Duration
+		arrival, send time.Duration
+	}{
+		{"unknown kind", Work{Timeout: 15 * time.Second}, 0, 3000 * ms, 6400 * ms},
+		{"without a timeout", Work{}, 0, 3000 * ms, 6400 * ms},
+		{"after some time", Work{Timeout: 15 * time.Second}, 2 * time.Second, 3000 * ms, 6400 * ms},
+		{"short kind", Work{Timeout: 15 * time.Second, Expected: 20 * ms}, 0, 6400 * ms, 6400 * ms},
+		{"usual kind", Work{Timeout: 15 * time.Second, Expected: 1200 * ms}, 0, 3800 * ms, 6200 * ms},
+		{"slow kind", Work{Timeout: 15 * time.Second, Expected: 3 * time.Second}, 0, 3000 * ms, 4400 * ms},
+		{"slower kind", Work{Timeout: 15 * time.Second, Expected: 5 * time.Second}, 0, 2400 * ms, 2400 * ms},
+		{"kind that is too slow", Work{Timeout: 15 * time.Second, Expected: 9 * time.Second}, 0, -1600 * ms, -1600 * ms},
+		{"timeout that fits", Work{Timeout: 3 * time.Second, Expected: 5 * time.Second}, 4 * time.Second, 7000 * ms, 7000 * ms},
+		{"timeout that just fits", Work{Timeout: 3400 * ms}, 4 * time.Second, 7400 * ms, 7400 * ms},
+		{"timeout that does not fit", Work{Timeout: 3401 * ms}, 4 * time.Second, 3000 * ms, 6400 * ms},
+	} {
+		arrival, send := LatestInDrain(c.work, c.elapsed, limit)
+		must.Eq(t, c.arrival, arrival, must.Sprint(c.name))
+		must.Eq(t, c.send, send, must.Sprint(c.name))
+	}
+	_, send := LatestInDrain(Work{Timeout: 15 * time.Second}, 0, 2*time.Second)
+	must.Eq(t, 400*ms, send)
+}
+
+// Guards against requests that are accepted and refused at once, and against some that are passed
+// on with less time than requests of their kind take.
+func TestLatestInDrainFollowsAcceptance(t *testing.T) {
+	const limit, step = 8 * time.Second, 100 * time.Millisecond
+	for elapsed := time.Duration(0); elapsed < limit; elapsed += step {
+		for timeout := time.Duration(0); timeout < 2*limit; timeout += step {
+			for expected := time.Duration(0); expected < limit; expected += 500 * time.Millisecond {
+				w := Work{Timeout: timeout, Expected: expected}
+				arrival, send := LatestInDrain(w, elapsed, limit)
+				must.LessEq(t, send, arrival)
+				if FitsDrain(w, elapsed, limit) {
+					must.LessEq(t, arrival, elapsed, must.Sprintf("%+v at %v", w, elapsed))
+				}
+				if timeout == 0 || elapsed+timeout > limit-drainMargin {
+					must.LessEq(t, limit-drainMargin, send+max(expected, drainMinTime))
+				}
+			}
+		}
+	}
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -71,6 +71,10 @@
 			}
 			return g.endWithoutUpstream(req, a)
 		}
+		if !req.stop.passOn() {
+			g.unreserve(&chosen)
+			return refusedStopping()
+		}
 		if len(req.sends) == 0 {
 			g.recordDrainElapsed(req)
 		}
@@ -81,6 +85,9 @@
 		if !g.allowRetry(req, a, failure) {
 			return g.endWithoutRetry(ctx, req, e, failure)
 		}
+		if !req.headWritten && req.neverRan() {
+			req.stop.waitAgain()
+		}
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,9 @@
 	catalog           atomic.Pointer[catalog.Catalog]
 	routerCount       atomic.Int64               // routers that share the retry budgets and the upstreams' connection limits
 	draining          atomic.Pointer[drainState] // nil until a drain begins
-	running           context.Context            // ends when the requests in progress are canceled
+	drainBegun        context.Context            // ends once draining is set
+	endDrainBegun     context.CancelFunc
+	running           context.Context // ends when the requests in progress are canceled
 	cancelRunning     context.CancelFunc
 	activeRequests    atomic.Int64 // requests being served
 	bufferedBodyBytes atomic.Int64 // total size of the request bodies in memory
@@ -168,6 +170,7 @@
 	g.board.ownWork = g.loads.OwnWork
 	g.metrics.vars.Set("predictions", g.loads.errors)
 	g.running, g.cancelRunning = context.WithCancel(context.Background())
+	g.drainBegun, g.endDrainBegun = context.WithCancel(context.Background())
 	g.policy.Store(&opts.Policy)
 	g.regions.Store(&opts.Regions)
 	g.routerCount.Store(1)
@@ -301,9 +304,10 @@
 
 // Drain starts a graceful shutdown: the gateway asks callers to close their
 // connections, and refuses requests that could not finish before the process ends,
-// at limit from now.
+// at limit from now, also those that have arrived in part or wait to be passed on.
 func (g *Gateway) Drain(limit time.Duration) {
 	g.draining.CompareAndSwap(nil, &drainState{started: time.Now(), limit: limit})
+	g.endDrainBegun()
 }
 
 // CancelRequests ends the requests in progress, and later ones, at once: as failed, or cut
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -200,6 +200,13 @@
 	}
 }
 
+// unreserve releases a target to which nothing is sent, and keeps its permit for the next
+// request.
+func (g *Gateway) unreserve(t *target) {
+	g.uncount(t)
+	g.limits.putStash(t.upstream.Key())
+}
+
 // reserveNow is like reserve, but does not wait: if the chosen upstream names a limit and
 // no permit is at hand, it asks for one in advance and returns false.
 func (g *Gateway) reserveNow(req *request, a *attempts) (target, bool) {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -188,7 +188,7 @@
 // ended returns why a request has ended that waits.
 func (t *turn) ended(ctx context.Context) string {
 	switch {
-	case t.queue.gateway.running.Err() != nil:
+	case t.queue.gateway.running.Err() != nil, context.Cause(ctx) == errStopping:
 		return reasonStopping
 	case context.Cause(ctx) == context.DeadlineExceeded:
 		return reasonWaitedTooLong
@@ -262,14 +262,11 @@
 	return low
 }
 
-// longestWait returns the time left to a request, to its deadline or to the end of a stopping
-// router.
+// longestWait returns how long a request may wait for its turn, until its deadline or until a
+// stopping router refuses it.
 func (g *Gateway) longestWait(req *request) time.Duration {
-	left := time.Until(req.deadline)
-	if drain := g.draining.Load(); drain != nil {
-		left = min(left, drain.limit-time.Since(drain.started))
-	}
-	return left - minAttemptTime
+	_, send := g.latestInDrain(req)
+	return min(time.Until(req.deadline), send) - minAttemptTime
 }
 
 // retryAfter returns the Retry-After of a refusal.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"dandelionrill.example/fleet/decide/admit"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/forward"
 	"dandelionrill.example/fleet/routing"
@@ -43,6 +42,7 @@
 	ids      []uint64 // identifiers of what may crash upstreams; nil until the body is read
 
 	// Progress and result.
+	stop             *stopWatch
 	turn             *turn  // in the queue of its service; nil if it is not queued
 	queueRefusal     string // what made the queue refuse it; empty if it did not
 	sends            []sendRecord
@@ -100,17 +100,31 @@
 	if e, ok := g.admit(req); !ok {
 		return e
 	}
+	ctx := g.watchStop(w, req)
+	defer req.stop.end()
+	e := g.serveAdmitted(ctx, w, req)
+	if req.stop.hasRefused() {
+		return refusedStopping() // whatever its wait ended with
+	}
+	return e
+}
+
+// serveAdmitted handles a request that may be served.
+func (g *Gateway) serveAdmitted(ctx context.Context, w http.ResponseWriter, req *request) end {
 	release, e, ok := g.readBody(w, req)
 	defer release()
 	if !ok {
 		return e
 	}
 	req.recordBodyRead()
+	if !req.stop.arrived() {
+		return refusedStopping()
+	}
 	req.ids = req.workIDs()
 	if e, refuses := g.refusesBlocked(req); refuses {
 		return e
 	}
-	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	detach := context.AfterFunc(g.running, cancel)
 	defer detach()
@@ -151,7 +165,7 @@
 	req.deadline = req.arrived.Add(requestTimeout(req.Meta.Deadline, req.route.Timeout))
 	req.parts, req.prompt = sharedParts(&req.Meta)
 	if g.exceedsDrainTime(req) {
-		return refused("router is stopping", retryAfterShort), false
+		return refusedStopping(), false
 	}
 	return end{}, true
 }
@@ -207,17 +221,6 @@
 	return min(caller, route)
 }
 
-// exceedsDrainTime reports whether a graceful shutdown leaves too little time for
-// the request.
-func (g *Gateway) exceedsDrainTime(req *request) bool {
-	drain := g.draining.Load()
-	if drain == nil {
-		return false
-	}
-	work := admit.Work{Timeout: time.Until(req.deadline), Expected: g.slowest.slowest(req.route.Name, time.Now())}
-	return !admit.FitsDrain(work, time.Since(drain.started), drain.limit)
-}
-
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
@@ -283,6 +286,9 @@
 		return
 	}
 	h := w.Header()
+	if g.draining.Load() != nil {
+		h.Set("Connection", "close") // the request may have arrived before the drain began
+	}
 	g.opts.Protocol.SetRefusal(h, req.AttemptID, e.retryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(e.status)
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -1,6 +1,169 @@
 package gateway
 
-import "time"
+import (
+	"context"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"dandelionrill.example/fleet/decide/admit"
+	"github.com/cockroachdb/errors"
+)
+
+// errStopping is the cause with which a stopWatch ends the context of a request.
+var errStopping = errors.New(reasonStopping)
+
+// refusedStopping returns the end of a request that a graceful shutdown leaves too little time.
+func refusedStopping() end { return refused(reasonStopping, retryAfterShort) }
+
+// exceedsDrainTime reports whether a graceful shutdown leaves too little time for a request
+// whose head has arrived.
+func (g *Gateway) exceedsDrainTime(req *request) bool {
+	drain := g.draining.Load()
+	return drain != nil && !admit.FitsDrain(g.drainWork(req), time.Since(drain.started), drain.limit)
+}
+
+// latestInDrain returns in what time the end of a request has to arrive, and in what time it
+// has to be passed on, to be served in a graceful shutdown.
+func (g *Gateway) latestInDrain(req *request) (arrival, send time.Duration) {
+	drain := g.draining.Load()
+	if drain == nil {
+		return math.MaxInt64, math.MaxInt64
+	}
+	elapsed := time.Since(drain.started)
+	arrival, send = admit.LatestInDrain(g.drainWork(req), elapsed, drain.limit)
+	return arrival - elapsed, send - elapsed
+}
+
+func (g *Gateway) drainWork(req *request) admit.Work {
+	return admit.Work{Timeout: time.Until(req.deadline), Expected: g.slowest.slowest(req.route.Name, time.Now())}
+}
+
+// stopWatch refuses a request that has not been passed on once a graceful shutdown leaves too
+// little time for it, whatever it waits for: the rest of its body, the version of its stream,
+// its turn, or a permit. All methods may be called concurrently.
+type stopWatch struct {
+	gateway *Gateway
+	req     *request
+	cancel  context.CancelCauseFunc // ends the context of the request
+	detach  func() bool             // from the beginning of the shutdown
+	// interrupt ends the read of the body. The connection must be closed after the response.
+	interrupt func()
+
+	mu    sync.Mutex
+	phase stopPhase
+	timer *time.Timer // nil before the shutdown
+}
+
+// stopPhase is the state of a stopWatch.
+type stopPhase uint8
+
+const (
+	phaseArriving stopPhase = iota // the body is being read
+	phaseArrived                   // the request waits to be passed on
+	phasePassedOn                  // an upstream may run it, or it has ended
+	phaseRefused
+)
+
+// watchStop begins to watch a request, and returns the context that ends if it is refused. The
+// watch must be ended.
+func (g *Gateway) watchStop(w http.ResponseWriter, req *request) context.Context {
+	ctx, cancel := context.WithCancelCause(req.http.Context())
+	watch := &stopWatch{gateway: g, req: req, cancel: cancel, interrupt: func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only for readers that cannot block
+	}}
+	req.stop = watch
+	watch.detach = context.AfterFunc(g.drainBegun, func() {
+		watch.mu.Lock()
+		defer watch.mu.Unlock()
+		watch.check()
+	})
+	return ctx
+}
+
+// check refuses the request if it is too late for it, and otherwise schedules the next check.
+// w.mu must be held.
+func (w *stopWatch) check() {
+	if w.phase >= phasePassedOn || w.gateway.draining.Load() == nil {
+		return
+	}
+	left, send := w.gateway.latestInDrain(w.req)
+	if w.phase == phaseArrived {
+		left = send
+	}
+	switch {
+	case left < 0:
+		if w.phase == phaseArriving {
+			w.interrupt()
+		}
+		w.phase = phaseRefused
+		w.cancel(errStopping)
+	case w.timer == nil:
+		w.timer = time.AfterFunc(left+1, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.check()
+		})
+	default:
+		w.timer.Reset(left + 1)
+	}
+}
+
+// arrived tells the watch that the whole request has been read. It returns false if the request
+// is refused.
+func (w *stopWatch) arrived() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check()
+	if w.phase == phaseArriving {
+		w.phase = phaseArrived
+		w.check()
+	}
+	return w.phase != phaseRefused
+}
+
+// passOn tells the watch that the request is about to be passed on. It returns false if the
+// request is refused.
+func (w *stopWatch) passOn() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check()
+	if w.phase != phaseRefused {
+		w.phase = phasePassedOn
+	}
+	return w.phase != phaseRefused
+}
+
+// waitAgain tells the watch that no upstream has run the request, which is to be passed on
+// again.
+func (w *stopWatch) waitAgain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.phase = phaseArrived
+	w.check()
+}
+
+// hasRefused reports whether the request is refused.
+func (w *stopWatch) hasRefused() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.phase == phaseRefused
+}
+
+// end ends the watch and the context of the request.
+func (w *stopWatch) end() {
+	w.detach()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.phase != phaseRefused {
+		w.phase = phasePassedOn
+	}
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.cancel(nil)
+}
 
 // recordBodyRead records that the body of a request has been read.
 func (req *request) recordBodyRead() {
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/gateway"
 	"github.com/shoenig/test/must"
 )
 
@@ -85,6 +89,139 @@
 	})
 }
 
+// Guards against requests that are refused only at the end of a graceful shutdown: once the
+// body comes too late, its caller is to go elsewhere while its deadline lasts.
+func TestArrivingBodyIsRefusedAtOnceInAStop(t *testing.T) {
+	forEachSlowCaller(t, func(t *testing.T, path string, chunked bool) {
+		up := newReplica(t, "i-1", answering("ok"))
+		f := newFixture(t, up)
+		c := newSlowCaller(t, f, path, chunked)
+		await(func() bool { return f.gateway.Active() == 1 })
+		f.gateway.Drain(1500 * time.Millisecond)
+		response := c.answer(t)
+		must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+		must.NotEq(t, "", response.Header.Get("Retry-After"))
+		must.True(t, response.Close)
+		must.Zero(t, up.runs.Load())
+	})
+}
+
+// Guards against refusals of requests that can be served: the shutdown has begun while the body
+// arrived, and leaves enough time.
+func TestBodyThatEndsInTimeInAStopIsServed(t *testing.T) {
+	forEachSlowCaller(t, func(t *testing.T, path string, chunked bool) {
+		up := newReplica(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(signature, "sig")
+			events(w, 1, 3)
+		})
+		f := newFixture(t, up)
+		c := newSlowCaller(t, f, path, chunked)
+		await(func() bool { return f.gateway.Active() == 1 })
+		f.gateway.Drain(time.Minute)
+		c.finish(t)
+		must.Eq(t, http.StatusOK, c.answer(t).StatusCode)
+		must.Eq(t, 1, up.runs.Load())
+	})
+}
+
+// refusedAsStopping reads an answer, which must be the refusal of a stopping router.
+func (f *fixture) refusedAsStopping(t *testing.T, r *http.Request) {
+	t.Helper()
+	response, body := f.do(t, r)
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.Eq(t, "router is stopping\n", body)
+	must.True(t, response.Close)
+}
+
+// Guards against requests that are passed on too late in a graceful shutdown, since an upstream
+// has refused them and they are sent to another one.
+func TestRefusedRequestIsNotPassedOnAgainLateInAStop(t *testing.T) {
+	var f *fixture
+	refuse := func(w http.ResponseWriter, r *http.Request) {
+		f.gateway.Drain(1500 * time.Millisecond)
+		refusing(w, r)
+	}
+	one, two := newReplica(t, "i-1", refuse), newReplica(t, "i-2", refuse)
+	f = newFixture(t, one, two)
+	f.refusedAsStopping(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, 1, one.runs.Load()+two.runs.Load())
+}
+
+// Guards against requests that end as failed in a graceful shutdown although another attempt may
+// succeed: once a request may have run, it cannot be refused.
+func TestRetryGoesOnLateInAStop(t *testing.T) {
+	var f *fixture
+	var first atomic.Bool
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			f.gateway.Drain(1500 * time.Millisecond)
+			resetting(w, r)
+			return
+		}
+		answering("ok")(w, r)
+	}
+	one, two := newReplica(t, "i-1", handle), newReplica(t, "i-2", handle)
+	f = newFixture(t, one, two)
+	response, _ := f.do(t, f.newRequest(t, http.MethodGet, "/safe/", ""))
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, 2, one.runs.Load()+two.runs.Load())
+}
+
+// Guards against a take-up that is passed on late, or refused for another reason, since a
+// graceful shutdown begins while it waits for the version of its stream.
+func TestTakeUpIsRefusedAtOnceInAStop(t *testing.T) {
+	var f *fixture
+	one, two := newReplica(t, "i-1", answering("ok")), newReplica(t, "i-2", answering("ok"))
+	one.version, two.version = "v1", "v2"
+	f = newFixtureWith(t, func(o *gateway.Options) {
+		o.LookUpStream = func(ctx context.Context, _ gateway.StreamQuery) (answer gateway.StreamAnswer) {
+			f.gateway.Drain(1500 * time.Millisecond)
+			<-ctx.Done()
+			return answer
+		}
+	}, one, two)
+	r := f.newRequest(t, http.MethodPost, "/resume/", "{}")
+	r.Header.Set(resumes, "attempt-0")
+	r.Header.Set(lastEvent, "3")
+	f.refusedAsStopping(t, r)
+	must.Zero(t, one.runs.Load()+two.runs.Load())
+}
+
+// Guards against requests that are passed on too late in a graceful shutdown since they had to
+// wait for a permit.
+func TestRequestIsNotPassedOnLateInAStopWithAPermit(t *testing.T) {
+	var f *fixture
+	up := newReplica(t, "i-1", answering("ok"))
+	f = newFixtureWith(t, func(o *gateway.Options) {
+		o.Permit = func(ctx context.Context, _ catalog.Key, _ float64) (bool, time.Duration) {
+			f.gateway.Drain(1500 * time.Millisecond)
+			<-ctx.Done()
+			return true, 0
+		}
+	}, up)
+	f.gateway.Limits().Record(up.upstreamKey(), perSecond(3))
+	f.refusedAsStopping(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Zero(t, up.runs.Load())
+}
+
+// Guards against requests that wait in a queue of a stopping router until they cannot end any
+// more, and are passed on then.
+func TestQueuedRequestIsRefusedAtOnceInAStop(t *testing.T) {
+	p := newPool(t, 1, 2, 100, asConfigured) // a window of three
+	first := p.start(t, 3, "/once/")
+	await(func() bool { return p.runs() == 3 })
+	wait := p.start(t, 5, "/once/")
+	await(func() bool { return p.counter("waited") == 5 })
+	p.gateway.Drain(1500 * time.Millisecond)
+	must.Eq(t, map[int]int{http.StatusServiceUnavailable: 5}, wait())
+	must.Eq(t, 5, p.counter("refused_stopping"))
+	for range 3 {
+		p.finish <- struct{}{}
+	}
+	must.Eq(t, map[int]int{http.StatusOK: 3}, first())
+	must.Eq(t, 3, p.runs())
+}
+
 // Guards against sound requests that are refused in a graceful shutdown since the body of
 // another one had been slow: the time of the body says nothing of how long answers take.
 func TestSlowBodyIsNoSlowAnswer(t *testing.T) {
