gateway: apply the newest configuration once the body of a request has been read

A request whose body takes seconds was handled by the configuration that was in force when its head came: with a key that was withdrawn, on a route that was dropped or moved to another service meanwhile, longer than configApplyMs after the change.

Change: if a newer table is in force once the body has been read, route, key, service, deadline and limits are looked up again in it.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -117,7 +117,10 @@
 		return e
 	}
 	req.recordBodyRead()
-	if !req.stop.arrived() {
+	if e, ok := g.applyNewerTable(req); !ok {
+		return e
+	}
+	if !req.stop.arrived(req.route.Name, req.deadline) {
 		return refusedStopping()
 	}
 	req.ids = req.workIDs()
@@ -137,9 +140,36 @@
 // admit finds the route and the customer of a request, and rejects requests that
 // cannot be served.
 func (g *Gateway) admit(req *request) (end, bool) {
-	if req.table = g.awaitTable(req.http.Context()); req.table == nil {
+	table := g.awaitTable(req.http.Context())
+	if table == nil {
 		return refused("no configuration", retryAfterUnknown), false
 	}
+	if e, ok := g.applyTable(req, table); !ok {
+		return e, false
+	}
+	if g.exceedsDrainTime(req) {
+		return refusedStopping(), false
+	}
+	return end{}, true
+}
+
+// applyNewerTable applies the configuration in force to a request whose body has been read, if
+// it is newer than the one that was applied to its head.
+func (g *Gateway) applyNewerTable(req *request) (end, bool) {
+	table := g.table.Load()
+	if table == req.table {
+		return end{}, true
+	}
+	if limit := table.Limits.BodyBytes; limit > 0 && int64(len(req.body)) > limit {
+		return denied(http.StatusRequestEntityTooLarge, "body over the limit"), false
+	}
+	return g.applyTable(req, table)
+}
+
+// applyTable finds the route, the customer and the service of a request in a configuration, and
+// rejects what that does not allow.
+func (g *Gateway) applyTable(req *request, table *routing.Table) (end, bool) {
+	req.table, req.customer = table, nil
 	meta, err := g.opts.Protocol.ReadRequest(req.http.Header)
 	if err != nil {
 		return denied(http.StatusBadRequest, err.Error()), false
@@ -164,9 +194,6 @@
 	}
 	req.deadline = req.arrived.Add(requestTimeout(req.Meta.Deadline, req.route.Timeout))
 	req.parts, req.prompt = sharedParts(&req.Meta)
-	if g.exceedsDrainTime(req) {
-		return refusedStopping(), false
-	}
 	return end{}, true
 }
 
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -21,23 +21,23 @@
 // whose head has arrived.
 func (g *Gateway) exceedsDrainTime(req *request) bool {
 	drain := g.draining.Load()
-	return drain != nil && !admit.FitsDrain(g.drainWork(req), time.Since(drain.started), drain.limit)
+	return drain != nil && !admit.FitsDrain(g.drainWork(req.route.Name, req.deadline), time.Since(drain.started), drain.limit)
 }
 
-// latestInDrain returns in what time the end of a request has to arrive, and in what time it
+// latestInDrain returns in what time the end of a request to a route has to arrive, and in what time it
 // has to be passed on, to be served in a graceful shutdown.
-func (g *Gateway) latestInDrain(req *request) (arrival, send time.Duration) {
+func (g *Gateway) latestInDrain(route string, deadline time.Time) (arrival, send time.Duration) {
 	drain := g.draining.Load()
 	if drain == nil {
 		return math.MaxInt64, math.MaxInt64
 	}
 	elapsed := time.Since(drain.started)
-	arrival, send = admit.LatestInDrain(g.drainWork(req), elapsed, drain.limit)
+	arrival, send = admit.LatestInDrain(g.drainWork(route, deadline), elapsed, drain.limit)
 	return arrival - elapsed, send - elapsed
 }
 
-func (g *Gateway) drainWork(req *request) admit.Work {
-	return admit.Work{Timeout: time.Until(req.deadline), Expected: g.slowest.slowest(req.route.Name, time.Now())}
+func (g *Gateway) drainWork(route string, deadline time.Time) admit.Work {
+	return admit.Work{Timeout: time.Until(deadline), Expected: g.slowest.slowest(route, time.Now())}
 }
 
 // stopWatch refuses a request that has not been passed on once a graceful shutdown leaves too
@@ -45,15 +45,16 @@
 // its turn, or a permit. All methods may be called concurrently.
 type stopWatch struct {
 	gateway *Gateway
-	req     *request
 	cancel  context.CancelCauseFunc // ends the context of the request
 	detach  func() bool             // from the beginning of the shutdown
 	// interrupt ends the read of the body. The connection must be closed after the response.
 	interrupt func()
 
-	mu    sync.Mutex
-	phase stopPhase
-	timer *time.Timer // nil before the shutdown
+	mu       sync.Mutex
+	phase    stopPhase
+	timer    *time.Timer // nil before the shutdown
+	route    string      // of the request
+	deadline time.Time   // of the request
 }
 
 // stopPhase is the state of a stopWatch.
@@ -70,7 +71,7 @@
 // watch must be ended.
 func (g *Gateway) watchStop(w http.ResponseWriter, req *request) context.Context {
 	ctx, cancel := context.WithCancelCause(req.http.Context())
-	watch := &stopWatch{gateway: g, req: req, cancel: cancel, interrupt: func() {
+	watch := &stopWatch{gateway: g, cancel: cancel, route: req.route.Name, deadline: req.deadline, interrupt: func() {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only for readers that cannot block
 	}}
 	req.stop = watch
@@ -88,7 +89,7 @@
 	if w.phase >= phasePassedOn || w.gateway.draining.Load() == nil {
 		return
 	}
-	left, send := w.gateway.latestInDrain(w.req)
+	left, send := w.gateway.latestInDrain(w.route, w.deadline)
 	if w.phase == phaseArrived {
 		left = send
 	}
@@ -110,11 +111,12 @@
 	}
 }
 
-// arrived tells the watch that the whole request has been read. It returns false if the request
-// is refused.
-func (w *stopWatch) arrived() bool {
+// arrived tells the watch that the whole request has been read, and its route and deadline, which
+// a newer configuration may have changed. It returns false if the request is refused.
+func (w *stopWatch) arrived(route string, deadline time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.route, w.deadline = route, deadline
 	w.check()
 	if w.phase == phaseArriving {
 		w.phase = phaseArrived
