--- a/soak/stop_body_test.go
+++ b/soak/stop_body_test.go
@@ -6,15 +6,12 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"dandelionrill.example/standin/replica"
 	"dandelionrill.example/standin/wire"
 	"github.com/shoenig/test/must"
 )
@@ -50,7 +47,7 @@
 // what became of the request.
 func (c *bodyCaller) answer(after time.Duration) string {
 	outcome := make(chan string, 1)
-	go func() { outcome <- c.read() }()
+	go func() { outcome <- readOutcome(bufio.NewReader(c), c.attempt, c.stream) }()
 	select {
 	case early := <-outcome:
 		return early
@@ -60,31 +57,6 @@
 	return <-outcome
 }
 
-// read reads the answer, and returns what became of the request.
-func (c *bodyCaller) read() string {
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return "no answer"
-	}
-	body, err := io.ReadAll(response.Body)
-	want := replica.Body(c.attempt)
-	if c.stream {
-		want = ""
-		for n := 1; n <= replica.Events(c.attempt); n++ {
-			want += replica.Event(c.attempt, "", n)
-		}
-	}
-	switch {
-	case err != nil:
-		return "cut"
-	case response.StatusCode == http.StatusOK && string(body) == want:
-		return outcomeServed
-	case response.StatusCode == http.StatusOK:
-		return "not the whole answer"
-	}
-	return strconv.Itoa(response.StatusCode)
-}
-
 // What became of a request that met a stop as it should.
 const (
 	outcomeServed  = "served"
