--- a/soak/caller.go
+++ b/soak/caller.go
@@ -25,6 +25,7 @@
 	route    string
 	path     string        // of the request, below route
 	deadline time.Duration // as sent with the request
+	pause    time.Duration // in the middle of its body
 	first    string        // attempt that began the stream; equal to attempt if this one did
 	received int           // events of the stream over all attempts
 	version  string        // of the events received
@@ -83,6 +84,9 @@
 		if n%4 != 0 && c.soak.comeBack.Load() {
 			o.route, o.path, o.deadline = "/resume/", "slow", slowTimeout
 		}
+		if n%3 == 0 && c.soak.slowBodies.Load() {
+			o.pause, o.deadline = time.Duration(c.random.Int64N(int64(maxBodyPause))), slowTimeout
+		}
 		c.addCrashingWork(&o)
 		c.leaveLater(&o)
 		c.send(&o)
@@ -104,6 +108,10 @@
 	slowTimeout   = 8 * time.Second // of slow streams
 )
 
+// maxBodyPause is the longest pause in a slow body: it lasts until a stop that began before it is
+// over.
+const maxBodyPause = shutdownTimeout
+
 // isStream reports whether requests of the route are answered with events. They list the
 // parts of their prompt in a header.
 func isStream(route string) bool { return route == "/stream/" || route == "/resume/" }
@@ -152,6 +160,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.pause > 0 {
+		r.Body = io.NopCloser(&pausingBody{rest: requestBody, pause: o.pause})
+		if c.random.IntN(2) == 0 {
+			r.ContentLength = -1 // in chunks
+		}
+	}
 	r.GetBody = nil // keeps net/http from retrying the request on its own
 	r.Host = host
 	wire.SetRequestHeaders(r.Header, o.attempt, cmp.Or(o.key, apiKey), o.deadline)
@@ -170,6 +184,29 @@
 	return client.Do(r)
 }
 
+// pausingBody is a body whose second half comes after a pause.
+type pausingBody struct {
+	rest  string
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (b *pausingBody) Read(p []byte) (int, error) {
+	half := len(requestBody) / 2
+	if len(b.rest) > half {
+		p = p[:min(len(p), len(b.rest)-half)]
+	} else {
+		time.Sleep(b.pause)
+		b.pause = 0
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	if n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // readStream checks that the events belong to the stream, arrive in order and are of one
 // version over all its attempts, and that a stream that ends without an error has all its
 // events.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,7 @@
 	loads  int // started by startLoad
 
 	slowStreams  atomic.Bool                  // callers open slow streams too
+	slowBodies   atomic.Bool                  // the bodies of some requests pause
 	comeBack     atomic.Bool                  // callers come back to streams that a kill of all routers broke off
 	leaveStreams atomic.Bool                  // callers leave streams and take them up again
 	crashingWork atomic.Pointer[crashingWork] // that some requests are; nil if none is
@@ -351,6 +352,8 @@
 	if s.opts.Faults.has(FaultStops) {
 		slow := s.slowStreams.Swap(true)
 		defer s.slowStreams.Store(slow)
+		s.slowBodies.Store(true)
+		defer s.slowBodies.Store(false)
 	}
 	version := s.fleet.publishConfiguration()
 	drained := s.drainOne(2)
