--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"dandelionrill.example/fleet/decide/admit"
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/forward"
 	"dandelionrill.example/fleet/routing"
@@ -43,6 +42,7 @@
 	ids      []uint64 // identifiers of what may crash upstreams; nil until the body is read
 
 	// Progress and result.
+	stop             *stopWatch
 	turn             *turn  // in the queue of its service; nil if it is not queued
 	queueRefusal     string // what made the queue refuse it; empty if it did not
 	sends            []sendRecord
@@ -56,6 +56,8 @@
 	deliveredEventID string
 	lastEvent        time.Time     // when the last events were delivered
 	maxEventPause    time.Duration // longest pause between two deliveries of events
+	bodyRead         time.Duration // time until the body was read; 0 if there is none
+	drainElapsed     time.Duration // of a graceful shutdown, when it was passed on first or refused; 0 if there is none
 	firstByte        time.Duration // time until the first byte of the answer was ready to deliver
 }
 
@@ -98,16 +100,34 @@
 	if e, ok := g.admit(req); !ok {
 		return e
 	}
+	ctx := g.watchStop(w, req)
+	defer req.stop.end()
+	e := g.serveAdmitted(ctx, w, req)
+	if req.stop.hasRefused() {
+		return refusedStopping() // whatever its wait ended with
+	}
+	return e
+}
+
+// serveAdmitted handles a request that may be served.
+func (g *Gateway) serveAdmitted(ctx context.Context, w http.ResponseWriter, req *request) end {
 	release, e, ok := g.readBody(w, req)
 	defer release()
 	if !ok {
 		return e
 	}
+	req.recordBodyRead()
+	if e, ok := g.applyNewerTable(req); !ok {
+		return e
+	}
+	if !req.stop.arrived(req.route.Name, req.deadline) {
+		return refusedStopping()
+	}
 	req.ids = req.workIDs()
 	if e, refuses := g.refusesBlocked(req); refuses {
 		return e
 	}
-	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	detach := context.AfterFunc(g.running, cancel)
 	defer detach()
@@ -120,9 +140,36 @@
 // admit finds the route and the customer of a request, and rejects requests that
 // cannot be served.
 func (g *Gateway) admit(req *request) (end, bool) {
-	if req.table = g.awaitTable(req.http.Context()); req.table == nil {
+	table := g.awaitTable(req.http.Context())
+	if table == nil {
 		return refused("no configuration", retryAfterUnknown), false
 	}
+	if e, ok := g.applyTable(req, table); !ok {
+		return e, false
+	}
+	if g.exceedsDrainTime(req) {
+		return refusedStopping(), false
+	}
+	return end{}, true
+}
+
+// applyNewerTable applies the configuration in force to a request whose body has been read, if
+// it is newer than the one that was applied to its head.
+func (g *Gateway) applyNewerTable(req *request) (end, bool) {
+	table := g.table.Load()
+	if table == req.table {
+		return end{}, true
+	}
+	if limit := table.Limits.BodyBytes; limit > 0 && int64(len(req.body)) > limit {
+		return denied(http.StatusRequestEntityTooLarge, "body over the limit"), false
+	}
+	return g.applyTable(req, table)
+}
+
+// applyTable finds the route, the customer and the service of a request in a configuration, and
+// rejects what that does not allow.
+func (g *Gateway) applyTable(req *request, table *routing.Table) (end, bool) {
+	req.table, req.customer = table, nil
 	meta, err := g.opts.Protocol.ReadRequest(req.http.Header)
 	if err != nil {
 		return denied(http.StatusBadRequest, err.Error()), false
@@ -147,9 +194,6 @@
 	}
 	req.deadline = req.arrived.Add(requestTimeout(req.Meta.Deadline, req.route.Timeout))
 	req.parts, req.prompt = sharedParts(&req.Meta)
-	if g.exceedsDrainTime(req) {
-		return refused("router is stopping", retryAfterShort), false
-	}
 	return end{}, true
 }
 
@@ -204,17 +248,6 @@
 	return min(caller, route)
 }
 
-// exceedsDrainTime reports whether a graceful shutdown leaves too little time for
-// the request.
-func (g *Gateway) exceedsDrainTime(req *request) bool {
-	drain := g.draining.Load()
-	if drain == nil {
-		return false
-	}
-	work := admit.Work{Timeout: time.Until(req.deadline), Expected: g.slowest.slowest(req.route.Name, time.Now())}
-	return !admit.FitsDrain(work, time.Since(drain.started), drain.limit)
-}
-
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
@@ -280,6 +313,9 @@
 		return
 	}
 	h := w.Header()
+	if g.draining.Load() != nil {
+		h.Set("Connection", "close") // the request may have arrived before the drain began
+	}
 	g.opts.Protocol.SetRefusal(h, req.AttemptID, e.retryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(e.status)
