--- a/forward/conn.go
+++ b/forward/conn.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"dandelionrill.example/fleet/internal/errtext"
 	"dandelionrill.example/fleet/internal/netdial"
 	"github.com/cockroachdb/errors"
 )
@@ -118,7 +119,7 @@
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, errors.Wrap(err, "read answer")
+			return nil, errors.Wrap(errtext.Bound(err), "read answer")
 		}
 		if response.StatusCode >= http.StatusOK {
 			c.limit.N = 1 << 62
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +52,35 @@
 		})
 	}
 }
+
+// An error quotes what an upstream sent in place of an answer. Its text goes into log lines,
+// which are queued, and to callers: it must not grow with what was sent.
+func TestErrorTextsAreBounded(t *testing.T) {
+	for _, c := range []struct{ name, answer string }{
+		{"protocol", strings.Repeat("\x00", 60<<10) + "\r\n\r\n"},
+		{"status", "HTTP/1.1 " + strings.Repeat("\x00", 60<<10) + "\r\n\r\n"},
+		{"header", "HTTP/1.1 200 OK\r\n" + strings.Repeat("x", 60<<10) + "\r\n\r\n"},
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: " + strings.Repeat("x", 60<<10) + "\r\n\r\n"},
+		{"encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.Repeat("\x00", 60<<10) + "\r\n\r\n"},
+		{"trailer", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("x", 3<<10) + "\r\n\r\n"},
+		{"trailer of a late answer", "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("x", 3<<10) + "\r\n\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			u := serve(t, func(_ *upstream, conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err == nil {
+					_, _ = io.WriteString(conn, c.answer)
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), hungTestTimeout)
+			defer cancel()
+			response, err := newPool().Send(ctx, u.listener.Addr().String(), request("1"))
+			if err == nil {
+				_, err = io.Copy(io.Discard, response)
+				response.Close(false)
+			}
+			must.Error(t, err)
+			must.LessEq(t, 1024, len(err.Error()))
+		})
+	}
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"dandelionrill.example/fleet/internal/errtext"
 	"github.com/cockroachdb/errors"
 )
 
@@ -193,7 +194,7 @@
 		if response.Framing == FramingClose || response.Length > maxMismatchedBytes || ex.conn.sentHEAD {
 			return nil, ErrAnswerMismatch
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxMismatchedBytes))
+		n, err := io.Copy(io.Discard, io.LimitReader(response, maxMismatchedBytes))
 		switch {
 		case err != nil:
 			return nil, errors.Wrap(err, "skip late answer")
@@ -222,7 +223,10 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of the complete body.
-func (r *Response) Read(p []byte) (int, error) { return r.body.Read(p) }
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	return n, errtext.Bound(err)
+}
 
 // Close ends the exchange. complete means that the body was read to its end, so
 // that the connection may carry another request. Otherwise the connection is
