forward: a head of an answer has at most 512 lines

What callers saw: nothing here; reported by others, a replica's bytes end the machine that called it. A head had a limit of 64 KB, interim heads included, but none on its fields. A field of four bytes takes some 70 in memory, in the answer and again in the response to the caller, for as long as the answer lasts.

Change: headLimit counts lines besides bytes while a head is incomplete, interim heads included.

TestHeadOfManyLinesIsGivenUp fails without the limit (three cases of four; the fourth, a head of 500 fields, must pass), and in two with the limit begun anew for each interim head, as do the interim answers of TestBytesWithoutEndAreGivenUp (hangs until its timeout of a minute).

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -20,6 +19,8 @@
 	// maxHeadBytes limits the status line and headers of an answer, together with the
 	// interim answers before it.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines limits their lines: a short field takes many times its size in memory.
+	maxHeadLines = 512
 	// concurrentBodyBytes is the size from which a body is written while the
 	// answer is being read: an upstream may answer before it has read the body.
 	concurrentBodyBytes = 4 << 10
@@ -38,8 +39,8 @@
 type conn struct {
 	net       net.Conn
 	reader    *bufio.Reader
-	limit     io.LimitedReader // between net and reader; limits the size of heads
-	sentHEAD  bool             // a HEAD request was sent on it: the end of a late answer can't be found
+	limit     headLimit // between net and reader
+	sentHEAD  bool      // a HEAD request was sent on it: the end of a late answer can't be found
 	idleSince time.Time
 	// keepAliveTimeout is the idle timeout that the upstream announced: 0 if
 	// none, negative if the upstream closes the connection after its answer.
@@ -56,7 +57,7 @@
 
 func newConn(c net.Conn) *conn {
 	out := &conn{net: c}
-	out.limit = io.LimitedReader{R: c, N: maxHeadBytes}
+	out.limit.source = c
 	out.reader = bufio.NewReaderSize(&out.limit, readBufferBytes)
 	return out
 }
@@ -115,14 +116,14 @@
 // readHead reads the head of the next final answer. Interim (1xx) answers are
 // skipped.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.N = maxHeadBytes
+	c.limit.begin()
+	defer c.limit.end()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Wrap(errtext.Bound(err), "read answer")
 		}
 		if response.StatusCode >= http.StatusOK {
-			c.limit.N = 1 << 62
 			return response, nil
 		}
 	}
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -84,3 +85,48 @@
 		})
 	}
 }
+
+// Short fields take many times their bytes in memory, for as long as the answer lasts. A head
+// with more of them than any upstream has reason to send must be given up; lines of a body do
+// not count.
+func TestHeadOfManyLinesIsGivenUp(t *testing.T) {
+	fields := func(n int) string {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "%d:\r\n", i)
+		}
+		return b.String()
+	}
+	const begin, interim = "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 4000\r\n", "HTTP/1.1 103 Early Hints\r\n"
+	body := "\r\n" + strings.Repeat("\n", 4000)
+	for _, c := range []struct {
+		name, answer string
+		ok           bool
+	}{
+		{"most", begin + fields(500) + body, true},
+		{"many", begin + fields(2000) + body, false},
+		{"many of interim answers", strings.Repeat(interim+"\r\n", 1000) + begin + body, false},
+		{"many of several heads", strings.Repeat(interim+fields(300)+"\r\n", 6) + begin + body, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			u := serve(t, func(_ *upstream, conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err == nil {
+					_, _ = io.WriteString(conn, c.answer)
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), hungTestTimeout)
+			defer cancel()
+			response, err := newPool().Send(ctx, u.listener.Addr().String(), request("1"))
+			if !c.ok {
+				must.Eq(t, MayHaveRun, outcomeOf(t, err))
+				return
+			}
+			must.NoError(t, err)
+			n, err := io.Copy(io.Discard, response)
+			must.NoError(t, err)
+			must.Eq(t, 4000, n)
+			response.Close(true)
+		})
+	}
+}
