gateway: a limit on the memory of answers that cannot be delivered yet

What callers saw: nothing here; reported by others, a replica's bytes that are no answer end the machine that called it, and all requests there with it.

Cause: each event had a limit (256 KB) and each plain answer (64 KB), but not their sum. A stream kept two buffers, so that an event without end behind a long one held 570 KB, until the deadline of a request that may not be repeated: some 400 such requests fill a machine of 284 MB.

Change: Options.MaxBufferedAnswerBytes, an eighth of the memory limit as for the bodies of requests. The first 16 KB of each answer do not count, which is more than the events of any deployment. A buffer is reserved before it grows, freed after a long event, and given back with the end of the send. Above the limit a stream breaks off (and is continued elsewhere, if it may be), which is not held against its upstream; a plain answer is passed on as it arrives. The metric answer_memory counts the streams.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,9 @@
 	softMemoryShare = 0.75
 	// bodyShare is the share of the memory limit reserved for request bodies.
 	bodyShare = 0.125
+	// answerShare is the share of the memory limit reserved for answers that are held until
+	// they can be delivered.
+	answerShare = 0.125
 	// readHeaderTimeout and maxHeaderBytes limit what a caller may send before the
 	// limits of the configuration can be applied.
 	readHeaderTimeout = routing.HeaderTimeout
@@ -136,6 +139,9 @@
 		Regions:              s.Regions,
 		Policy:               policy(s),
 		MaxBufferedBodyBytes: int64(float64(s.MemoryBytes) * bodyShare),
+
+		MaxBufferedAnswerBytes: int64(float64(s.MemoryBytes) * answerShare),
+
 		ConfirmationAges: func() (configuration, upstreams time.Duration) {
 			return h.configuration.Stamp().Age, h.upstreams.Stamp().Age
 		},
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -64,17 +64,19 @@
 	// needsEvent is true if an end without any event is an error too: nothing shows then
 	// that the answer is whole.
 	needsEvent bool
+	held       *heldAnswer // accounts for partial and complete
 }
 
 // newEventReader returns a reader of the events of an answer.
-func newEventReader(r *forward.Response) *eventReader {
-	return &eventReader{chunk: make([]byte, relayBufferBytes), needsEvent: r.Framing == forward.FramingClose}
+func newEventReader(r *forward.Response, held *heldAnswer) *eventReader {
+	return &eventReader{chunk: make([]byte, relayBufferBytes), needsEvent: r.Framing == forward.FramingClose, held: held}
 }
 
 // read reads from the body once, unless complete events are left, and returns the events
 // that are complete; they are valid until the next call. At the end of the body it returns
 // io.EOF, or errIncompleteEvent if that is inside an event. It fails with errEventTooLong
-// if an event exceeds maxEventBytes.
+// if an event exceeds maxEventBytes, and with errAnswerMemory if other answers hold too much to
+// hold it.
 func (r *eventReader) read(body io.Reader) ([]byte, error) {
 	err := r.fill(body)
 	events := r.complete
@@ -87,7 +89,13 @@
 	if len(r.complete) > 0 {
 		return nil
 	}
+	if cap(r.complete) > ownAnswerBytes {
+		r.complete = nil // of a long event that was returned
+	}
 	n, err := body.Read(r.chunk)
+	if !r.reserve(n) {
+		return errAnswerMemory
+	}
 	r.add(r.chunk[:n])
 	switch {
 	case err == io.EOF && (r.scanner.inEvent || r.needsEvent && !r.scanner.sawEvent):
@@ -112,15 +120,28 @@
 	return nil
 }
 
-// add appends bytes of the body.
+// reserve makes room for n more bytes in partial. It returns false if other answers hold too
+// much.
+func (r *eventReader) reserve(n int) bool {
+	size := cap(r.partial)
+	if needed := len(r.partial) + n; needed > size {
+		size = max(needed, size+size/2)
+		if !r.held.resize(cap(r.partial) + size + cap(r.complete)) {
+			return false
+		}
+		r.partial = append(make([]byte, 0, size), r.partial...)
+	}
+	return r.held.resize(size + cap(r.complete))
+}
+
+// add appends bytes of the body, for which there is room. No complete events may be left.
 func (r *eventReader) add(p []byte) {
 	boundary := r.scanner.scan(p)
 	if boundary == 0 {
 		r.partial = append(r.partial, p...)
 		return
 	}
-	r.complete = append(append(r.complete, r.partial...), p[:boundary]...)
-	r.partial = append(r.partial[:0], p[boundary:]...)
+	r.complete, r.partial = append(r.partial, p[:boundary]...), append(r.complete[:0], p[boundary:]...)
 	r.recordLastID(r.complete)
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -78,7 +78,7 @@
 	s.response, s.body = response, response
 	s.record.framing = response.Framing
 	if req.route.IsStream() && response.Status < http.StatusMultipleChoices {
-		s.events = newEventReader(response)
+		s.events = newEventReader(response, &s.held)
 	}
 	return end{}, 0, ""
 }
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -60,3 +60,6 @@
 func (g *Gateway) Candidates(service string) int {
 	return len(g.candidates(&request{service: service}))
 }
+
+// HeldAnswerBytes returns the bytes of answers that count towards the limit.
+func (g *Gateway) HeldAnswerBytes() int64 { return g.answers.held.Load() }
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -19,7 +19,7 @@
 	f.Add([]byte("id:id:id:\n\nid"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		read := func(body io.Reader) (delivered []byte, last string, err error) {
-			r := newEventReader(&forward.Response{Framing: forward.FramingLength})
+			r := newEventReader(&forward.Response{Framing: forward.FramingLength}, &heldAnswer{})
 			for err == nil {
 				var ready []byte
 				ready, err = r.read(body)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -26,6 +27,10 @@
 	Policy        Policy
 	// MaxBufferedBodyBytes limits the total size of the request bodies in memory.
 	MaxBufferedBodyBytes int64
+	// MaxBufferedAnswerBytes limits the total size of the answers that are held until they
+	// can be delivered, such as incomplete events, beyond the first 16 kB of each; 0 means
+	// DefaultMaxBufferedAnswerBytes.
+	MaxBufferedAnswerBytes int64
 	// ConfirmationAges returns how long ago the configuration and the list of
 	// upstreams were last confirmed to be the newest; nil means just now.
 	ConfirmationAges func() (configuration, upstreams time.Duration)
@@ -106,6 +111,7 @@
 	cancelRunning     context.CancelFunc
 	activeRequests    atomic.Int64 // requests being served
 	bufferedBodyBytes atomic.Int64 // total size of the request bodies in memory
+	answers           answerMemory
 	versions          versionHistory
 	loggedBlocked     map[uint64]bool // parts that were last logged as blocked
 
@@ -165,6 +171,7 @@
 		}
 		return ""
 	})
+	g.answers.limit = cmp.Or(opts.MaxBufferedAnswerBytes, DefaultMaxBufferedAnswerBytes)
 	g.board.ownWork = g.loads.OwnWork
 	g.metrics.vars.Set("predictions", g.loads.errors)
 	g.running, g.cancelRunning = context.WithCancel(context.Background())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -74,6 +74,7 @@
 	permitsDenied     expvar.Int // and that were denied
 	limitedRequests   expvar.Int // requests refused for want of a permit
 	memoryFull        expvar.Int // requests refused since upstreams' memory is full
+	answerMemory      expvar.Int // answers broken off since too much is held of answers
 	evacuatedDomains  expvar.Int // failure domains that are evacuated
 	evacuatedRequests expvar.Int // requests refused since only evacuated upstreams are left
 	queue             expvar.Map // decisions of the queues
@@ -108,6 +109,7 @@
 	m.vars.Set("permits_denied", &m.permitsDenied)
 	m.vars.Set("limited_requests", &m.limitedRequests)
 	m.vars.Set("memory_full", &m.memoryFull)
+	m.vars.Set("answer_memory", &m.answerMemory)
 	m.vars.Set("evacuated_domains", &m.evacuatedDomains)
 	m.vars.Set("evacuated_requests", &m.evacuatedRequests)
 	m.vars.Set("queue", &m.queue)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,8 +51,7 @@
 func (g *Gateway) deliverBuffered(ctx context.Context, w http.ResponseWriter, req *request, s *send, watch *standbyWatch) (end, retry.Failure, string) {
 	r, body := s.response, answerReader{g, s, watch}
 	var buffered bytes.Buffer
-	_, err := io.Copy(&buffered, io.LimitReader(body, bufferedAnswerBytes))
-	complete := buffered.Len() < bufferedAnswerBytes
+	complete, err := s.readBuffered(body, &buffered)
 	if err == nil && !complete && r.Status >= http.StatusMultipleChoices && r.Framing != forward.FramingLength {
 		err = errFailureTooLong
 	}
@@ -78,6 +77,8 @@
 	out := deliveryWriter{g, s, w}
 	_, _ = out.Write(buffered.Bytes()) // a caller that disconnected is noticed through the context
 	if !complete {
+		buffered = bytes.Buffer{} // while the rest is relayed
+		s.held.resize(0)
 		if _, err = io.Copy(out, body); err != nil {
 			r.Close(false)
 			return end{kind: endCut, reason: "large answer broke off"}, 0, resultCut
@@ -138,7 +139,9 @@
 	case errNotNeeded:
 		return end{}, retry.FailureMayHaveRun, resultNotNeeded
 	}
-	err = g.attributeFailure(ctx, s.key(), err)
+	if !errors.Is(err, errAnswerMemory) {
+		err = g.attributeFailure(ctx, s.key(), err)
+	}
 	switch {
 	case req.http.Context().Err() != nil:
 		return end{kind: endCallerLeft, reason: "caller left"}, 0, resultCallerLeft
@@ -146,7 +149,11 @@
 		e := g.interrupted()
 		return e, 0, e.reason // a part that was delivered makes it cut
 	}
-	g.recordBrokenOff(req, s, err)
+	if errors.Is(err, errAnswerMemory) {
+		g.metrics.answerMemory.Add(1)
+	} else {
+		g.recordBrokenOff(req, s, err)
+	}
 	e := failed(http.StatusBadGateway, "upstream's answer broke off: "+err.Error())
 	if req.headWritten {
 		return e, retry.FailureCut, resultCut
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -24,6 +24,8 @@
 	body           io.Reader         // of response
 	events         *eventReader      // of body; nil if that is not a stream
 	firstDelivered time.Time         // when its first events were delivered; zero before
+	held           heldAnswer
+	aheadBytes     int // size of the buffer of what was read ahead of a plain answer
 	// undeliveredSince is the time from start to the arrival of the first bytes that cannot
 	// be delivered yet, in nanoseconds; 0 if there are none.
 	undeliveredSince atomic.Int64
@@ -80,6 +82,7 @@
 func (g *Gateway) beginSend(ctx context.Context, t target, a *attempts) *send {
 	s := &send{target: t, start: time.Now()}
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	s.held.memory = &g.answers
 	s.record = sendRecord{upstream: t.upstream.ID + "@" + t.upstream.FailureDomain, version: t.upstream.Version, load: t.load, cachedParts: t.cachedParts, failureExcess: t.failureExcess, predicted: t.cost}
 	if t.fetchSource != nil {
 		s.record.fetchSource = t.fetchSource.ID
@@ -100,6 +103,7 @@
 	g.board.EndRequest(s.key())
 	s.target.cost.end()
 	s.cancel(nil)
+	s.held.resize(0)
 	if failure == retry.FailureNotSent {
 		a.failedDials++
 	} else {
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -222,15 +222,15 @@
 	return 0, ""
 }
 
-// readAhead reads the first events of a stream, or up to bufferedAnswerBytes of another
-// answer, which are read again by the next reads of s.events or s.body.
+// readAhead reads the first events of a stream, or the beginning of another answer, which are read again by the next reads of s.events or s.body.
 func (g *Gateway) readAhead(s *send) error {
 	body := activityReader{g, s}
 	if s.events != nil {
 		return s.events.await(body)
 	}
 	var ahead bytes.Buffer
-	_, err := io.Copy(&ahead, io.LimitReader(body, bufferedAnswerBytes))
+	_, err := s.readBuffered(body, &ahead)
+	s.aheadBytes = ahead.Cap()
 	s.body = io.MultiReader(&ahead, s.response)
 	return err
 }
