gateway: a broken stream is only continued by the next event of it

Cause: answers with a status of 300 and more, without a signature, or encoded did not continue a stream, but any signed 2xx did. Its events were passed on whatever their identifiers, and its end was taken for that of the stream: a 204, an answer without events, one from the start again, with an event left out, or with a text that ends with an empty line. A stream whose events have no identifiers was begun anew at another upstream.

Change: the first event of a continuation that is no comment must carry the next identifier: last plus one where the events so far rose by one, otherwise a higher one (or another one, if they are no numbers). If not, and at an end before it, the answer is a failure, for which another upstream may be tried. Standby attempts are checked before they take over. Without identifiers nothing is tried. That what was delivered in part is cut is now decided in one place, ServeHTTP, for all ends.

A choice: an empty continuation is no longer taken for the end. An upstream that breaks off between its last event and the last chunk leaves a stream that is cut; its caller can take it up.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -73,7 +73,7 @@
 		}
 		e, failure := g.attempt(ctx, w, req, chosen, a)
 		if failure == 0 {
-			return req.afterDelivery(e)
+			return e
 		}
 		if !g.allowRetry(req, a, failure) {
 			return g.endWithoutRetry(ctx, req, e, failure)
@@ -147,7 +147,7 @@
 		Remaining:    time.Until(req.deadline),
 		MinRemaining: minAttemptTime,
 	})
-	if decision != retry.DecisionRetry || failure != retry.FailureNotSent && g.crashes.Suspected(req.ids, a.hasTried) {
+	if decision != retry.DecisionRetry || !req.canContinue() || failure != retry.FailureNotSent && g.crashes.Suspected(req.ids, a.hasTried) {
 		return false
 	}
 	if a.retryReserved || failure == retry.FailureNotSent && a.sent == 0 {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -64,7 +64,8 @@
 	// needsEvent is true if an end without any event is an error too: nothing shows then
 	// that the answer is whole.
 	needsEvent bool
-	held       *heldAnswer // accounts for partial and complete
+	held       *heldAnswer     // accounts for partial and complete
+	after      *streamPosition // of a stream to be continued, until its next event has come; nil if none
 }
 
 // newEventReader returns a reader of the events of an answer.
@@ -75,8 +76,8 @@
 // read reads from the body once, unless complete events are left, and returns the events
 // that are complete; they are valid until the next call. At the end of the body it returns
 // io.EOF, or errIncompleteEvent if that is inside an event. It fails with errEventTooLong
-// if an event exceeds maxEventBytes, and with errAnswerMemory if other answers hold too much to
-// hold it.
+// if an event exceeds maxEventBytes, with errAnswerMemory if other answers hold too much to
+// hold it, and with errNotContinued if the events or the end do not go on at after.
 func (r *eventReader) read(body io.Reader) ([]byte, error) {
 	err := r.fill(body)
 	events := r.complete
@@ -97,6 +98,9 @@
 		return errAnswerMemory
 	}
 	r.add(r.chunk[:n])
+	if err := r.checkContinued(err == io.EOF); err != nil {
+		return err
+	}
 	switch {
 	case err == io.EOF && (r.scanner.inEvent || r.needsEvent && !r.scanner.sawEvent):
 		return errIncompleteEvent
@@ -120,6 +124,24 @@
 	return nil
 }
 
+// checkContinued checks that complete events, or the end, go on at after.
+func (r *eventReader) checkContinued(ended bool) error {
+	if r.after == nil {
+		return nil
+	}
+	found, err := r.after.check(r.complete)
+	switch {
+	case err != nil:
+		r.complete = nil
+		return err
+	case found:
+		r.after = nil
+	case ended:
+		return errNotContinued // an end without the next event may be that of any answer
+	}
+	return nil
+}
+
 // reserve makes room for n more bytes in partial. It returns false if other answers hold too
 // much.
 func (r *eventReader) reserve(n int) bool {
@@ -142,7 +164,9 @@
 		return
 	}
 	r.complete, r.partial = append(r.partial, p[:boundary]...), append(r.complete[:0], p[boundary:]...)
-	r.recordLastID(r.complete)
+	if id, ok := lastEventID(r.complete); ok {
+		r.lastID = id
+	}
 }
 
 // waitsForMore reports whether bytes have arrived that are no complete event yet. The second
@@ -151,20 +175,19 @@
 
 var idField = []byte("id:")
 
-// recordLastID sets lastID to the last identifier in complete events, if there is
-// one.
-func (r *eventReader) recordLastID(events []byte) {
+// lastEventID returns the last identifier in complete events, if there is one.
+func lastEventID(events []byte) (id string, ok bool) {
 	for len(events) > 0 {
 		at := bytes.LastIndex(events, idField)
 		if at < 0 {
-			return
+			return "", false
 		}
 		if at == 0 || isLineEnd(events[at-1]) {
-			r.lastID = string(bytes.TrimSpace(firstLine(events[at+len(idField):])))
-			return
+			return string(bytes.TrimSpace(firstLine(events[at+len(idField):]))), true
 		}
 		events = events[:at]
 	}
+	return "", false
 }
 
 func isLineEnd(b byte) bool { return b == '\n' || b == '\r' }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -79,6 +79,10 @@
 	s.record.framing = response.Framing
 	if req.route.IsStream() && response.Status < http.StatusMultipleChoices {
 		s.events = newEventReader(response, &s.held)
+		if req.headWritten {
+			position := req.position()
+			s.events.after = &position
+		}
 	}
 	return end{}, 0, ""
 }
--- a/gateway/panics.go
+++ b/gateway/panics.go
@@ -41,7 +41,7 @@
 	defer func() {
 		if value := recover(); value != nil {
 			g.reportPanic("request", req.AttemptID, value)
-			e = req.afterDelivery(internalError())
+			e = internalError()
 		}
 	}()
 	return g.serve(w, req)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -227,4 +227,7 @@
 	if s.events.lastID != "" {
 		req.deliveredEventID = s.events.lastID
 	}
+	req.deliveredEvents += s.events.scanner.ended - s.deliveredEvents
+	s.deliveredEvents = s.events.scanner.ended
+	req.unidentified = req.deliveredEventID == "" && (req.unidentified || !isComment(ready))
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -18,14 +18,15 @@
 	record sendRecord
 	start  time.Time
 	// ctx ends with the request, or when the send is canceled.
-	ctx            context.Context
-	cancel         context.CancelCauseFunc
-	response       *forward.Response // nil until its head has arrived
-	body           io.Reader         // of response
-	events         *eventReader      // of body; nil if that is not a stream
-	firstDelivered time.Time         // when its first events were delivered; zero before
-	held           heldAnswer
-	aheadBytes     int // size of the buffer of what was read ahead of a plain answer
+	ctx             context.Context
+	cancel          context.CancelCauseFunc
+	response        *forward.Response // nil until its head has arrived
+	body            io.Reader         // of response
+	events          *eventReader      // of body; nil if that is not a stream
+	firstDelivered  time.Time         // when its first events were delivered; zero before
+	deliveredEvents int
+	held            heldAnswer
+	aheadBytes      int // size of the buffer of what was read ahead of a plain answer
 	// undeliveredSince is the time from start to the arrival of the first bytes that cannot
 	// be delivered yet, in nanoseconds; 0 if there are none.
 	undeliveredSince atomic.Int64
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,6 +54,8 @@
 	headWritten      bool        // status and headers of an answer were delivered
 	version          boundVersion
 	deliveredEventID string
+	deliveredEvents  int
+	unidentified     bool          // events were delivered, and none had an identifier
 	lastEvent        time.Time     // when the last events were delivered
 	maxEventPause    time.Duration // longest pause between two deliveries of events
 	firstByte        time.Duration // time until the first byte of the answer was ready to deliver
@@ -85,7 +87,7 @@
 	if g.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	e := g.serveRecovering(w, req)
+	e := req.afterDelivery(g.serveRecovering(w, req))
 	g.writeEnd(w, req, e)
 	g.recordRequest(req, e)
 	if e.kind == endCut || e.kind == endCallerLeft {
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -163,7 +163,7 @@
 	a, req := w.attempts, w.req
 	return a.sent+1 < req.route.MaxAttempts && a.failedDials < maxFailedDials &&
 		time.Until(req.deadline) > minAttemptTime && (req.route.IsStream() || !req.headWritten) &&
-		!w.suspected()
+		req.canContinue() && !w.suspected()
 }
 
 // suspected reports whether the request may end upstreams, so that it is not repeated.
