gateway: reset the connection of an HTTP/1.0 caller whose answer broke off

Cause: an answer that is cut ends by closing the connection. Over HTTP/1.1 the last chunk is missing then. Over HTTP/1.0 a body without a length ends with its connection, and net/http closes that in order.

Change: abort takes the connection from net/http and resets it, for HTTP/1.0 only. callerConn passes SetLinger on. A reset may overtake events that the caller has not read; it takes up the stream behind those that it has.

TestConnectionOfACallerCanBeReset fails if callerConn doesn't pass SetLinger on.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -68,6 +68,14 @@
 	return nil
 }
 
+// SetLinger lets the gateway reset the connection.
+func (c *callerConn) SetLinger(sec int) error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.SetLinger(sec)
+	}
+	return nil
+}
+
 func (c *callerConn) setServing(serving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -175,3 +176,21 @@
 	must.True(t, c.closeIdle(time.Now()))
 	must.ErrorIs(t, <-done, net.ErrClosed)
 }
+
+// The gateway resets a connection whose answer broke off. A close in order would end a body
+// without a length as if it were whole.
+func TestConnectionOfACallerCanBeReset(t *testing.T) {
+	c := newCallerConns()
+	conn := dialServer(t, c, httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "begun")
+		taken, _, err := http.NewResponseController(w).Hijack()
+		must.NoError(t, err)
+		must.NoError(t, taken.(interface{ SetLinger(sec int) error }).SetLinger(0))
+		must.NoError(t, taken.Close())
+	})))
+	_, err := io.WriteString(conn, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	_, err = io.Copy(io.Discard, conn)
+	must.ErrorIs(t, err, syscall.ECONNRESET)
+	must.Zero(t, c.closeIdle(time.Now()))
+}
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -122,7 +122,7 @@
 }
 
 // protos are the versions of HTTP that callers use.
-var protos = []string{"HTTP/1.1"}
+var protos = []string{"HTTP/1.1", "HTTP/1.0"}
 
 // callRaw sends a request over a connection of its own. It returns the body of the response,
 // without the framing, and whether the response ended in order, as its caller sees it.
@@ -341,3 +341,28 @@
 		}
 	}
 }
+
+// A large plain answer without a length breaks off. Over HTTP/1.0 it ends with the connection,
+// as a whole one does.
+func TestBrokenPlainAnswerDoesNotLookComplete(t *testing.T) {
+	for _, proto := range protos {
+		for name, answer := range map[string]string{
+			"chunked": "HTTP/1.1 200" + signed + chunk(strings.Repeat("x", 100<<10)),
+			"length":  "HTTP/1.1 200" + signed + "Content-Length: 1000000\r\n\r\n" + strings.Repeat("x", 100<<10),
+		} {
+			t.Run(proto+"/"+name, func(t *testing.T) {
+				f := newFixture(t, newReplica(t, "i-1", raw(answer, false)))
+				_, whole := f.callRaw(t, proto, "/once/")
+				must.False(t, whole)
+			})
+		}
+		t.Run(proto+"/whole", func(t *testing.T) {
+			f := newFixture(t, newReplica(t, "i-1", raw("HTTP/1.1 200"+signed+chunk(wholeStream)+chunkedEnd, false)))
+			for _, path := range []string{"/once/", "/stream/"} {
+				body, whole := f.callRaw(t, proto, path)
+				must.True(t, whole)
+				must.Eq(t, wholeStream, body)
+			}
+		})
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -91,7 +91,7 @@
 	g.writeEnd(w, req, e)
 	g.recordRequest(req, e)
 	if e.kind == endCut || e.kind == endCallerLeft {
-		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
+		abort(w, req.http)
 	}
 }
 
