gateway: no continuation after an identifier that is empty or over 1 KB

What callers would have seen: an event twice. An event that takes the identifier back (`id:`) left the one before it as the place from which another upstream went on. Any other identifier, up to the 256 KB of an event, was kept and sent as a header, which no upstream takes.

Change: after such an event the place cannot be named, and a stream that breaks off is cut at once.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -58,7 +58,7 @@
 		if isComment(event) {
 			continue
 		}
-		if id, _ := lastEventID(event); !p.follows(id) {
+		if id, _ := lastEventID(event); !p.follows(string(id)) {
 			return true, errNotContinued
 		}
 		return true, nil
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -18,6 +18,10 @@
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 256 << 10
 
+// maxEventIDBytes limits the size of an identifier after which a stream can be continued. It is
+// sent to the next upstream in a header.
+const maxEventIDBytes = 1 << 10
+
 // eventScanner finds the ends of events in a stream: an event ends with an empty line, and
 // a line with LF, CR or CR LF.
 type eventScanner struct {
@@ -60,7 +64,8 @@
 	chunk    []byte
 	partial  []byte // bytes behind the last complete event
 	complete []byte // complete events that were not returned yet
-	lastID   string // id of the last complete event that has one
+	lastID   string // id of the last complete event that has one; empty if lostID
+	lostID   bool   // that identifier is empty, or over maxEventIDBytes
 	// needsEvent is true if an end without any event is an error too: nothing shows then
 	// that the answer is whole.
 	needsEvent bool
@@ -165,7 +170,10 @@
 	}
 	r.complete, r.partial = append(r.partial, p[:boundary]...), append(r.complete[:0], p[boundary:]...)
 	if id, ok := lastEventID(r.complete); ok {
-		r.lastID = id
+		r.lastID = ""
+		if r.lostID = len(id) == 0 || len(id) > maxEventIDBytes; !r.lostID {
+			r.lastID = string(id)
+		}
 	}
 }
 
@@ -176,18 +184,18 @@
 var idField = []byte("id:")
 
 // lastEventID returns the last identifier in complete events, if there is one.
-func lastEventID(events []byte) (id string, ok bool) {
+func lastEventID(events []byte) (id []byte, ok bool) {
 	for len(events) > 0 {
 		at := bytes.LastIndex(events, idField)
 		if at < 0 {
-			return "", false
+			return nil, false
 		}
 		if at == 0 || isLineEnd(events[at-1]) {
-			return string(bytes.TrimSpace(firstLine(events[at+len(idField):]))), true
+			return bytes.TrimSpace(firstLine(events[at+len(idField):])), true
 		}
 		events = events[:at]
 	}
-	return "", false
+	return nil, false
 }
 
 func isLineEnd(b byte) bool { return b == '\n' || b == '\r' }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -229,5 +229,5 @@
 	}
 	req.deliveredEvents += s.events.scanner.ended - s.deliveredEvents
 	s.deliveredEvents = s.events.scanner.ended
-	req.unidentified = req.deliveredEventID == "" && (req.unidentified || !isComment(ready))
+	req.unidentified = s.events.lostID || req.deliveredEventID == "" && (req.unidentified || !isComment(ready))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,7 +55,7 @@
 	version          boundVersion
 	deliveredEventID string
 	deliveredEvents  int
-	unidentified     bool          // events were delivered, and none had an identifier
+	unidentified     bool          // the place after the events that were delivered cannot be named
 	lastEvent        time.Time     // when the last events were delivered
 	maxEventPause    time.Duration // longest pause between two deliveries of events
 	firstByte        time.Duration // time until the first byte of the answer was ready to deliver
