forward, gateway: tests for framing, heads and dropped answers without end

Cases of the report on answers without end that had no test. None failed: net/http limits the lines of chunks and trailers, an answer that is dropped has 100 ms, and a head that comes a byte now and then counts as silence.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -130,3 +130,49 @@
 		})
 	}
 }
+
+// The framing of a body goes on without end. Reading the body must fail, and must not hold
+// what was sent.
+func TestFramingWithoutEndIsGivenUp(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	kilobyte := strings.Repeat("x", 1<<10)
+	for _, c := range []struct{ name, first, repeated string }{
+		{"chunk size", chunked, "0"},
+		{"chunk extension", chunked + "1;", kilobyte},
+		{"extensions of small chunks", chunked, "1;" + kilobyte + "\r\nx\r\n"},
+		{"no line end behind a chunk", chunked + "1\r\nx", "x"},
+		{"trailer", chunked + "1\r\nx\r\n0\r\nX: ", kilobyte},
+		{"trailers", chunked + "1\r\nx\r\n0\r\n", "X: x\r\n"},
+		{"body over its length", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 1\r\n\r\nx", "x"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			u := serve(t, func(_ *upstream, conn net.Conn, reader *bufio.Reader) {
+				defer close(closed)
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, c.first)
+				for err == nil {
+					_, err = io.WriteString(conn, c.repeated)
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), hungTestTimeout)
+			defer cancel()
+			pool := newPool()
+			response, err := pool.Send(ctx, u.listener.Addr().String(), request("1"))
+			must.NoError(t, err)
+			n, err := io.Copy(io.Discard, response)
+			must.Eq(t, response.Framing == FramingLength, err == nil)
+			must.LessEq(t, 16<<10, n)
+			response.Close(err == nil)
+			for i := 0; i < 100 && response.Framing == FramingLength; i++ { // its bytes may come behind the end
+				pool.Sweep(time.Now(), func(string) bool { return false })
+				time.Sleep(time.Millisecond)
+			}
+			<-closed
+			must.NoError(t, ctx.Err())
+		})
+	}
+}
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -108,3 +108,62 @@
 		must.Eq(t, http.StatusBadGateway, response.StatusCode)
 	}
 }
+
+// A head comes a byte now and then. A repeatable request must get its answer from another
+// upstream, and any other one must end with its deadline.
+func TestSlowHeadIsReplaced(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, buffered, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		writeHead(buffered, w.Header().Get(attemptID))
+		for err = buffered.Flush(); err == nil; _, err = io.WriteString(conn, "x") {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	for path, status := range map[string]int{"/safe/": http.StatusOK, "/once/": http.StatusGatewayTimeout} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			handle := firstThen(slow, answering("ok"))
+			f := newFixture(t, newReplica(t, "i-1", handle), newReplica(t, "i-2", handle))
+			r := f.newRequest(t, http.MethodPost, path, "{}")
+			r.Header.Set(deadline, "3000")
+			response, _ := f.do(t, r)
+			must.Eq(t, status, response.StatusCode)
+		})
+	}
+}
+
+// Dropped answers, those of a refusal, of another upstream and of a failure that is retried,
+// go on without end. The request must be served by another upstream all the same.
+func TestDroppedAnswerWithoutEndIsGivenUp(t *testing.T) {
+	for name, drop := range map[string]struct {
+		status int
+		pause  time.Duration
+		more   string
+	}{
+		"refusal":               {http.StatusServiceUnavailable, 0, manyBytes},
+		"refusal, slow":         {http.StatusServiceUnavailable, 20 * time.Millisecond, "x"},
+		"other upstream":        {http.StatusMisdirectedRequest, 0, manyBytes},
+		"other upstream, slow":  {http.StatusMisdirectedRequest, 20 * time.Millisecond, "x"},
+		"retried failure":       {http.StatusInternalServerError, 0, manyBytes},
+		"retried failure, slow": {http.StatusInternalServerError, 20 * time.Millisecond, "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			handle := firstThen(func(w http.ResponseWriter, r *http.Request) {
+				if drop.status == http.StatusServiceUnavailable {
+					w.Header().Set(notRun, "1")
+				}
+				endless(drop.status, "", drop.more, drop.pause)(w, r)
+			}, answering("ok"))
+			f := newFixture(t, newReplica(t, "i-1", handle), newReplica(t, "i-2", handle))
+			response, body := f.do(t, f.newRequest(t, http.MethodGet, "/safe/", ""))
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.Eq(t, "ok", body)
+		})
+	}
+}
