--- a/gateway/events.go
+++ b/gateway/events.go
@@ -18,6 +18,10 @@
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 256 << 10
 
+// maxEventIDBytes limits the size of an identifier after which a stream can be continued. It is
+// sent to the next upstream in a header.
+const maxEventIDBytes = 1 << 10
+
 // eventScanner finds the ends of events in a stream: an event ends with an empty line, and
 // a line with LF, CR or CR LF.
 type eventScanner struct {
@@ -60,21 +64,25 @@
 	chunk    []byte
 	partial  []byte // bytes behind the last complete event
 	complete []byte // complete events that were not returned yet
-	lastID   string // id of the last complete event that has one
+	lastID   string // id of the last complete event that has one; empty if lostID
+	lostID   bool   // that identifier is empty, or over maxEventIDBytes
 	// needsEvent is true if an end without any event is an error too: nothing shows then
 	// that the answer is whole.
 	needsEvent bool
+	held       *heldAnswer     // accounts for partial and complete
+	after      *streamPosition // of a stream to be continued, until its next event has come; nil if none
 }
 
 // newEventReader returns a reader of the events of an answer.
-func newEventReader(r *forward.Response) *eventReader {
-	return &eventReader{chunk: make([]byte, relayBufferBytes), needsEvent: r.Framing == forward.FramingClose}
+func newEventReader(r *forward.Response, held *heldAnswer) *eventReader {
+	return &eventReader{chunk: make([]byte, relayBufferBytes), needsEvent: r.Framing == forward.FramingClose, held: held}
 }
 
 // read reads from the body once, unless complete events are left, and returns the events
 // that are complete; they are valid until the next call. At the end of the body it returns
 // io.EOF, or errIncompleteEvent if that is inside an event. It fails with errEventTooLong
-// if an event exceeds maxEventBytes.
+// if an event exceeds maxEventBytes, with errAnswerMemory if other answers hold too much to
+// hold it, and with errNotContinued if the events or the end do not go on at after.
 func (r *eventReader) read(body io.Reader) ([]byte, error) {
 	err := r.fill(body)
 	events := r.complete
@@ -87,8 +95,17 @@
 	if len(r.complete) > 0 {
 		return nil
 	}
+	if cap(r.complete) > ownAnswerBytes {
+		r.complete = nil // of a long event that was returned
+	}
 	n, err := body.Read(r.chunk)
+	if !r.reserve(n) {
+		return errAnswerMemory
+	}
 	r.add(r.chunk[:n])
+	if err := r.checkContinued(err == io.EOF); err != nil {
+		return err
+	}
 	switch {
 	case err == io.EOF && (r.scanner.inEvent || r.needsEvent && !r.scanner.sawEvent):
 		return errIncompleteEvent
@@ -112,16 +129,52 @@
 	return nil
 }
 
-// add appends bytes of the body.
+// checkContinued checks that complete events, or the end, go on at after.
+func (r *eventReader) checkContinued(ended bool) error {
+	if r.after == nil {
+		return nil
+	}
+	found, err := r.after.check(r.complete)
+	switch {
+	case err != nil:
+		r.complete = nil
+		return err
+	case found:
+		r.after = nil
+	case ended:
+		return errNotContinued // an end without the next event may be that of any answer
+	}
+	return nil
+}
+
+// reserve makes room for n more bytes in partial. It returns false if other answers hold too
+// much.
+func (r *eventReader) reserve(n int) bool {
+	size := cap(r.partial)
+	if needed := len(r.partial) + n; needed > size {
+		size = max(needed, size+size/2)
+		if !r.held.resize(cap(r.partial) + size + cap(r.complete)) {
+			return false
+		}
+		r.partial = append(make([]byte, 0, size), r.partial...)
+	}
+	return r.held.resize(size + cap(r.complete))
+}
+
+// add appends bytes of the body, for which there is room. No complete events may be left.
 func (r *eventReader) add(p []byte) {
 	boundary := r.scanner.scan(p)
 	if boundary == 0 {
 		r.partial = append(r.partial, p...)
 		return
 	}
-	r.complete = append(append(r.complete, r.partial...), p[:boundary]...)
-	r.partial = append(r.partial[:0], p[boundary:]...)
-	r.recordLastID(r.complete)
+	r.complete, r.partial = append(r.partial, p[:boundary]...), append(r.complete[:0], p[boundary:]...)
+	if id, ok := lastEventID(r.complete); ok {
+		r.lastID = ""
+		if r.lostID = len(id) == 0 || len(id) > maxEventIDBytes; !r.lostID {
+			r.lastID = string(id)
+		}
+	}
 }
 
 // waitsForMore reports whether bytes have arrived that are no complete event yet. The second
@@ -130,20 +183,19 @@
 
 var idField = []byte("id:")
 
-// recordLastID sets lastID to the last identifier in complete events, if there is
-// one.
-func (r *eventReader) recordLastID(events []byte) {
+// lastEventID returns the last identifier in complete events, if there is one.
+func lastEventID(events []byte) (id []byte, ok bool) {
 	for len(events) > 0 {
 		at := bytes.LastIndex(events, idField)
 		if at < 0 {
-			return
+			return nil, false
 		}
 		if at == 0 || isLineEnd(events[at-1]) {
-			r.lastID = string(bytes.TrimSpace(firstLine(events[at+len(idField):])))
-			return
+			return bytes.TrimSpace(firstLine(events[at+len(idField):])), true
 		}
 		events = events[:at]
 	}
+	return nil, false
 }
 
 func isLineEnd(b byte) bool { return b == '\n' || b == '\r' }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,6 +54,8 @@
 	headWritten      bool        // status and headers of an answer were delivered
 	version          boundVersion
 	deliveredEventID string
+	deliveredEvents  int
+	unidentified     bool          // the place after the events that were delivered cannot be named
 	lastEvent        time.Time     // when the last events were delivered
 	maxEventPause    time.Duration // longest pause between two deliveries of events
 	bodyRead         time.Duration // time until the body was read; 0 if there is none
@@ -87,11 +89,11 @@
 	if g.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	e := g.serveRecovering(w, req)
+	e := req.afterDelivery(g.serveRecovering(w, req))
 	g.writeEnd(w, req, e)
 	g.recordRequest(req, e)
 	if e.kind == endCut || e.kind == endCallerLeft {
-		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
+		abort(w, req.http)
 	}
 }
 
