gateway: one event doesn't tell by how much identifiers rise

A stream that broke off behind an event with the identifier 1 was only continued with 2. Two events are needed now; after one, any higher identifier continues it.

Measured: a case of TestStreamIsContinuedWithAnyIdentifiers (1, then 6) fails without the change.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -18,8 +18,8 @@
 	next   string // identifier of the next event; empty if it cannot be told
 }
 
-// position returns the place after the events that were delivered. If each of them, comments
-// included, raised the identifier by one, the next event does so too.
+// position returns the place after the events that were delivered. If each of two or more,
+// comments included, raised the identifier by one, the next event does so too.
 func (req *request) position() streamPosition {
 	p := streamPosition{lastID: cmp.Or(req.deliveredEventID, req.LastEventID)}
 	last, err := strconv.ParseInt(p.lastID, 10, 64)
@@ -27,7 +27,7 @@
 		return p
 	}
 	start, _ := strconv.ParseInt(req.LastEventID, 10, 64) // 0 if the stream began at its start
-	if last-start == int64(req.deliveredEvents) {
+	if req.deliveredEvents >= 2 && last-start == int64(req.deliveredEvents) {
 		p.next = strconv.FormatInt(last+1, 10)
 	}
 	return p
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -270,6 +270,7 @@
 func TestStreamIsContinuedWithAnyIdentifiers(t *testing.T) {
 	for _, c := range []struct{ name, resumed, first, second string }{
 		{"gaps", "", "id: 5\ndata: x\n\nid: 10\ndata: x\n\n", "id: 15\ndata: x\n\n"},
+		{"gap after the first", "", "id: 1\ndata: x\n\n", "id: 6\ndata: x\n\n"},
 		{"gap behind others", "", "id: 1\ndata: x\n\nid: 3\ndata: x\n\n", "id: 7\ndata: x\n\n"},
 		{"text", "", "id: a-1\ndata: x\n\n", "id: a-2\ndata: x\n\n"},
 		{"large", "", "id: 99999999999999999999999\ndata: x\n\n", "id: 99999999999999999999998\ndata: x\n\n"},
