--- a/standin/replica/trouble.go
+++ b/standin/replica/trouble.go
@@ -22,6 +22,8 @@
 	TroubleInterim             // interim heads without end, in place of an answer
 	TroubleEndlessBody         // after its first event a stream goes on without the end of another; a plain answer is a failure without end
 	TroubleSlowBody            // a body goes on without end, a byte now and then
+	TroubleFields              // a head of short fields without end
+	TroubleNoAnswer            // long lines that are no answer, without end
 	troubleCount
 )
 
@@ -72,6 +74,13 @@
 	case kind == TroubleEndlessHead:
 		writeHead(out, http.StatusOK, header)
 		repeat(out, "X: x\r\n", 0)
+	case kind == TroubleFields:
+		writeHead(out, http.StatusOK, header)
+		for i := 0; err == nil; i++ {
+			_, err = fmt.Fprintf(out, "%x:\n", i)
+		}
+	case kind == TroubleNoAnswer:
+		repeat(out, strings.Repeat("\x00", 32<<10)+"\n", 0)
 	case kind == TroubleIncomplete && isStream:
 		writeHead(out, http.StatusOK, header)
 		_, _ = io.WriteString(out, "\r\n"+event[:1+len(event)/2]) // the failure is noticed by the flush
