entry: limits for the listeners of readiness and metrics

What callers saw: nothing on record; found while looking for every place that keeps what others send. These listeners took heads of 1 MB and kept a connection without a request for good, so that whoever reaches them could hold the memory and the descriptors of a router.

Change: heads of 8 KB, 5 s to read a request and to write its answer, 30 s idle. The platform asks once a second.

Measured: TestInternalListenersTakeNoLargeHeads fails with the default limit of heads; TestInternalListenersCloseIdleConnections requires that all limits of time are set, and that each closes its connection.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -323,7 +323,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	h.serveInBackground("readiness", func() error {
-		return (&http.Server{Handler: readiness, ReadHeaderTimeout: readHeaderTimeout}).Serve(ready)
+		return newInternalServer(readiness).Serve(ready)
 	})
 	h.serveInBackground("routers", func() error { return h.mesh.Server().Serve(peers) })
 	if h.opts.MetricsPort == "" {
@@ -335,9 +335,8 @@
 	}
 	expvar.Publish("gateway", h.gateway.Metrics())
 	expvar.Publish("store", expvar.Func(h.storeMetrics))
-	server := &http.Server{
-		Addr: net.JoinHostPort(host, h.opts.MetricsPort), Handler: expvar.Handler(), ReadHeaderTimeout: readHeaderTimeout,
-	}
+	server := newInternalServer(expvar.Handler())
+	server.Addr = net.JoinHostPort(host, h.opts.MetricsPort)
 	h.serveInBackground("metrics", server.ListenAndServe)
 }
 
