--- a/gateway/caches_test.go
+++ b/gateway/caches_test.go
@@ -5,10 +5,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"dandelionrill.example/fleet/catalog"
 	"dandelionrill.example/fleet/decide/limit"
+	"dandelionrill.example/fleet/gateway"
 	"github.com/shoenig/test/must"
 )
 
@@ -65,3 +69,30 @@
 	must.Zero(t, limited.runs.Load())
 	must.Eq(t, 1, other.runs.Load())
 }
+
+// A list of cached parts goes on without end, at full speed or a byte now and then. Reading it
+// must end at a limit, and close the connection.
+func TestCacheListWithoutEndIsGivenUp(t *testing.T) {
+	for name, handle := range map[string]http.HandlerFunc{
+		"fast":    endless(http.StatusOK, `{"held":[`, strings.Repeat(`["","x",1,""],`, 300), 0),
+		"slow":    endless(http.StatusOK, `{"held":[`, " ", 20*time.Millisecond),
+		"failure": endless(http.StatusInternalServerError, "", manyBytes, 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			var begun atomic.Bool
+			one := newReplica(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+				handle(w, r)
+				if begun.CompareAndSwap(false, true) {
+					close(closed)
+				}
+			})
+			f := newFixture(t, one)
+			f.gateway.ReadCaches(t.Context(), func(*catalog.Upstream) bool { return true })
+			<-closed
+			listed, _ := f.gateway.CacheIndex().Entries()
+			must.LessEq(t, gateway.MaxIndexedParts, listed)
+		})
+	}
+}
