--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,6 +9,7 @@
 
 	"dandelionrill.example/fleet/decide/retry"
 	"dandelionrill.example/fleet/forward"
+	"dandelionrill.example/fleet/internal/membudget"
 	"github.com/cockroachdb/errors"
 )
 
@@ -19,6 +20,9 @@
 	bufferedAnswerBytes = 64 << 10
 	// relayBufferBytes is the size of the buffer between an upstream and a caller.
 	relayBufferBytes = 4 << 10
+	// heldAnswerBytes is the size from which on an answer counts as memory held for its caller,
+	// and of the pieces that it is written in.
+	heldAnswerBytes = 16 << 10
 	// writeDeadlineSlack is added to the request's deadline for writes to a
 	// caller.
 	writeDeadlineSlack = 250 * time.Millisecond
@@ -74,12 +78,19 @@
 	defer limitWriting(w, req.deadline)()
 	req.turn.answered(s.key(), r.Status) // a caller that reads slowly keeps nobody waiting
 	g.writeHead(w, req, r)
-	out := deliveryWriter{g, s, w}
+	holding := g.holdAnswer(w, buffered.Cap())
+	if holding != nil {
+		defer holding.Release() // before the time limit of the writes ends
+	}
+	out := deliveryWriter{g, s, w, holding}
 	_, _ = out.Write(buffered.Bytes()) // a caller that disconnected is noticed through the context
 	if !complete {
+		if holding != nil {
+			holding.Return(int64(buffered.Cap() - heldAnswerBytes))
+		}
 		buffered = bytes.Buffer{} // while the rest is relayed
 		s.held.resize(0)
-		if _, err = io.Copy(out, body); err != nil {
+		if _, err = io.CopyBuffer(out, body, make([]byte, heldAnswerBytes)); err != nil {
 			r.Close(false)
 			return end{kind: endCut, reason: "large answer broke off"}, 0, resultCut
 		}
@@ -91,6 +102,18 @@
 	return end{kind: endAnswered}, 0, resultAnswered
 }
 
+// holdAnswer reserves the memory of a buffer with an answer that its caller has yet to read. A
+// caller that does not read gives way to others. The holding is nil if the buffer is small.
+func (g *Gateway) holdAnswer(w http.ResponseWriter, size int) *membudget.Holding {
+	if size <= heldAnswerBytes {
+		return nil
+	}
+	holding := g.memory.Keep()
+	holding.ReserveAnyway(int64(size)) // the request has run
+	holding.Offer(func(bool) { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })
+	return holding
+}
+
 // limitWriting limits the time to write an answer that is not a stream. The function that it
 // returns ends the limit.
 func limitWriting(w http.ResponseWriter, deadline time.Time) (end func()) {
@@ -107,11 +130,21 @@
 	gateway *Gateway
 	send    *send
 	w       io.Writer
+	holding *membudget.Holding // memory of a large answer; nil if it is small
 }
 
 // Write implements io.Writer.
 func (d deliveryWriter) Write(p []byte) (n int, err error) {
-	d.gateway.board.Deliver(d.send.key(), func() { n, err = d.w.Write(p) })
+	d.gateway.board.Deliver(d.send.key(), func() {
+		for n < len(p) && err == nil {
+			var written int
+			written, err = d.w.Write(p[n:min(n+heldAnswerBytes, len(p))])
+			n += written
+			if d.holding != nil {
+				d.holding.Progress(written)
+			}
+		}
+	})
 	return n, err
 }
 
