gateway: take late bodies in a stop only if the route is known by several answers

Change: at least five answers of the last 10 to 20 s must tell how long answers of the route take.

Measured: TestLateBodyOfAShortKindIsServedInAStop and a case of TestLatestInDrain fail without the condition.

--- a/decide/admit/drain.go
+++ b/decide/admit/drain.go
@@ -11,6 +11,8 @@
 	// drainSpareFactor is how many times as long as lately a request whose end arrives after
 	// drainAcceptPeriod may take.
 	drainSpareFactor = 3
+	// drainMinAnswers is how many requests must tell how long those of a kind take.
+	drainMinAnswers = 5
 	// drainMargin is kept free before the end of the shutdown.
 	drainMargin = 600 * time.Millisecond
 )
@@ -19,6 +21,7 @@
 type Work struct {
 	Timeout  time.Duration // 0 if none
 	Expected time.Duration // how long requests of its kind have taken lately; 0 if unknown
+	Answers  int           // how many requests of its kind tell so
 }
 
 // FitsDrain reports whether work that arrives elapsed after the start of a graceful
@@ -40,8 +43,8 @@
 // LatestInDrain returns until when the end of a request must have arrived that FitsDrain has
 // accepted, and until when it must be passed on. Both count from the start of the shutdown, as
 // elapsed does, at which w.Timeout is left. After drainAcceptPeriod the end of a request may
-// still come if its kind has lately taken much less than the time that is left: its caller
-// would have to send all of it again.
+// still come if its kind has lately taken much less than the time that is left, in a number of
+// cases: its caller would have to send all of it again.
 func LatestInDrain(w Work, elapsed, limit time.Duration) (arrival, send time.Duration) {
 	if w.fits(limit - elapsed - drainMargin) {
 		return elapsed + w.Timeout, elapsed + w.Timeout
@@ -49,7 +52,7 @@
 	end := limit - drainMargin
 	send = end - max(drainMinTime, w.Expected)
 	arrival = min(drainAcceptPeriod, send)
-	if w.Expected > 0 {
+	if w.Answers >= drainMinAnswers {
 		arrival = max(arrival, end-max(drainMinTime, drainSpareFactor*w.Expected))
 	}
 	return arrival, send
--- a/decide/admit/drain_test.go
+++ b/decide/admit/drain_test.go
@@ -59,10 +59,11 @@
 		{"unknown kind", Work{Timeout: 15 * time.Second}, 0, 3000 * ms, 6400 * ms},
 		{"without a timeout", Work{}, 0, 3000 * ms, 6400 * ms},
 		{"after some time", Work{Timeout: 15 * time.Second}, 2 * time.Second, 3000 * ms, 6400 * ms},
-		{"short kind", Work{Timeout: 15 * time.Second, Expected: 20 * ms}, 0, 6400 * ms, 6400 * ms},
-		{"usual kind", Work{Timeout: 15 * time.Second, Expected: 1200 * ms}, 0, 3800 * ms, 6200 * ms},
-		{"slow kind", Work{Timeout: 15 * time.Second, Expected: 3 * time.Second}, 0, 3000 * ms, 4400 * ms},
-		{"slower kind", Work{Timeout: 15 * time.Second, Expected: 5 * time.Second}, 0, 2400 * ms, 2400 * ms},
+		{"short kind", Work{Timeout: 15 * time.Second, Expected: 20 * ms, Answers: 5}, 0, 6400 * ms, 6400 * ms},
+		{"kind that is little known", Work{Timeout: 15 * time.Second, Expected: 20 * ms, Answers: 4}, 0, 3000 * ms, 6400 * ms},
+		{"usual kind", Work{Timeout: 15 * time.Second, Expected: 1200 * ms, Answers: 5}, 0, 3800 * ms, 6200 * ms},
+		{"slow kind", Work{Timeout: 15 * time.Second, Expected: 3 * time.Second, Answers: 5}, 0, 3000 * ms, 4400 * ms},
+		{"slower kind", Work{Timeout: 15 * time.Second, Expected: 5 * time.Second, Answers: 5}, 0, 2400 * ms, 2400 * ms},
 		{"kind that is too slow", Work{Timeout: 15 * time.Second, Expected: 9 * time.Second}, 0, -1600 * ms, -1600 * ms},
 		{"timeout that fits", Work{Timeout: 3 * time.Second, Expected: 5 * time.Second}, 4 * time.Second, 7000 * ms, 7000 * ms},
 		{"timeout that just fits", Work{Timeout: 3400 * ms}, 4 * time.Second, 7400 * ms, 7400 * ms},
@@ -83,7 +84,7 @@
 	for elapsed := time.Duration(0); elapsed < limit; elapsed += step {
 		for timeout := time.Duration(0); timeout < 2*limit; timeout += step {
 			for expected := time.Duration(0); expected < limit; expected += 500 * time.Millisecond {
-				w := Work{Timeout: timeout, Expected: expected}
+				w := Work{Timeout: timeout, Expected: expected, Answers: int(expected / step)}
 				arrival, send := LatestInDrain(w, elapsed, limit)
 				must.LessEq(t, send, arrival)
 				if FitsDrain(w, elapsed, limit) {
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -60,3 +60,9 @@
 func (g *Gateway) Candidates(service string) int {
 	return len(g.candidates(&request{service: service}))
 }
+
+// DrainSince is Drain, begun some time ago; limit counts from then.
+func (g *Gateway) DrainSince(elapsed, limit time.Duration) {
+	g.draining.Store(&drainState{started: time.Now().Add(-elapsed), limit: limit})
+	g.endDrainBegun()
+}
--- a/gateway/slowest.go
+++ b/gateway/slowest.go
@@ -8,17 +8,23 @@
 // slowestWindow is the least time for which the duration of an answer counts.
 const slowestWindow = 10 * time.Second
 
-// slowestAnswers records the longest duration of the recent answers of each route. All
-// methods may be called concurrently.
+// slowestAnswers records the longest duration and the number of the recent answers of each
+// route. All methods may be called concurrently.
 type slowestAnswers struct {
 	mu       sync.Mutex
 	began    time.Time // of current
-	current  map[string]time.Duration
-	previous map[string]time.Duration
+	current  map[string]routeAnswers
+	previous map[string]routeAnswers
+}
+
+// routeAnswers are the answers of a route in one window.
+type routeAnswers struct {
+	slowest time.Duration
+	count   int
 }
 
 func newSlowestAnswers(now time.Time) *slowestAnswers {
-	return &slowestAnswers{began: now, current: make(map[string]time.Duration)}
+	return &slowestAnswers{began: now, current: make(map[string]routeAnswers)}
 }
 
 // record records how long an answer took after its request was complete.
@@ -26,15 +32,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
-	s.current[route] = max(s.current[route], took)
+	a := s.current[route]
+	s.current[route] = routeAnswers{max(a.slowest, took), a.count + 1}
 }
 
-// slowest returns the longest duration of the recent answers of a route; 0 if it has none.
-func (s *slowestAnswers) slowest(route string, now time.Time) time.Duration {
+// slowest returns the longest duration of the recent answers of a route, 0 if it has none, and
+// their number.
+func (s *slowestAnswers) slowest(route string, now time.Time) (took time.Duration, count int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
-	return max(s.current[route], s.previous[route])
+	a, b := s.current[route], s.previous[route]
+	return max(a.slowest, b.slowest), a.count + b.count
 }
 
 // expire begins a new window if the current one is over. s.mu must be held.
@@ -47,5 +56,5 @@
 	if age >= 2*slowestWindow {
 		s.previous = nil
 	}
-	s.began, s.current = now, make(map[string]time.Duration)
+	s.began, s.current = now, make(map[string]routeAnswers)
 }
--- a/gateway/slowest_test.go
+++ b/gateway/slowest_test.go
@@ -13,11 +13,17 @@
 	s := newSlowestAnswers(now)
 	s.record("a", 3*time.Second, now)
 	s.record("a", time.Second, now)
-	must.Eq(t, 3*time.Second, s.slowest("a", now.Add(9*time.Second)))
-	must.Eq(t, 3*time.Second, s.slowest("a", now.Add(10*time.Second)))
-	must.Eq(t, 0, s.slowest("b", now.Add(10*time.Second)))
+	check := func(route string, after, took time.Duration, count int) {
+		t.Helper()
+		gotTook, gotCount := s.slowest(route, now.Add(after))
+		must.Eq(t, took, gotTook)
+		must.Eq(t, count, gotCount)
+	}
+	check("a", 9*time.Second, 3*time.Second, 2)
+	check("a", 10*time.Second, 3*time.Second, 2)
+	check("b", 10*time.Second, 0, 0)
 	s.record("a", time.Second, now.Add(11*time.Second))
-	must.Eq(t, 3*time.Second, s.slowest("a", now.Add(19*time.Second)))
-	must.Eq(t, time.Second, s.slowest("a", now.Add(20*time.Second)))
-	must.Eq(t, 0, s.slowest("a", now.Add(time.Minute)))
+	check("a", 19*time.Second, 3*time.Second, 3)
+	check("a", 20*time.Second, time.Second, 1)
+	check("a", time.Minute, 0, 0)
 }
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -37,7 +37,8 @@
 }
 
 func (g *Gateway) drainWork(route string, deadline time.Time) admit.Work {
-	return admit.Work{Timeout: time.Until(deadline), Expected: g.slowest.slowest(route, time.Now())}
+	slowest, answers := g.slowest.slowest(route, time.Now())
+	return admit.Work{Timeout: time.Until(deadline), Expected: slowest, Answers: answers}
 }
 
 // stopWatch refuses a request that has not been passed on once a graceful shutdown leaves too
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -124,6 +124,23 @@
 	})
 }
 
+// Guards against bodies that a stopping router refuses although the answers of their route are known
+// to be short, and against one that it takes without that knowledge.
+func TestLateBodyOfAShortKindIsServedInAStop(t *testing.T) {
+	for answers, status := range map[int]int{4: http.StatusServiceUnavailable, 5: http.StatusOK} {
+		up := newReplica(t, "i-1", answering("ok"))
+		f := newFixture(t, up)
+		for range answers {
+			f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+		}
+		c := newSlowCaller(t, f, "/once/", false)
+		await(func() bool { return f.gateway.Active() == 1 })
+		f.gateway.DrainSince(4*time.Second, 8*time.Second)
+		c.finish(t)
+		must.Eq(t, status, c.answer(t).StatusCode, must.Sprint(answers))
+	}
+}
+
 // refusedAsStopping reads an answer, which must be the refusal of a stopping router.
 func (f *fixture) refusedAsStopping(t *testing.T, r *http.Request) {
 	t.Helper()
