--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -66,3 +66,8 @@
 	g.draining.Store(&drainState{started: time.Now().Add(-elapsed), limit: limit})
 	g.endDrainBegun()
 }
+
+// RecordSlowAnswer records the time that an answer of a route has taken.
+func (g *Gateway) RecordSlowAnswer(route string, took time.Duration) {
+	g.slowest.record(route, took, time.Now())
+}
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -221,6 +221,23 @@
 	must.Zero(t, up.runs.Load())
 }
 
+// Guards against requests that are passed on although answers of their route have turned out to take
+// longer than a graceful shutdown leaves, while they waited.
+func TestStopIsWeighedAgainWhenARequestIsPassedOn(t *testing.T) {
+	var f *fixture
+	up := newReplica(t, "i-1", answering("ok"))
+	f = newFixtureWith(t, func(o *gateway.Options) {
+		o.Permit = func(context.Context, catalog.Key, float64) (bool, time.Duration) {
+			f.gateway.RecordSlowAnswer("/once/", 3*time.Second)
+			return true, 0
+		}
+	}, up)
+	f.gateway.Limits().Record(up.upstreamKey(), perSecond(3))
+	f.gateway.DrainSince(time.Second, 4*time.Second)
+	f.refusedAsStopping(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Zero(t, up.runs.Load())
+}
+
 // Guards against requests that wait in a queue of a stopping router until they cannot end any
 // more, and are passed on then.
 func TestQueuedRequestIsRefusedAtOnceInAStop(t *testing.T) {
