--- a/decide/admit/drain.go
+++ b/decide/admit/drain.go
@@ -19,7 +19,7 @@
 
 // Work describes a request during a graceful shutdown.
 type Work struct {
-	Timeout  time.Duration // 0 if none
+	Timeout  time.Duration // 0 if none; negative if it is over
 	Expected time.Duration // how long requests of its kind have taken lately; 0 if unknown
 	Answers  int           // how many requests of its kind tell so
 }
@@ -46,7 +46,7 @@
 // still come if its kind has lately taken much less than the time that is left, in a number of
 // cases: its caller would have to send all of it again.
 func LatestInDrain(w Work, elapsed, limit time.Duration) (arrival, send time.Duration) {
-	if w.fits(limit - elapsed - drainMargin) {
+	if w.Timeout < 0 || w.fits(limit-elapsed-drainMargin) {
 		return elapsed + w.Timeout, elapsed + w.Timeout
 	}
 	end := limit - drainMargin
--- a/decide/admit/drain_test.go
+++ b/decide/admit/drain_test.go
@@ -67,6 +67,7 @@
 		{"kind that is too slow", Work{Timeout: 15 * time.Second, Expected: 9 * time.Second}, 0, -1600 * ms, -1600 * ms},
 		{"timeout that fits", Work{Timeout: 3 * time.Second, Expected: 5 * time.Second}, 4 * time.Second, 7000 * ms, 7000 * ms},
 		{"timeout that just fits", Work{Timeout: 3400 * ms}, 4 * time.Second, 7400 * ms, 7400 * ms},
+		{"timeout that is over", Work{Timeout: -time.Second}, 2 * time.Second, 1000 * ms, 1000 * ms},
 		{"timeout that does not fit", Work{Timeout: 3401 * ms}, 4 * time.Second, 3000 * ms, 6400 * ms},
 	} {
 		arrival, send := LatestInDrain(c.work, c.elapsed, limit)
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// Guards against bodies for which a stopping router waits longer than the deadline of their request.
+func TestBodyThatMissesItsDeadlineIsRefusedAtOnceInAStop(t *testing.T) {
+	f := newFixture(t, newReplica(t, "i-1", answering("ok")))
+	c := newSlowCaller(t, f, "/short/", false) // has a timeout of 100 ms
+	await(func() bool { return f.gateway.Active() == 1 })
+	f.gateway.DrainSince(-time.Hour, 2*time.Hour) // other requests would be accepted all the while
+	must.Eq(t, http.StatusServiceUnavailable, c.answer(t).StatusCode)
+}
+
 // refusedAsStopping reads an answer, which must be the refusal of a stopping router.
 func (f *fixture) refusedAsStopping(t *testing.T, r *http.Request) {
 	t.Helper()
