--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -63,3 +63,14 @@
 
 // HeldAnswerBytes returns the bytes of answers that count towards the limit.
 func (g *Gateway) HeldAnswerBytes() int64 { return g.answers.held.Load() }
+
+// DrainSince is Drain, begun some time ago; limit counts from then.
+func (g *Gateway) DrainSince(elapsed, limit time.Duration) {
+	g.draining.Store(&drainState{started: time.Now().Add(-elapsed), limit: limit})
+	g.endDrainBegun()
+}
+
+// RecordSlowAnswer records the time that an answer of a route has taken.
+func (g *Gateway) RecordSlowAnswer(route string, took time.Duration) {
+	g.slowest.record(route, took, time.Now())
+}
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -124,6 +124,32 @@
 	})
 }
 
+// Guards against bodies that a stopping router refuses although the answers of their route are known
+// to be short, and against one that it takes without that knowledge.
+func TestLateBodyOfAShortKindIsServedInAStop(t *testing.T) {
+	for answers, status := range map[int]int{4: http.StatusServiceUnavailable, 5: http.StatusOK} {
+		up := newReplica(t, "i-1", answering("ok"))
+		f := newFixture(t, up)
+		for range answers {
+			f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+		}
+		c := newSlowCaller(t, f, "/once/", false)
+		await(func() bool { return f.gateway.Active() == 1 })
+		f.gateway.DrainSince(4*time.Second, 8*time.Second)
+		c.finish(t)
+		must.Eq(t, status, c.answer(t).StatusCode, must.Sprint(answers))
+	}
+}
+
+// Guards against bodies for which a stopping router waits longer than the deadline of their request.
+func TestBodyThatMissesItsDeadlineIsRefusedAtOnceInAStop(t *testing.T) {
+	f := newFixture(t, newReplica(t, "i-1", answering("ok")))
+	c := newSlowCaller(t, f, "/short/", false) // has a timeout of 100 ms
+	await(func() bool { return f.gateway.Active() == 1 })
+	f.gateway.DrainSince(-time.Hour, 2*time.Hour) // other requests would be accepted all the while
+	must.Eq(t, http.StatusServiceUnavailable, c.answer(t).StatusCode)
+}
+
 // refusedAsStopping reads an answer, which must be the refusal of a stopping router.
 func (f *fixture) refusedAsStopping(t *testing.T, r *http.Request) {
 	t.Helper()
@@ -204,6 +230,23 @@
 	must.Zero(t, up.runs.Load())
 }
 
+// Guards against requests that are passed on although answers of their route have turned out to take
+// longer than a graceful shutdown leaves, while they waited.
+func TestStopIsWeighedAgainWhenARequestIsPassedOn(t *testing.T) {
+	var f *fixture
+	up := newReplica(t, "i-1", answering("ok"))
+	f = newFixtureWith(t, func(o *gateway.Options) {
+		o.Permit = func(context.Context, catalog.Key, float64) (bool, time.Duration) {
+			f.gateway.RecordSlowAnswer("/once/", 3*time.Second)
+			return true, 0
+		}
+	}, up)
+	f.gateway.Limits().Record(up.upstreamKey(), perSecond(3))
+	f.gateway.DrainSince(time.Second, 4*time.Second)
+	f.refusedAsStopping(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Zero(t, up.runs.Load())
+}
+
 // Guards against requests that wait in a queue of a stopping router until they cannot end any
 // more, and are passed on then.
 func TestQueuedRequestIsRefusedAtOnceInAStop(t *testing.T) {
