--- a/testfleet/process.go
+++ b/testfleet/process.go
@@ -60,16 +60,28 @@
 }
 
 // ResidentBytes returns the size of the resident memory of process id.
-func ResidentBytes(id int) (int64, error) {
+func ResidentBytes(id int) (int64, error) { return readMemory(id, "VmRSS:") }
+
+// PeakResidentBytes returns the largest size that the resident memory of process id has had.
+func PeakResidentBytes(id int) (int64, error) { return readMemory(id, "VmHWM:") }
+
+// readMemory returns a size in bytes from /proc/<id>/status.
+func readMemory(id int, field string) (int64, error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", id))
 	if err != nil {
 		return 0, errors.Wrap(err, "testfleet: resident memory")
 	}
 	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if value, ok := strings.CutPrefix(line, field); ok {
 			kilobytes, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
 			return kilobytes << 10, errors.Wrap(err, "testfleet: resident memory")
 		}
 	}
-	return 0, errors.New("testfleet: resident memory: no VmRSS")
+	return 0, errors.Newf("testfleet: resident memory: no %s", field)
+}
+
+// OpenDescriptors returns the number of file descriptors that process id has open.
+func OpenDescriptors(id int) (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", id))
+	return len(entries), errors.Wrap(err, "testfleet: open descriptors")
 }
