router: unfinished bodies give way when all requests are taken

Cause: a request counts before its body has arrived, and the limit refuses the newcomer whatever the others do.

Change: at the limit the unfinished body that has made no progress for longest is ended (503 overload, not-run, Connection: close), and the new request is taken. It is refused only if all requests have their bodies.

--- a/router/body_test.go
+++ b/router/body_test.go
@@ -97,3 +97,26 @@
 	must.Eq(t, 5, calls.Load())
 	await(t, func() bool { return r.HeldBodyBytes() == 0 })
 }
+
+// Guards against callers that take all requests in progress with bodies that do not end.
+func TestUnfinishedBodiesLeaveRequestsToOthers(t *testing.T) {
+	r, calls := newBodyRouter(t, func(o *router.Options) { o.MaxRequests = 2 })
+	unfinished := []net.Conn{
+		sendUnfinished(t, r, "Content-Length: 2", "x"),
+		sendUnfinished(t, r, "Transfer-Encoding: chunked", ""),
+	}
+	await(t, func() bool { return r.InProgress() == len(unfinished) })
+	whole := r.Do(t, "POST", "/v1/services/share-ledger/x", "x", nil)
+	must.Eq(t, http.StatusOK, whole.Status, must.Sprint(whole.Body))
+	// The one that was not ended is served; the other may be closed already.
+	_, _ = io.WriteString(unfinished[0], "x")
+	_, _ = io.WriteString(unfinished[1], "0\r\n\r\n")
+	answers := map[int]int{}
+	for _, c := range unfinished {
+		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+		must.NoError(t, err)
+		answers[answer.StatusCode]++
+	}
+	must.Eq(t, map[int]int{http.StatusServiceUnavailable: 1, http.StatusOK: 1}, answers)
+	must.Eq(t, 2, calls.Load())
+}
--- a/router/handler.go
+++ b/router/handler.go
@@ -66,7 +66,7 @@
 		counters.Add("requests", 1)
 		defer r.abortOnPanic(w)
 		defer r.inProgress.Add(-1)
-		if r.inProgress.Add(1) > r.opts.MaxRequests {
+		if r.inProgress.Add(1) > r.opts.MaxRequests && !r.bodies.EvictOldest() {
 			r.writeProblem(w, problem.Problem{
 				Status: http.StatusServiceUnavailable, Code: problem.CodeOverload, Outcome: problem.OutcomeNotRun,
 				Detail: "this router has reached its limit of requests in progress", RetryAfter: r.defaultRetryAfter(),
