router, admin: limit the connections of callers and operators

Seen: 96 connections without a request take a router from 19 to 116 open descriptors; nothing bounds them but the process's limit, at which it accepts nobody and opens no link to an agent.

Change: internal/connlimit, used by the listener for callers (--max-connections, 32768, at most three quarters of the descriptors) and the admin listener (256). At the limit the connection that has waited longest for a complete header is closed for the new one. If all have requests, an unfinished body is ended, else the new connection is closed.

--- a/admin/server.go
+++ b/admin/server.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"dandelionrill.example/fleet/internal/connlimit"
 )
 
 // Limits of the admin listener.
@@ -16,6 +18,7 @@
 	writeTimeout      = 60 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 16 << 10
+	maxConnections    = 256
 )
 
 // Server is the HTTP server of the admin listener.
@@ -35,6 +38,7 @@
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         connlimit.New(maxConnections, nil).ConnState,
 	}}
 }
 
--- a/cli/router.go
+++ b/cli/router.go
@@ -40,7 +40,7 @@
 		Host: s.Host, FailureDomain: s.FailureDomain, Incarnation: incarnation,
 		Signer: p.signer, Board: p.board, Pool: p.pool, Timeline: p.timeline, Log: p.log,
 		MaxBodyBytes: s.MaxBodyBytes, BodyMemoryBytes: s.BodyMemoryBytes, MaxHeaderBytes: int(s.MaxHeaderBytes), MaxAnswerBytes: s.MaxAnswerBytes,
-		MaxRequests: s.MaxRequests, Timeout: s.RequestTimeout, MaxTimeout: s.MaxRequestTimeout,
+		MaxRequests: s.MaxRequests, MaxConnections: int(s.CallerConnections), Timeout: s.RequestTimeout, MaxTimeout: s.MaxRequestTimeout,
 		HeaderTimeout: s.ReadHeaderTimeout, BodyTimeout: s.ReadTimeout,
 		IdleTimeout: s.IdleTimeout, WriteTimeout: s.WriteTimeout, EventTimeout: s.EventTimeout,
 		DrainDelay: s.DrainDelay, DrainTimeout: s.DrainTimeout,
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -102,21 +102,25 @@
 	return answer.StatusCode
 }
 
-// Guards against a router whose memory grows with the number of callers that send large
-// bodies and stop before the end, until the process is killed.
-func TestCrowdOfUnfinishedBodiesStaysWithinMemory(t *testing.T) {
-	ctx, cancel := context.WithTimeout(t.Context(), 2*testTimeout)
-	defer cancel()
+// startCrowdFleet starts a fleet with one router whose callers may stay as long as they like.
+func startCrowdFleet(t *testing.T, limits ...string) *testfleet.Fleet {
 	fleet, err := testfleet.Start(t.TempDir(), testfleet.Options{
 		Engines: 1, Replicas: 1, Routers: 1,
-		Environment: []string{
-			fmt.Sprintf("DANDELIONRILL_BODY_MEMORY_BYTES=%d", crowdBodyMemory),
-			fmt.Sprintf("DANDELIONRILL_MAX_BODY_BYTES=%d", crowdBodyBytes),
-			"DANDELIONRILL_READ_TIMEOUT=10m", // the crowd stays until the test ends
-		},
+		Environment: append([]string{"DANDELIONRILL_READ_TIMEOUT=10m", "DANDELIONRILL_READ_HEADER_TIMEOUT=1m"}, limits...),
 	})
 	must.NoError(t, err)
 	t.Cleanup(func() { must.NoError(t, fleet.Stop()) })
+	return fleet
+}
+
+// Guards against a router whose memory grows with the number of callers that send large
+// bodies and stop before the end, until the process is killed.
+func TestCrowdOfUnfinishedBodiesStaysWithinMemory(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*testTimeout)
+	defer cancel()
+	fleet := startCrowdFleet(t,
+		fmt.Sprintf("DANDELIONRILL_BODY_MEMORY_BYTES=%d", crowdBodyMemory),
+		fmt.Sprintf("DANDELIONRILL_MAX_BODY_BYTES=%d", crowdBodyBytes))
 	id := fleet.ID("router-1")
 	descriptors, err := testfleet.OpenDescriptors(id)
 	must.NoError(t, err)
@@ -135,8 +139,13 @@
 	open, err := testfleet.OpenDescriptors(id)
 	must.NoError(t, err)
 	must.LessEq(t, descriptors+len(bodySenders)*crowdOfEachKind+spareDescriptors, open)
+	requireOrdinaryCalls(ctx, t, fleet)
+}
+
+// requireOrdinaryCalls checks that the fleet runs and answers calls.
+func requireOrdinaryCalls(ctx context.Context, t *testing.T, fleet *testfleet.Fleet) {
 	for _, operation := range []string{"after-1", "after-2"} {
-		a, err := fleet.Call(ctx, "router-1", http.MethodPost, "/v1/services/share-ledger/transfers", nil, `{"operation":"`+operation+`"}`)
+		a, err := fleet.Call(ctx, "router-1", http.MethodPost, transferPath, nil, `{"operation":"`+operation+`"}`)
 		must.NoError(t, err)
 		must.Eq(t, http.StatusOK, a.Status, must.Sprint(string(a.Body)))
 	}
@@ -145,3 +154,42 @@
 
 // spareDescriptors allows for links and connections of ordinary calls.
 const spareDescriptors = 16
+
+// Guards against callers that keep connections open, without a request or in the middle of
+// its header, until the router has no file descriptor left.
+func TestCrowdOfConnectionsStaysWithinDescriptors(t *testing.T) {
+	const maxConnections, crowd = 32, 96
+	ctx, cancel := context.WithTimeout(t.Context(), 2*testTimeout)
+	defer cancel()
+	fleet := startCrowdFleet(t, fmt.Sprintf("DANDELIONRILL_MAX_CONNECTIONS=%d", maxConnections))
+	descriptors, err := testfleet.OpenDescriptors(fleet.ID("router-1"))
+	must.NoError(t, err)
+	for i := range crowd {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", fleet.Address("router-1"))
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, []string{"", "GET /v1/models HTTP/1.1\r\n"}[i%2])
+		must.NoError(t, err)
+		requireAnswered(ctx, t, conn, fleet, i%3 == 0 && i%2 == 0)
+	}
+	requireOrdinaryCalls(ctx, t, fleet)
+	open, err := testfleet.OpenDescriptors(fleet.ID("router-1"))
+	must.NoError(t, err)
+	t.Logf("open descriptors: %d before, %d with the crowd", descriptors, open)
+	must.LessEq(t, descriptors+maxConnections+spareDescriptors, open)
+	requireOrdinaryCalls(ctx, t, fleet)
+}
+
+// requireAnswered sends a request on conn if send is true, and waits for the answer.
+func requireAnswered(ctx context.Context, t *testing.T, conn net.Conn, fleet *testfleet.Fleet, send bool) {
+	if !send {
+		return
+	}
+	deadline, _ := ctx.Deadline()
+	must.NoError(t, conn.SetDeadline(deadline))
+	_, err := fmt.Fprintf(conn, "GET /v1/models HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer %s\r\n\r\n", fleet.CustomerKey())
+	must.NoError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, answer.StatusCode)
+}
--- a/router/options.go
+++ b/router/options.go
@@ -14,6 +14,7 @@
 
 // Defaults of Options.
 const (
+	DefaultMaxConnections = 1 << 15
 	DefaultMaxBodyBytes   = 2 << 20
 	DefaultBodyMemory     = 1 << 30
 	DefaultMaxAnswerBytes = 16 << 20
@@ -63,6 +64,7 @@
 	IdleTimeout     time.Duration // maximum time that a caller's connection stays idle between requests
 	MaxHeaderBytes  int           // maximum size of a request header
 	MaxRequests     int64         // maximum number of requests in progress
+	MaxConnections  int           // maximum number of callers' connections; see connlimit.New
 	DrainDelay      time.Duration // time from the start of a drain until the listener closes
 
 	CertFile string // PEM certificate of the listener for callers; empty means plain HTTP
@@ -84,6 +86,7 @@
 	o.BodyTimeout = cmp.Or(o.BodyTimeout, DefaultBodyTimeout)
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
 	o.MaxHeaderBytes = cmp.Or(o.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	o.MaxConnections = cmp.Or(o.MaxConnections, DefaultMaxConnections)
 	o.MaxRequests = cmp.Or(o.MaxRequests, DefaultMaxRequests)
 	if o.OnConfigVersion == nil {
 		o.OnConfigVersion = func(string, uint64) {}
--- a/router/router.go
+++ b/router/router.go
@@ -17,6 +17,7 @@
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/decide/retry"
 	"dandelionrill.example/fleet/internal/bodybudget"
+	"dandelionrill.example/fleet/internal/connlimit"
 	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
@@ -67,6 +68,7 @@
 		ReadHeaderTimeout: r.opts.HeaderTimeout,
 		IdleTimeout:       r.opts.IdleTimeout,
 		MaxHeaderBytes:    r.opts.MaxHeaderBytes,
+		ConnState:         connlimit.New(r.opts.MaxConnections, r.bodies.EvictOldest).ConnState,
 		BaseContext:       func(net.Listener) context.Context { return requests },
 	}
 	served := make(chan error, 1)
--- a/settings/router.go
+++ b/settings/router.go
@@ -17,6 +17,7 @@
 	BodyMemoryBytes   int64         // memory for the bodies of all requests in progress
 	MaxHeaderBytes    int64         // largest header of a request
 	MaxRequests       int64         // concurrent requests
+	CallerConnections int64         // connections of callers
 	ReadHeaderTimeout time.Duration // longest time for the header of a request
 	ReadTimeout       time.Duration // longest time for the body of a request
 	IdleTimeout       time.Duration // longest time between requests on a caller's connection
@@ -69,6 +70,7 @@
 	s.number(&r.BodyMemoryBytes, "body-memory-bytes", 1<<30, 1<<10, 1<<40, "bytes", "memory for the bodies of all requests in progress, as received")
 	s.number(&r.MaxHeaderBytes, "max-header-bytes", 64<<10, 1<<10, 1<<20, "bytes", "largest header of a request")
 	s.number(&r.MaxRequests, "max-requests", 20000, 1, 1<<20, "requests", "most requests in progress at a time")
+	s.number(&r.CallerConnections, "max-connections", 1<<15, 1, 1<<20, "connections", "most connections of callers, and at most three quarters of the process's file descriptors")
 	s.duration(&r.ReadHeaderTimeout, "read-header-timeout", 5*time.Second, 10*time.Millisecond, time.Minute, "longest time for the header of a request")
 	s.duration(&r.ReadTimeout, "read-timeout", 30*time.Second, 10*time.Millisecond, time.Hour, "longest time for the body of a request")
 	s.duration(&r.IdleTimeout, "idle-timeout", 2*time.Minute, time.Second, time.Hour, "longest time between requests on a caller's connection")
