router: an event without end ends the attempt

Cause: the bytes after the last complete event had a limit in time and none in bytes, and the search for the end began at the first of them.

The search goes on where it stopped.

--- a/router/stalled_test.go
+++ b/router/stalled_test.go
@@ -47,7 +47,7 @@
 	canceled chan struct{} // the call of the first engine was canceled
 }
 
-func newStallFleet(t *testing.T, resumes bool, first func(w http.ResponseWriter, r *http.Request) (whole bool)) *stallFleet {
+func newStallFleet(t *testing.T, resumes bool, first func(w http.ResponseWriter, r *http.Request) (whole bool), adjust ...func(*router.Options)) *stallFleet {
 	f := &stallFleet{canceled: make(chan struct{})}
 	cfg := fleettest.Config(1)
 	cfg.Services[0].Resumes = resumes
@@ -62,7 +62,12 @@
 			}
 		}), cfg, nil))
 	}
-	f.router = fleettest.StartRouter(t, "r1", cfg, upstreams, nil, func(o *router.Options) { o.EventTimeout = eventTimeout })
+	f.router = fleettest.StartRouter(t, "r1", cfg, upstreams, nil, func(o *router.Options) {
+		o.EventTimeout = eventTimeout
+		for _, f := range adjust {
+			f(o)
+		}
+	})
 	return f
 }
 
@@ -105,6 +110,24 @@
 	}
 }
 
+// An engine that sent an event without end filled the memory of the router until the time
+// between two events was over. The stream continues at another engine, or ends.
+func TestStreamWithEndlessEventEnds(t *testing.T) {
+	for _, resumes := range []bool{true, false} {
+		f := newStallFleet(t, resumes, func(w http.ResponseWriter, r *http.Request) bool {
+			pieces(w, r, 0, textEvent("a"), strings.Repeat("~", 200<<10))
+			<-r.Context().Done()
+			return false
+		}, func(o *router.Options) { o.EventTimeout, o.MaxAnswerBytes = time.Hour, 100<<10 })
+		a := f.router.Do(t, "POST", "/v1/chat/completions", chatBody("true"), nil)
+		<-f.canceled
+		must.StrNotContains(t, a.Body, "~")
+		must.Eq(t, resumes, strings.Contains(a.Body, "rest"))
+		must.Eq(t, resumes, strings.HasSuffix(a.Body, "data: [DONE]\n\n"))
+		must.Eq(t, !resumes, strings.Contains(a.Body, `"outcome":"incomplete"`))
+	}
+}
+
 // A slow but sound stream must not be cut: one whose events arrive in pieces, each event in
 // less than the bound and all of them in several times that, and one whose first bytes take
 // longer than the bound.
--- a/router/stream.go
+++ b/router/stream.go
@@ -22,6 +22,9 @@
 // errStalled reports that no event of a stream was complete in time.
 var errStalled = errors.New("router: the upstream sends no further events")
 
+// errEndlessEvent reports that an event of a stream exceeds the size limit.
+var errEndlessEvent = errors.New("router: the upstream sends an event that exceeds the size limit")
+
 // errCallerLeft reports that a write to the caller failed.
 var errCallerLeft = errors.New("router: the caller disconnected")
 
@@ -35,7 +38,7 @@
 	idPrefix      string    // of event identifiers: the request ID, or a sealed handle
 	skipUntil     int64     // events that end at or before this offset are not sent
 	offset        int64     // in the answer, of the end of the last complete event
-	pending       []byte    // bytes received after that event
+	pending       []byte    // bytes received after that event, at most MaxAnswerBytes
 	finalEvent    []byte    // the last event, sent only after the answer is verified
 	keepDelivered bool      // collect delivered events so that another engine can continue
 	delivered     []byte    // events delivered to the caller, if keepDelivered
@@ -95,6 +98,7 @@
 // forward adds bytes of the answer and sends the events that are complete. The time that the
 // caller takes to read them does not count as a pause of the engine.
 func (s *stream) forward(data []byte) error {
+	from := max(0, len(s.pending)-maxEventEndBytes+1) // what comes before holds no end of an event
 	s.pending = append(s.pending, data...)
 	var out []byte
 	before := s.offset
@@ -104,10 +108,11 @@
 		}
 	}()
 	for {
-		event, rest, found := cutEvent(s.pending)
+		event, rest, found := cutEvent(s.pending, from)
 		if !found {
 			break
 		}
+		from = 0
 		s.offset += int64(len(s.pending) - len(rest))
 		s.pending = rest
 		if s.offset <= s.skipUntil {
@@ -115,7 +120,14 @@
 		}
 		out = s.appendEvent(out, event)
 	}
-	return s.send(out)
+	if err := s.send(out); err != nil {
+		return err
+	}
+	if int64(len(s.pending)) > s.router.opts.MaxAnswerBytes {
+		counters.Add("streams_stalled", 1)
+		return errEndlessEvent
+	}
+	return nil
 }
 
 // appendEvent appends an event to out, with its identifier. It sets the
@@ -136,16 +148,19 @@
 	return append(out, '\n', '\n')
 }
 
+// maxEventEndBytes is the size of the longest blank line that ends an event.
+const maxEventEndBytes = len("\r\n\r\n")
+
 // cutEvent splits off the first complete event, without the blank line that
-// ends it.
-func cutEvent(p []byte) (event, rest []byte, found bool) {
-	i := bytes.Index(p, []byte("\n\n"))
-	j := bytes.Index(p, []byte("\r\n\r\n"))
+// ends it. It looks for that line from the given offset on.
+func cutEvent(p []byte, from int) (event, rest []byte, found bool) {
+	i := bytes.Index(p[from:], []byte("\n\n"))
+	j := bytes.Index(p[from:], []byte("\r\n\r\n"))
 	switch {
 	case i >= 0 && (j < 0 || i < j):
-		return p[:i], p[i+2:], true
+		return p[:from+i], p[from+i+2:], true
 	case j >= 0:
-		return p[:j], p[j+4:], true
+		return p[:from+j], p[from+j+4:], true
 	default:
 		return nil, p, false
 	}
--- a/settings/router.go
+++ b/settings/router.go
@@ -78,7 +78,7 @@
 	s.duration(&r.WriteTimeout, "write-timeout", 30*time.Second, 10*time.Millisecond, time.Hour, "longest time for one write to a caller")
 	s.duration(&r.RequestTimeout, "request-timeout", time.Minute, time.Second, 24*time.Hour, "deadline of a request whose caller gives none")
 	s.duration(&r.MaxRequestTimeout, "max-request-timeout", 10*time.Minute, time.Second, 24*time.Hour, "longest deadline that a caller may give")
-	s.number(&r.MaxAnswerBytes, "max-answer-bytes", 16<<20, 1<<10, 1<<40, "bytes", "largest answer that is given whole, not as a stream")
+	s.number(&r.MaxAnswerBytes, "max-answer-bytes", 16<<20, 1<<10, 1<<40, "bytes", "largest answer that is given whole, and largest event of a stream")
 	s.duration(&r.DrainDelay, "drain-delay", 3*time.Second, 0, time.Hour, "how long a draining router still accepts connections, for the balancer to see that it is not ready")
 	r.processFlags(s)
 	return s
