router: the deadline of a request interrupts the read of its body

Cause: the read of the body does not heed the request's context.

Change: the end of the context interrupts it. The caller gets 504 deadline, not-run, and its connection is closed without waiting for the rest.

--- a/router/body.go
+++ b/router/body.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,9 @@
 	"dandelionrill.example/fleet/problem"
 )
 
+// errDeadlineInBody reports that the request's context ended before its body was received.
+var errDeadlineInBody = errors.New("router: the deadline passed before the body was received")
+
 // readBody reads the request's body, subject to limits on size, time and the memory of all
 // bodies. The caller must release the body. On failure readBody writes the problem response
 // and returns false.
@@ -22,7 +26,11 @@
 		maxBytes = min(maxBytes, req.ContentLength)
 	}
 	interrupt := func() { _ = control.SetReadDeadline(time.Now()) }
+	defer context.AfterFunc(req.Context(), interrupt)()
 	body, err := r.bodies.Read(http.MaxBytesReader(w, req.Body, r.opts.MaxBodyBytes), maxBytes, interrupt)
+	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
+		err = errors.Mark(err, errDeadlineInBody)
+	}
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, true
@@ -30,7 +38,7 @@
 	// Closing the connection avoids reading the rest of the body.
 	w.Header().Set("Connection", "close")
 	r.writeProblem(w, r.bodyProblem(err))
-	if isOutOfMemory(err) {
+	if isOutOfMemory(err) || errors.Is(err, errDeadlineInBody) {
 		// net/http would keep the connection until the rest of the body arrives or times out.
 		_ = control.SetReadDeadline(time.Now())
 	}
@@ -56,6 +64,11 @@
 			Status: http.StatusServiceUnavailable, Code: problem.CodeOverload, Outcome: problem.OutcomeNotRun,
 			Detail: "this router has reached its limit on request bodies", RetryAfter: r.defaultRetryAfter(),
 		}
+	case errors.Is(err, errDeadlineInBody):
+		return problem.Problem{
+			Status: http.StatusGatewayTimeout, Code: problem.CodeDeadline, Outcome: problem.OutcomeNotRun,
+			Detail: "the deadline passed before the body was received",
+		}
 	default:
 		return problem.Problem{
 			Status: http.StatusRequestTimeout, Code: problem.CodeSlowRequest, Outcome: problem.OutcomeNotRun,
--- a/router/body_test.go
+++ b/router/body_test.go
@@ -120,3 +120,30 @@
 	must.Eq(t, map[int]int{http.StatusServiceUnavailable: 1, http.StatusOK: 1}, answers)
 	must.Eq(t, 2, calls.Load())
 }
+
+// Guards against a caller in the middle of a body that a planned stop cuts off without an
+// answer, and one that is kept after its own deadline.
+func TestUnfinishedBodyIsAnsweredAtTheDeadline(t *testing.T) {
+	for name, tc := range map[string]struct {
+		header string
+		end    func(*fleettest.Router)
+	}{
+		"planned stop":      {"", func(r *fleettest.Router) { r.Stop() }},
+		"caller's deadline": {router.HeaderTimeout + ": 0.1\r\n", func(*fleettest.Router) {}},
+	} {
+		r, calls := newBodyRouter(t, func(o *router.Options) {
+			o.DrainDelay, o.DrainTimeout = time.Millisecond, 100*time.Millisecond
+		})
+		c := sendUnfinished(t, r, tc.header+"Content-Length: 2", "x")
+		await(t, func() bool { return r.HeldBodyBytes() > 0 })
+		tc.end(r)
+		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+		must.NoError(t, err, must.Sprint(name))
+		body, err := io.ReadAll(answer.Body)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusGatewayTimeout, answer.StatusCode, must.Sprint(name))
+		must.StrContains(t, string(body), `"code":"deadline","outcome":"not-run"`)
+		await(t, func() bool { return r.InProgress() == 0 })
+		must.Eq(t, 0, calls.Load())
+	}
+}
