--- a/router/body_test.go
+++ b/router/body_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -13,10 +15,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
 	"dandelionrill.example/fleet/fleettest"
+	"dandelionrill.example/fleet/linktest"
 	"dandelionrill.example/fleet/router"
 )
 
@@ -147,3 +151,46 @@
 		must.Eq(t, 0, calls.Load())
 	}
 }
+
+// Guards against unfinished bodies of one HTTP/2 connection that are not ended: its streams
+// have deadlines of their own.
+func TestUnfinishedBodiesOfHTTP2AreEvicted(t *testing.T) {
+	issued := linktest.NewAuthority(t).Issue(t, "router")
+	r, calls := newBodyRouter(t, func(o *router.Options) {
+		o.CertFile, o.KeyFile = issued.Certificate, issued.Key
+	})
+	transport := &http.Transport{
+		TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, ForceAttemptHTTP2: true,
+	}
+	t.Cleanup(transport.CloseIdleConnections)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	send := func(body io.Reader) (*http.Response, error) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https"+strings.TrimPrefix(r.URL, "http")+"/v1/services/share-ledger/x", body)
+		if err != nil {
+			return nil, err
+		}
+		req.Header.Set("Authorization", "Bearer "+fleettest.CustomerKey)
+		return transport.RoundTrip(req)
+	}
+	part := strings.Repeat("x", 100<<10)
+	unfinished := make(chan *http.Response, 1)
+	go func() {
+		rest, end := io.Pipe()
+		defer func() { _ = end.Close() }()
+		answer, err := send(io.MultiReader(strings.NewReader(part), rest))
+		test.NoError(t, err)
+		unfinished <- answer
+	}()
+	await(t, func() bool { return r.HeldBodyBytes() > int64(len(part)) })
+	whole, err := send(strings.NewReader(part))
+	must.NoError(t, err)
+	must.Eq(t, 2, whole.ProtoMajor)
+	must.Eq(t, http.StatusOK, whole.StatusCode)
+	answer := <-unfinished
+	must.NotNil(t, answer)
+	must.Eq(t, http.StatusServiceUnavailable, answer.StatusCode)
+	must.NotEq(t, "", answer.Header.Get("Retry-After"))
+	await(t, func() bool { return r.HeldBodyBytes() == 0 })
+	must.Eq(t, 1, calls.Load())
+}
