--- a/router/faulty_agent_test.go
+++ b/router/faulty_agent_test.go
@@ -14,6 +14,7 @@
 
 	"dandelionrill.example/fleet/fleettest"
 	"dandelionrill.example/fleet/link"
+	"dandelionrill.example/fleet/router"
 	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/fleet/wire"
 )
@@ -130,3 +131,32 @@
 	}
 	must.Eq(t, 2, received.Load())
 }
+
+// endlessAgent accepts every request and returns an answer without end.
+type endlessAgent struct{ faultyAgent }
+
+func (a *endlessAgent) Read(args *wire.ReadArgs, reply *wire.ReadReply) error {
+	*reply = wire.ReadReply{
+		Verdict: wire.VerdictKnown, Request: args.Request, Offset: args.Offset,
+		Started: true, Status: 200, Data: make([]byte, 1<<10),
+	}
+	return nil
+}
+
+// Guards against an answer without end that fills the memory of the router until the
+// deadline of its request.
+func TestEndlessAnswerIsGivenUp(t *testing.T) {
+	server, err := link.NewServer(link.ServerOptions{}, "Agent", &endlessAgent{})
+	must.NoError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	up := &fleettest.Upstream{Host: store.Host{
+		Name: "w", Role: store.RoleAgent, Service: fleettest.PlainService,
+		Address: listener.Addr().String(), State: store.HostLive,
+	}}
+	r := fleettest.StartRouter(t, "r", fleettest.Config(1), []*fleettest.Upstream{up}, nil, func(o *router.Options) { o.MaxAnswerBytes = 100 << 10 })
+	a := r.Do(t, "GET", "/v1/services/share-ledger/holdings", "", map[string]string{router.HeaderTimeout: "5"})
+	must.Eq(t, http.StatusBadGateway, a.Status, must.Sprint(a.Body))
+	must.StrContains(t, a.Body, `"outcome":"incomplete"`)
+}
