internal/bodybudget: a byte now and then is no progress

Cause: each read of a body counted as progress. Callers that send a byte at short intervals stayed, and a body that arrives over a slow path had the oldest progress and was ended for them.

Change: progress is counted in 4 KiB.

--- a/internal/bodybudget/bodybudget.go
+++ b/internal/bodybudget/bodybudget.go
@@ -18,6 +18,10 @@
 	ErrTooLarge  = errors.New("bodybudget: the body exceeds its size limit")
 )
 
+// progressBytes is how many bytes of a body are progress: a body that sends a byte now and then
+// makes none.
+const progressBytes = 4 << 10
+
 // Budget is the memory for the bodies of a process. Its methods may be called concurrently.
 type Budget struct {
 	limit int64
@@ -42,6 +46,7 @@
 	budget    *Budget
 	interrupt func()
 	segments  segments // while the body arrives
+	unmarked  int      // bytes read since the last progress
 	data      []byte
 
 	// Guarded by budget.mu.
@@ -146,7 +151,8 @@
 		if s.length > maxBytes {
 			return ErrTooLarge
 		}
-		if n > 0 {
+		if body.unmarked += n; body.unmarked >= progressBytes {
+			body.unmarked = 0
 			body.budget.progress(body)
 		}
 		if err == io.EOF {
@@ -204,9 +210,6 @@
 func (b *Budget) take(body *Body, n int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if body.element != nil {
-		b.reading.MoveToBack(body.element)
-	}
 	for {
 		if body.evicted {
 			return ErrEvicted
--- a/internal/bodybudget/bodybudget_test.go
+++ b/internal/bodybudget/bodybudget_test.go
@@ -110,6 +110,40 @@
 	must.Eq(t, 0, b.Used())
 }
 
+// Guards against bodies that stay by a byte now and then, while those that arrive are evicted.
+func TestSingleBytesAreNoProgress(t *testing.T) {
+	b := New(1 << 20)
+	trickling, arriving := newStalledBody(firstSegmentBytes+1), newStalledBody(2*progressBytes)
+	tricklingParts, arrivingParts := make(chan struct{}), make(chan struct{})
+	end := make(chan error, 2)
+	read := func(s *stalledBody, parts chan struct{}, size int64) {
+		_, err := b.Read(readerFunc(func(p []byte) (int, error) {
+			<-parts
+			return s.Read(p[:min(size, int64(len(p)))])
+		}), 1<<20, s.interrupt)
+		end <- err
+	}
+	go read(trickling, tricklingParts, 1)
+	tricklingParts <- struct{}{} // it has begun before the other
+	go read(arriving, arrivingParts, progressBytes)
+	for range 3 {
+		arrivingParts <- struct{}{}
+		tricklingParts <- struct{}{}
+	}
+	must.True(t, b.EvictOldest())
+	<-trickling.interrupted
+	close(tricklingParts)
+	must.ErrorIs(t, <-end, ErrEvicted)
+	must.True(t, b.EvictOldest())
+	close(arrivingParts)
+	must.ErrorIs(t, <-end, ErrEvicted)
+	must.Eq(t, 0, b.Used())
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // Guards against an eviction of a request that may run already, and a wait without end.
 func TestCompleteBodiesAreNotEvicted(t *testing.T) {
 	b := New(firstSegmentBytes + 2000)
