router: a request without a valid key ends no body of another caller

Change: the limit applies after the key. What is rejected before it takes no body and no work of an upstream.

--- a/router/body_test.go
+++ b/router/body_test.go
@@ -110,6 +110,9 @@
 		sendUnfinished(t, r, "Transfer-Encoding: chunked", ""),
 	}
 	await(t, func() bool { return r.InProgress() == len(unfinished) })
+	stranger := r.Do(t, "GET", "/v1/models", "", map[string]string{"Authorization": "Bearer none"})
+	must.Eq(t, http.StatusUnauthorized, stranger.Status) // it ends no body
+	await(t, func() bool { return r.InProgress() == len(unfinished) })
 	whole := r.Do(t, "POST", "/v1/services/share-ledger/x", "x", nil)
 	must.Eq(t, http.StatusOK, whole.Status, must.Sprint(whole.Body))
 	// The one that was not ended is served; the other may be closed already.
--- a/router/handler.go
+++ b/router/handler.go
@@ -66,13 +66,7 @@
 		counters.Add("requests", 1)
 		defer r.abortOnPanic(w)
 		defer r.inProgress.Add(-1)
-		if r.inProgress.Add(1) > r.opts.MaxRequests && !r.bodies.EvictOldest() {
-			r.writeProblem(w, problem.Problem{
-				Status: http.StatusServiceUnavailable, Code: problem.CodeOverload, Outcome: problem.OutcomeNotRun,
-				Detail: "this router has reached its limit of requests in progress", RetryAfter: r.defaultRetryAfter(),
-			})
-			return
-		}
+		isOver := r.inProgress.Add(1) > r.opts.MaxRequests
 		if r.opts.Board.Drain().Value != board.DrainServing {
 			w.Header().Set("Connection", "close") // so that the caller sends no further request on a connection that closes
 		}
@@ -90,6 +84,13 @@
 			r.writeProblem(w, problem.Problem{Status: http.StatusUnauthorized, Code: problem.CodeUnauthorized, Outcome: problem.OutcomeNotRun, Detail: "unknown customer key"})
 			return
 		}
+		if isOver && !r.bodies.EvictOldest() {
+			r.writeProblem(w, problem.Problem{
+				Status: http.StatusServiceUnavailable, Code: problem.CodeOverload, Outcome: problem.OutcomeNotRun,
+				Detail: "this router has reached its limit of requests in progress", RetryAfter: r.defaultRetryAfter(),
+			})
+			return
+		}
 		timeout, err := r.timeout(req)
 		if err != nil {
 			r.badRequest(w, err)
