--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,8 @@
 
 	"dandelionrill.example/fleet/board"
 	"dandelionrill.example/fleet/decide/retry"
+	"dandelionrill.example/fleet/internal/bodybudget"
+	"dandelionrill.example/fleet/internal/connlimit"
 	"dandelionrill.example/fleet/internal/randid"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
@@ -29,6 +31,7 @@
 	ejections ejections
 
 	inProgress atomic.Int64 // number of requests
+	bodies     *bodybudget.Budget
 
 	mu      sync.Mutex // guards budgets
 	budgets map[string]*retry.Budget
@@ -43,7 +46,7 @@
 	if opts.Incarnation == "" {
 		opts.Incarnation = randid.New()
 	}
-	r := &Router{opts: opts, budgets: make(map[string]*retry.Budget)}
+	r := &Router{opts: opts, bodies: bodybudget.New(opts.BodyMemoryBytes), budgets: make(map[string]*retry.Budget)}
 	r.snapshots.Store(r.buildSnapshots())
 	return r, nil
 }
@@ -65,6 +68,7 @@
 		ReadHeaderTimeout: r.opts.HeaderTimeout,
 		IdleTimeout:       r.opts.IdleTimeout,
 		MaxHeaderBytes:    r.opts.MaxHeaderBytes,
+		ConnState:         connlimit.New(r.opts.MaxConnections, r.bodies.EvictOldest).ConnState,
 		BaseContext:       func(net.Listener) context.Context { return requests },
 	}
 	served := make(chan error, 1)
--- a/settings/router.go
+++ b/settings/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"time"
 
 	"dandelionrill.example/fleet/wire"
@@ -13,8 +14,10 @@
 	Listen            string        // address of the HTTP listener for callers
 	RPCListen         string        // address of the listener for other routers
 	MaxBodyBytes      int64         // largest body of a request
+	BodyMemoryBytes   int64         // memory for the bodies of all requests in progress
 	MaxHeaderBytes    int64         // largest header of a request
 	MaxRequests       int64         // concurrent requests
+	CallerConnections int64         // connections of callers
 	ReadHeaderTimeout time.Duration // longest time for the header of a request
 	ReadTimeout       time.Duration // longest time for the body of a request
 	IdleTimeout       time.Duration // longest time between requests on a caller's connection
@@ -46,6 +49,9 @@
 	if r.MaxRequestTimeout < r.RequestTimeout {
 		s.addFinding("max-request-timeout", "at least --request-timeout, which is "+r.RequestTimeout.String())
 	}
+	if r.BodyMemoryBytes < 2*r.MaxBodyBytes {
+		s.addFinding("body-memory-bytes", "at least twice --max-body-bytes, which is "+strconv.FormatInt(r.MaxBodyBytes, 10))
+	}
 	return r, s.err()
 }
 
@@ -61,8 +67,10 @@
 	s.address(&r.RPCListen, "rpc-listen", "127.0.0.1:8082", "listener for the other routers", false)
 	s.group = "Limits of callers"
 	s.number(&r.MaxBodyBytes, "max-body-bytes", wire.MaxRequestBytes, 1, wire.MaxRequestBytes, "bytes", "largest body of a request")
+	s.number(&r.BodyMemoryBytes, "body-memory-bytes", 1<<30, 1<<10, 1<<40, "bytes", "memory for the bodies of all requests in progress, as received")
 	s.number(&r.MaxHeaderBytes, "max-header-bytes", 64<<10, 1<<10, 1<<20, "bytes", "largest header of a request")
 	s.number(&r.MaxRequests, "max-requests", 20000, 1, 1<<20, "requests", "most requests in progress at a time")
+	s.number(&r.CallerConnections, "max-connections", 1<<15, 1, 1<<20, "connections", "most connections of callers, and at most three quarters of the process's file descriptors")
 	s.duration(&r.ReadHeaderTimeout, "read-header-timeout", 5*time.Second, 10*time.Millisecond, time.Minute, "longest time for the header of a request")
 	s.duration(&r.ReadTimeout, "read-timeout", 30*time.Second, 10*time.Millisecond, time.Hour, "longest time for the body of a request")
 	s.duration(&r.IdleTimeout, "idle-timeout", 2*time.Minute, time.Second, time.Hour, "longest time between requests on a caller's connection")
@@ -70,7 +78,7 @@
 	s.duration(&r.WriteTimeout, "write-timeout", 30*time.Second, 10*time.Millisecond, time.Hour, "longest time for one write to a caller")
 	s.duration(&r.RequestTimeout, "request-timeout", time.Minute, time.Second, 24*time.Hour, "deadline of a request whose caller gives none")
 	s.duration(&r.MaxRequestTimeout, "max-request-timeout", 10*time.Minute, time.Second, 24*time.Hour, "longest deadline that a caller may give")
-	s.number(&r.MaxAnswerBytes, "max-answer-bytes", 16<<20, 1<<10, 1<<40, "bytes", "largest answer that is given whole, not as a stream")
+	s.number(&r.MaxAnswerBytes, "max-answer-bytes", 16<<20, 1<<10, 1<<40, "bytes", "largest answer that is given whole, and largest event of a stream")
 	s.duration(&r.DrainDelay, "drain-delay", 3*time.Second, 0, time.Hour, "how long a draining router still accepts connections, for the balancer to see that it is not ready")
 	r.processFlags(s)
 	return s
