--- a/gateway/body.go
+++ b/gateway/body.go
@@ -78,7 +78,7 @@
 	}
 	if err != nil {
 		abandonBody(w, req)
-		return func() {}, bodyEnd(req, err), false
+		return func() {}, g.bodyEnd(req, err), false
 	}
 	setReadDeadline(w, time.Time{})
 	req.body = body
@@ -86,11 +86,13 @@
 }
 
 // bodyEnd returns the end of a request whose body could not be read.
-func bodyEnd(req *request, err error) end {
+func (g *Gateway) bodyEnd(req *request, err error) end {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errNoMemory):
 		return refused(err.Error(), retryAfterShort)
+	case errors.Is(err, os.ErrDeadlineExceeded) && g.draining.Load() != nil:
+		return refusedStopping() // the deadline and the shutdown may interrupt the read together
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return end{kind: endRefused, status: http.StatusRequestTimeout, reason: "body has not arrived in time"}
 	case errors.As(err, &tooLarge):
