gateway: a stream whose body ends late in a stop needs a timeout that fits

What callers saw: a stream cut at the end of a planned stop, whose last byte was sent more than 3 s after the SIGTERM (LOST).

Cause: bodies that end late in a stop were taken if the latest answers of their route had been short, five of them at least.

Change: the estimate serves for answers that are no streams only: these are replaced by an error at the end of a stop, a stream is cut.

--- a/decide/admit/drain.go
+++ b/decide/admit/drain.go
@@ -22,6 +22,9 @@
 	Timeout  time.Duration // 0 if none; negative if it is over
 	Expected time.Duration // how long requests of its kind have taken lately; 0 if unknown
 	Answers  int           // how many requests of its kind tell so
+	// Streams is true if the answer is delivered as it arrives: at the end of the shutdown it is
+	// cut, where another one is replaced by an error.
+	Streams bool
 }
 
 // FitsDrain reports whether work that arrives elapsed after the start of a graceful
@@ -43,8 +46,8 @@
 // LatestInDrain returns until when the end of a request must have arrived that FitsDrain has
 // accepted, and until when it must be passed on. Both count from the start of the shutdown, as
 // elapsed does, at which w.Timeout is left. After drainAcceptPeriod the end of a request may
-// still come if its kind has lately taken much less than the time that is left, in a number of
-// cases: its caller would have to send all of it again.
+// still come if its answer is no stream, and its kind has lately taken much less than the time that
+// is left, in a number of cases: its caller would have to send all of it again.
 func LatestInDrain(w Work, elapsed, limit time.Duration) (arrival, send time.Duration) {
 	if w.Timeout < 0 || w.fits(limit-elapsed-drainMargin) {
 		return elapsed + w.Timeout, elapsed + w.Timeout
@@ -52,7 +55,7 @@
 	end := limit - drainMargin
 	send = end - max(drainMinTime, w.Expected)
 	arrival = min(drainAcceptPeriod, send)
-	if w.Answers >= drainMinAnswers {
+	if !w.Streams && w.Answers >= drainMinAnswers {
 		arrival = max(arrival, end-max(drainMinTime, drainSpareFactor*w.Expected))
 	}
 	return arrival, send
--- a/decide/admit/drain_test.go
+++ b/decide/admit/drain_test.go
@@ -62,6 +62,7 @@
 		{"short kind", Work{Timeout: 15 * time.Second, Expected: 20 * ms, Answers: 5}, 0, 6400 * ms, 6400 * ms},
 		{"kind that is little known", Work{Timeout: 15 * time.Second, Expected: 20 * ms, Answers: 4}, 0, 3000 * ms, 6400 * ms},
 		{"usual kind", Work{Timeout: 15 * time.Second, Expected: 1200 * ms, Answers: 5}, 0, 3800 * ms, 6200 * ms},
+		{"short kind of streams", Work{Timeout: 15 * time.Second, Expected: 20 * ms, Answers: 500, Streams: true}, 0, 3000 * ms, 6400 * ms},
 		{"slow kind", Work{Timeout: 15 * time.Second, Expected: 3 * time.Second, Answers: 5}, 0, 3000 * ms, 4400 * ms},
 		{"slower kind", Work{Timeout: 15 * time.Second, Expected: 5 * time.Second, Answers: 5}, 0, 2400 * ms, 2400 * ms},
 		{"kind that is too slow", Work{Timeout: 15 * time.Second, Expected: 9 * time.Second}, 0, -1600 * ms, -1600 * ms},
@@ -85,7 +86,7 @@
 	for elapsed := time.Duration(0); elapsed < limit; elapsed += step {
 		for timeout := time.Duration(0); timeout < 2*limit; timeout += step {
 			for expected := time.Duration(0); expected < limit; expected += 500 * time.Millisecond {
-				w := Work{Timeout: timeout, Expected: expected, Answers: int(expected / step)}
+				w := Work{Timeout: timeout, Expected: expected, Answers: int(expected / step), Streams: elapsed%(2*step) == 0}
 				arrival, send := LatestInDrain(w, elapsed, limit)
 				must.LessEq(t, send, arrival)
 				if FitsDrain(w, elapsed, limit) {
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -265,7 +265,7 @@
 // longestWait returns how long a request may wait for its turn, until its deadline or until a
 // stopping router refuses it.
 func (g *Gateway) longestWait(req *request) time.Duration {
-	_, send := g.latestInDrain(req.route.Name, req.deadline)
+	_, send := g.latestInDrain(req.route, req.deadline)
 	return min(time.Until(req.deadline), send) - minAttemptTime
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -132,7 +132,7 @@
 	if e, ok := g.applyNewerTable(req); !ok {
 		return e
 	}
-	if !req.stop.arrived(req.route.Name, req.deadline) {
+	if !req.stop.arrived(req.route, req.deadline) {
 		return refusedStopping()
 	}
 	req.ids = req.workIDs()
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dandelionrill.example/fleet/decide/admit"
+	"dandelionrill.example/fleet/routing"
 	"github.com/cockroachdb/errors"
 )
 
@@ -21,12 +22,12 @@
 // whose head has arrived.
 func (g *Gateway) exceedsDrainTime(req *request) bool {
 	drain := g.draining.Load()
-	return drain != nil && !admit.FitsDrain(g.drainWork(req.route.Name, req.deadline), time.Since(drain.started), drain.limit)
+	return drain != nil && !admit.FitsDrain(g.drainWork(req.route, req.deadline), time.Since(drain.started), drain.limit)
 }
 
 // latestInDrain returns in what time the end of a request to a route has to arrive, and in what time it
 // has to be passed on, to be served in a graceful shutdown.
-func (g *Gateway) latestInDrain(route string, deadline time.Time) (arrival, send time.Duration) {
+func (g *Gateway) latestInDrain(route *routing.Route, deadline time.Time) (arrival, send time.Duration) {
 	drain := g.draining.Load()
 	if drain == nil {
 		return math.MaxInt64, math.MaxInt64
@@ -36,9 +37,9 @@
 	return arrival - elapsed, send - elapsed
 }
 
-func (g *Gateway) drainWork(route string, deadline time.Time) admit.Work {
-	slowest, answers := g.slowest.slowest(route, time.Now())
-	return admit.Work{Timeout: time.Until(deadline), Expected: slowest, Answers: answers}
+func (g *Gateway) drainWork(route *routing.Route, deadline time.Time) admit.Work {
+	slowest, answers := g.slowest.slowest(route.Name, time.Now())
+	return admit.Work{Timeout: time.Until(deadline), Expected: slowest, Answers: answers, Streams: route.IsStream()}
 }
 
 // stopWatch refuses a request that has not been passed on once a graceful shutdown leaves too
@@ -53,9 +54,9 @@
 
 	mu       sync.Mutex
 	phase    stopPhase
-	timer    *time.Timer // nil before the shutdown
-	route    string      // of the request
-	deadline time.Time   // of the request
+	timer    *time.Timer    // nil before the shutdown
+	route    *routing.Route // of the request
+	deadline time.Time      // of the request
 }
 
 // stopPhase is the state of a stopWatch.
@@ -72,7 +73,7 @@
 // watch must be ended.
 func (g *Gateway) watchStop(w http.ResponseWriter, req *request) context.Context {
 	ctx, cancel := context.WithCancelCause(req.http.Context())
-	watch := &stopWatch{gateway: g, cancel: cancel, route: req.route.Name, deadline: req.deadline, interrupt: func() {
+	watch := &stopWatch{gateway: g, cancel: cancel, route: req.route, deadline: req.deadline, interrupt: func() {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only for readers that cannot block
 	}}
 	req.stop = watch
@@ -114,7 +115,7 @@
 
 // arrived tells the watch that the whole request has been read, and its route and deadline, which
 // a newer configuration may have changed. It returns false if the request is refused.
-func (w *stopWatch) arrived(route string, deadline time.Time) bool {
+func (w *stopWatch) arrived(route *routing.Route, deadline time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.route, w.deadline = route, deadline
