decide/admit: a stop takes what may not end in time for 2.75 s instead of 3

Cause: the bound was that of the rule, without a margin for the time between the signal and its notice, and the estimate of how long an answer takes knows only answers that have ended: it is low soon after a start.

Change: 2.75 s. The load balancer sends new callers for 2 s and a little, until two probes have failed.

--- a/decide/admit/drain.go
+++ b/decide/admit/drain.go
@@ -4,8 +4,9 @@
 
 const (
 	// drainAcceptPeriod is how long a draining process accepts what is expected to end in
-	// time: the load balancer still sends it new callers, who cannot easily go elsewhere.
-	drainAcceptPeriod = 3 * time.Second
+	// time: the load balancer still sends it new callers, who cannot easily go elsewhere, until
+	// two of its probes, one second apart, have failed.
+	drainAcceptPeriod = 2750 * time.Millisecond
 	// drainMinTime is the time that a request accepted in drainAcceptPeriod has at least.
 	drainMinTime = time.Second
 	// drainSpareFactor is how many times as long as lately a request whose end arrives after
