--- a/soak/stop_body_test.go
+++ b/soak/stop_body_test.go
@@ -85,6 +85,28 @@
 	return runs
 }
 
+// finishBodies lets the callers send the rest of their bodies after a time. Each of them must be
+// served, or refused without a run. It returns the attempts that the upstreams have run.
+func (s *stopFixture) finishBodies(t *testing.T, callers []*bodyCaller, after time.Duration) (runs map[string]bool) {
+	t.Helper()
+	outcomes := make([]string, len(callers))
+	var all sync.WaitGroup
+	for i, c := range callers {
+		all.Go(func() { outcomes[i] = c.answer(after) })
+	}
+	all.Wait()
+	runs = s.runs()
+	for i, c := range callers {
+		t.Logf("%s: %s, run: %v", c.attempt, outcomes[i], runs[c.attempt])
+		if runs[c.attempt] {
+			must.Eq(t, outcomeServed, outcomes[i])
+		} else {
+			must.Eq(t, outcomeRefused, outcomes[i])
+		}
+	}
+	return runs
+}
+
 // Guards against answers that are cut at the end of a planned stop: callers send the heads of
 // their requests before the SIGTERM, and the ends of the bodies some time after it.
 func TestBodiesAcrossAStopAreServedOrRefused(t *testing.T) {
@@ -98,20 +120,8 @@
 			}
 			time.Sleep(100 * time.Millisecond)
 			s.router.signal(syscall.SIGTERM)
-			outcomes := make([]string, len(callers))
-			var all sync.WaitGroup
-			for i, c := range callers {
-				all.Go(func() { outcomes[i] = c.answer(after) })
-			}
-			all.Wait()
-			runs := s.runs()
-			for i, c := range callers {
-				t.Logf("%s: %s, run: %v", c.attempt, outcomes[i], runs[c.attempt])
-				if runs[c.attempt] {
-					must.Eq(t, outcomeServed, outcomes[i])
-				} else {
-					must.Eq(t, outcomeRefused, outcomes[i])
-				}
+			runs := s.finishBodies(t, callers, after)
+			for _, c := range callers {
 				must.True(t, after > time.Second || runs[c.attempt], must.Sprint("bodies that end early in the stop are served"))
 			}
 		})
--- a/soak/stop_estimate_test.go
+++ b/soak/stop_estimate_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -14,8 +13,8 @@
 )
 
 // shortAttempt returns an attempt whose slow stream takes less than a third of a second.
-func shortAttempt() string {
-	attempt := "short"
+func shortAttempt(prefix string) string {
+	attempt := prefix
 	for replica.Events(attempt) > 3 {
 		attempt += "-"
 	}
@@ -27,31 +26,19 @@
 func TestBodyThatEndsLateInAStopIsNotPassedOnAfterShortAnswers(t *testing.T) {
 	t.Parallel()
 	s := newStopFixture(t)
-	response, err := s.send(shortAttempt(), "/stream/slow", 10*time.Second)
-	must.NoError(t, err)
-	must.Eq(t, http.StatusOK, response.StatusCode)
-	_, err = io.Copy(io.Discard, response.Body)
-	must.NoError(t, err)
-	must.NoError(t, response.Body.Close())
+	for i := range 8 {
+		response, err := s.send(shortAttempt(fmt.Sprint("short", i)), "/stream/slow", 10*time.Second)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, response.StatusCode)
+		_, err = io.Copy(io.Discard, response.Body)
+		must.NoError(t, err)
+		must.NoError(t, response.Body.Close())
+	}
 	var callers []*bodyCaller
 	for i, chunked := range []bool{false, true} {
 		callers = append(callers, newBodyCaller(s, "/stream/slow", longAttemptOf(fmt.Sprint("caller", i)), chunked))
 	}
 	time.Sleep(100 * time.Millisecond)
 	s.router.signal(syscall.SIGTERM)
-	outcomes := make([]string, len(callers))
-	var all sync.WaitGroup
-	for i, c := range callers {
-		all.Go(func() { outcomes[i] = c.answer(3800 * time.Millisecond) })
-	}
-	all.Wait()
-	runs := s.runs()
-	for i, c := range callers {
-		t.Logf("%s: %s, run: %v", c.attempt, outcomes[i], runs[c.attempt])
-		if runs[c.attempt] {
-			must.Eq(t, outcomeServed, outcomes[i])
-		} else {
-			must.Eq(t, outcomeRefused, outcomes[i])
-		}
-	}
+	s.finishBodies(t, callers, 3800*time.Millisecond)
 }
