gateway: the router's own answers name their length

What callers saw: a refusal that is given before the body has arrived was whole only after the rest of the body had been dropped, 0.5 s later for a caller that stalls, up to its deadline for one that sends on: it could not come back after the Retry-After of 0.1 s.

Cause: without a length the answer goes out in chunks, of which net/http sends the last one when the handler ends.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -282,6 +283,8 @@
 	}
 	g.opts.Protocol.SetRefusal(h, req.AttemptID, e.retryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := e.reason + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text))) // it is whole without the end of the handler
 	w.WriteHeader(e.status)
-	_, _ = io.WriteString(w, e.reason+"\n") // an error means that the caller has disconnected
+	_, _ = io.WriteString(w, text) // an error means that the caller has disconnected
 }
