gateway: a pause of the upstream is none of its caller

What callers would have seen: a large answer cut (LOST) whose caller had read all of it so far, while its upstream paused for 0.5 s and memory or connections were used up.

Cause: the memory of an answer counts progress by writes to the caller, and could be taken back between them too.

Change: only the part that is buffered at the beginning can give way, which waits for nobody but the caller. The rest holds 16 kB, until the deadline of its request.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -85,7 +85,8 @@
 	out := deliveryWriter{g, s, w, holding}
 	_, _ = out.Write(buffered.Bytes()) // a caller that disconnected is noticed through the context
 	if !complete {
-		if holding != nil {
+		if holding != nil { // from here on the upstream can be what makes no progress
+			holding.Settle()
 			holding.Return(int64(buffered.Cap() - heldAnswerBytes))
 		}
 		buffered = bytes.Buffer{} // while the rest is relayed
