gateway: a caller that reads 4 KB of its answer at a time makes progress

What callers would have seen: an answer over 16 KB cut although its caller reads steadily, at 8 to 32 kB a second, when memory is used up; docs/PLATFORM.md says 4 KB in 0.5 s.

Cause: progress was recorded once a piece of 16 KB was written.

Change: what counts as held is written in pieces of 4 KB. The rest of a long answer, which does not count, is written as it comes: in pieces of 4 KB net/http kept its last bytes while the upstream paused (TestPauseOfAnUpstreamDoesNotCutALargeAnswer failed 12 of 12 in that form).

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -20,8 +20,7 @@
 	bufferedAnswerBytes = 64 << 10
 	// relayBufferBytes is the size of the buffer between an upstream and a caller.
 	relayBufferBytes = 4 << 10
-	// heldAnswerBytes is the size from which on an answer counts as memory held for its caller,
-	// and of the pieces that it is written in.
+	// heldAnswerBytes is the size from which on an answer counts as memory held for its caller.
 	heldAnswerBytes = 16 << 10
 	// writeDeadlineSlack is added to the request's deadline for writes to a
 	// caller.
@@ -88,6 +87,7 @@
 		if holding != nil { // from here on the upstream can be what makes no progress
 			holding.Settle()
 			holding.Return(int64(buffered.Cap() - heldAnswerBytes))
+			out.holding = nil
 		}
 		buffered = bytes.Buffer{} // while the rest is relayed
 		s.held.resize(0)
@@ -134,16 +134,18 @@
 	holding *membudget.Holding // memory of a large answer; nil if it is small
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. What counts as held is written in small pieces, each of them progress.
 func (d deliveryWriter) Write(p []byte) (n int, err error) {
 	d.gateway.board.Deliver(d.send.key(), func() {
+		if d.holding == nil {
+			n, err = d.w.Write(p)
+			return
+		}
 		for n < len(p) && err == nil {
 			var written int
-			written, err = d.w.Write(p[n:min(n+heldAnswerBytes, len(p))])
+			written, err = d.w.Write(p[n:min(n+relayBufferBytes, len(p))])
 			n += written
-			if d.holding != nil {
-				d.holding.Progress(written)
-			}
+			d.holding.Progress(written)
 		}
 	})
 	return n, err
