gateway, entry: a memory that the settings do not name is no limit

What callers would have seen: 503 for each request with a body at a router whose settings have no memoryMb, or 0; bodies in chunks were served before.

Change: no limit then, nor a soft one of the garbage collector, which 0 made run without a pause. The rest of a body that nobody needs is dropped for 30 s at most when no route names a time; before for as long as the caller's deadline said.

Measured: TestUnknownMemoryIsNoLimit fails without the change (503).

--- a/entry/callerlimit.go
+++ b/entry/callerlimit.go
@@ -31,7 +31,7 @@
 	return max(float64(s.MemoryBytes)-ownBytes, leastRest*float64(s.MemoryBytes))
 }
 
-// callerMemory returns the memory for callers, in bytes.
+// callerMemory returns the memory for callers, in bytes; 0 if the limit of the process is unknown.
 func callerMemory(s *platform.Settings) int64 { return int64(callerShare * restMemory(s)) }
 
 // maxCallers returns how many connections of callers may be open; 0 if there is no limit.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -227,7 +227,9 @@
 // Run serves until ctx ends and the graceful shutdown that follows is complete.
 func (h *Host) Run(ctx context.Context) error {
 	s := &h.opts.Settings
-	debug.SetMemoryLimit(int64(float64(max(0, s.MemoryBytes-programBytes)) * softMemoryShare))
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(max(0, s.MemoryBytes-programBytes)) * softMemoryShare))
+	}
 	listeners, err := listen(s.CallersAddress, s.ReadyAddress, s.PeersAddress)
 	if err != nil {
 		return err
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -195,7 +195,7 @@
 		left = max(left, req.table.Limits.BodyBytes)
 	}
 	if end.IsZero() { // no route was found
-		end = req.arrived.Add(requestTimeout(req.Meta.Deadline, 0))
+		end = req.arrived.Add(requestTimeout(req.Meta.Deadline, defaultTimeout))
 	}
 	holding := g.memory.Hold(func(stalled bool) { interruptRead(w, stalled) })
 	defer holding.Release()
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"dandelionrill.example/fleet/gateway"
 	"github.com/shoenig/test/must"
 )
 
@@ -178,3 +179,10 @@
 	must.Eq(t, 404, response.StatusCode)
 	must.Eq(t, 0, f.gateway.Active())
 }
+
+// A router whose settings name no memory must serve requests with a body.
+func TestUnknownMemoryIsNoLimit(t *testing.T) {
+	f := newFixtureWith(t, func(o *gateway.Options) { o.MaxCallerBytes = 0 }, newReplica(t, "i-1", answering("ok")))
+	response, _ := f.do(t, f.newRequest(t, http.MethodPost, "/once/", "{}"))
+	must.Eq(t, http.StatusOK, response.StatusCode)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"expvar"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -28,7 +29,7 @@
 	Regions       map[string]string // region by failure domain
 	Policy        Policy
 	// MaxCallerBytes limits the memory for callers: request bodies, large answers that have not
-	// been read, and what else is reserved in Memory.
+	// been read, and what else is reserved in Memory; 0 means no limit.
 	MaxCallerBytes int64
 	// MaxBufferedAnswerBytes limits the total size of the answers that are held until they
 	// can be delivered, such as incomplete events, beyond the first 16 kB of each; 0 means
@@ -167,7 +168,7 @@
 		metrics:      newMetrics(),
 		slowest:      newSlowestAnswers(time.Now()),
 		queues:       newQueues(),
-		memory:       membudget.New(opts.MaxCallerBytes),
+		memory:       membudget.New(cmp.Or(opts.MaxCallerBytes, math.MaxInt64)),
 		retryBudgets: make(map[string]*retry.Budget),
 		configured:   make(chan struct{}),
 	}
