--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -42,10 +42,10 @@
 	ids      []uint64 // identifiers of what may crash upstreams; nil until the body is read
 
 	// Progress and result.
-	stop             *stopWatch
-	bodyAbandoned    bool   // the rest of the body is not needed, and its connection is closed
-	turn             *turn  // in the queue of its service; nil if it is not queued
-	queueRefusal     string // what made the queue refuse it; empty if it did not
+	stop             *stopWatch // refuses it once a graceful shutdown leaves too little time; nil before it is admitted
+	bodyAbandoned    bool       // the rest of the body is not needed, and its connection is closed
+	turn             *turn      // in the queue of its service; nil if it is not queued
+	queueRefusal     string     // what made the queue refuse it; empty if it did not
 	sends            []sendRecord
 	retryDenied      bool        // the budget had no retry left
 	blockedBy        uint64      // what it was refused for; 0 if it was not
