review: streams are joined after a kill of all routers and a leave

A stream that began after the last write of the records has none once all routers are killed. If its replica's entry is gone before the first router is back, and its session had a turn at the other version, the replicas of that version are taken for those that began it.

--- a/review/harness-2/joined.go
+++ b/review/harness-2/joined.go
@@ -96,7 +96,7 @@
 	for i := range joinedReplicas {
 		for service, version := range map[string]string{"registry-llm": "v1", "registry-llm-next": "v2"} {
 			m := &model{id: fmt.Sprintf("%s-%d", version, i), version: version, events: counterEvents, first: 30 * time.Millisecond, interval: 25 * time.Millisecond}
-			if err := r.startModel(m, service, zones[i%len(zones)]); err != nil {
+			if _, err := r.startModel(m, service, zones[i%len(zones)]); err != nil {
 				return false, "", err
 			}
 		}
@@ -193,6 +193,11 @@
 		}
 		at = (at + 1 + rand.IntN(len(proxies)-1)) % len(proxies)
 	}
+	s.report(r, a, c)
+}
+
+// report counts a stream that has events of two versions, or a gap.
+func (s *stream) report(r *rig, a ask, c *joinedCounts) {
 	if len(s.writers) > 1 || s.gap {
 		c.joined.Add(1)
 		r.logf("ORDER   stream %s is joined from the text of %s", a.name, strings.Join(s.writers, " and "))
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *rig, trouble bool) (broken bool, summary string, err error){
 	"joined":  joined,
 	"blocked": blocked,
+	"left":    left,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness-2/replicas.go
+++ b/review/harness-2/replicas.go
@@ -83,16 +83,22 @@
 	held map[string]int // cached prompt parts and their tokens
 }
 
-// startModel starts a model replica.
-func (r *rig) startModel(m *model, service, zone string) error {
+// startModel starts a model replica. The function that it returns makes it leave: its entry is
+// removed, and it ends after a time.
+func (r *rig) startModel(m *model, service, zone string) (leave func(serving time.Duration), err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	m.rig, m.held = r, make(map[string]int)
-	go func() { _ = (&http.Server{Handler: m}).Serve(l) }()
-	go r.keepEntry(entry{m.id, service, l.Addr().String(), zone, m.version, 64}, nil)
-	return nil
+	server, stop := &http.Server{Handler: m}, make(chan struct{})
+	go func() { _ = server.Serve(l) }()
+	go r.keepEntry(entry{m.id, service, l.Addr().String(), zone, m.version, 64}, stop)
+	return func(serving time.Duration) {
+		close(stop)
+		_ = r.remove("servers", m.id)
+		time.AfterFunc(serving, func() { _ = server.Close() })
+	}, nil
 }
 
 // ServeHTTP implements http.Handler.
--- a/review/harness-2/rig.go
+++ b/review/harness-2/rig.go
@@ -229,6 +229,7 @@
 type router struct {
 	name                           string
 	callers, ready, peers, metrics string // addresses
+	process                        *process
 }
 
 // startRouters starts routers with the command of the deploy file, and waits until they are
@@ -241,30 +242,61 @@
 		}
 		r.routers = append(r.routers, &router{name: fmt.Sprint("edge-", i), callers: a[0], ready: a[1], peers: a[2], metrics: a[3]})
 	}
-	for i, x := range r.routers {
-		path := filepath.Join(r.dir, x.name+".toml")
-		if err := os.WriteFile(path, []byte(r.settings(x, zones[i%len(zones)])), 0o600); err != nil {
+	for i := range r.routers {
+		if err := r.startRouter(i, true); err != nil {
 			return err
 		}
-		_, port, err := net.SplitHostPort(x.metrics)
-		if err != nil {
-			return err
-		}
-		if _, err := r.run(x.name+".log", []string{"DANDELIONRILL_CONFIG=" + path}, "target/dandelionrill", "gateway", "--metrics-port", port); err != nil {
+	}
+	return r.awaitRouters()
+}
+
+// startRouter starts a router; bootstrap is true if the whole system starts for the first time.
+func (r *rig) startRouter(i int, bootstrap bool) error {
+	x := r.routers[i]
+	path := filepath.Join(r.dir, x.name+".toml")
+	if err := os.WriteFile(path, []byte(r.settings(x, zones[i%len(zones)], bootstrap)), 0o600); err != nil {
+		return err
+	}
+	_, port, err := net.SplitHostPort(x.metrics)
+	if err != nil {
+		return err
+	}
+	x.process, err = r.run(x.name+".log", []string{"DANDELIONRILL_CONFIG=" + path}, "target/dandelionrill", "gateway", "--metrics-port", port)
+	return err
+}
+
+// killRouters kills all routers at once.
+func (r *rig) killRouters() {
+	for _, x := range r.routers {
+		_ = x.process.cmd.Process.Kill()
+	}
+	for _, x := range r.routers {
+		<-x.process.exited
+	}
+}
+
+// restartRouters starts all routers again, and waits until they are ready.
+func (r *rig) restartRouters() error {
+	for i := range r.routers {
+		if err := r.startRouter(i, false); err != nil {
 			return err
 		}
 	}
+	return r.awaitRouters()
+}
+
+func (r *rig) awaitRouters() error {
 	for _, x := range r.routers {
 		if err := waitFor(x.name, func() bool { return isOK("http://" + x.ready + "/dandelionrill/readyz") }); err != nil {
 			return err
 		}
 	}
-	r.logf("%d routers are ready", n)
+	r.logf("%d routers are ready", len(r.routers))
 	return nil
 }
 
 // settings returns the settings of a router, with the values of sites/tcsra-rill.toml.
-func (r *rig) settings(x *router, zone string) string {
+func (r *rig) settings(x *router, zone string, bootstrap bool) string {
 	var seeds []string
 	for _, other := range r.routers[:min(3, len(r.routers))] {
 		seeds = append(seeds, fmt.Sprintf("%q", other.peers))
@@ -273,7 +305,7 @@
 	for _, z := range zones {
 		fmt.Fprintf(&domains, "%s = \"th-central\"\n", z)
 	}
-	return fmt.Sprintf(settingsFormat, x.name, zone, strings.Join(seeds, ","), domains.String(), x.callers, x.ready, x.peers, r.store)
+	return fmt.Sprintf(settingsFormat, x.name, zone, strings.Join(seeds, ","), bootstrap, domains.String(), x.callers, x.ready, x.peers, r.store)
 }
 
 const settingsFormat = `nodeName = %q
@@ -285,7 +317,7 @@
 region = "th-central"
 internalPorts = [7340,7355]
 seedNodes = [%s]
-bootstrap = true
+bootstrap = %v
 inTolerance = false
 discovery = "platform"
 entryKind = "vip"
