review: a name with a line break cuts the head of requests

An entry's name is written into a header as it is. A line break at its end ends the head, so that the headers behind it are lost, among them the length of the body and the tenant; the replica takes the cut name for its own.

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -20,6 +20,7 @@
 	"joined":  joined,
 	"blocked": blocked,
 	"left":    left,
+	"foreign": foreign,
 }
 
 func main() { os.Exit(run()) }
