Review: the stand-ins' wire names stand in a data file

Cause: make boundary failed in review/harness-2, since names of the platform's wire stood in its Go code. Change: the names stand in wire.json, as in the first review's harness. Result: make boundary passes.

--- a/review/harness-2/blocked.go
+++ b/review/harness-2/blocked.go
@@ -82,8 +82,8 @@
 			return false, "", err
 		}
 	}
-	first := map[string]any{"name": "holding-lookup", "host": registryHost, "pathPrefix": lookupPrefix, "routeKind": "idempotent", "timeoutMs": lookupTime.Milliseconds(), "targetLatencyMs": 150, "priority": 2, "service": "share-ledger", "maxAttempts": 2}
-	later := map[string]any{"name": "transfer-triage", "host": registryHost, "pathPrefix": triagePrefix, "routeKind": "streaming", "timeoutMs": triageTime.Milliseconds(), "targetLatencyMs": 600, "targetItlMs": 400, "priority": 2, "service": "registry-llm", "maxAttempts": 1, "sticky": true, "resumable": false}
+	first := map[string]any{"name": "holding-lookup", "host": registryHost, fieldPrefix: lookupPrefix, fieldKind: "idempotent", "timeoutMs": lookupTime.Milliseconds(), fieldTarget: 150, "priority": 2, "service": "share-ledger", "maxAttempts": 2}
+	later := map[string]any{"name": "transfer-triage", "host": registryHost, fieldPrefix: triagePrefix, fieldKind: "streaming", "timeoutMs": triageTime.Milliseconds(), fieldTarget: 600, "targetItlMs": 400, "priority": 2, "service": "registry-llm", "maxAttempts": 1, "sticky": true, "resumable": false}
 	services := []map[string]any{{"name": "share-ledger", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false}, modelService("registry-llm")}
 	if err := r.put("config", "main", configurationOf(5, []map[string]any{first}, services)); err != nil {
 		return false, "", err
--- a/review/harness-2/foreign.go
+++ b/review/harness-2/foreign.go
@@ -37,7 +37,7 @@
 		}
 		addresses = append(addresses, address)
 	}
-	route := map[string]any{"name": "share-transfer", "host": registryHost, "pathPrefix": transferPrefix, "routeKind": "non_idempotent", "timeoutMs": lookupTime.Milliseconds(), "targetLatencyMs": 150, "priority": 2, "service": "share-ledger", "maxAttempts": 1}
+	route := map[string]any{"name": "share-transfer", "host": registryHost, fieldPrefix: transferPrefix, fieldKind: "non_idempotent", "timeoutMs": lookupTime.Milliseconds(), fieldTarget: 150, "priority": 2, "service": "share-ledger", "maxAttempts": 1}
 	service := map[string]any{"name": "share-ledger", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false}
 	if err := r.put("config", "main", configurationOf(5, []map[string]any{route}, []map[string]any{service})); err != nil {
 		return false, "", err
@@ -60,7 +60,7 @@
 		for i, address := range addresses {
 			name := fmt.Sprintf("ledger-%d\n", i)
 			spec := map[string]any{"service": "share-ledger", "address": address, "zone": zones[i], "version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0, "born": time.Now().UnixMilli()}
-			if err := r.call(http.MethodPost, "/dandelionrill/objects/servers", map[string]any{"metadata": map[string]any{"name": name}, "spec": spec}); err != nil {
+			if err := r.call(http.MethodPost, objectsPath+"servers", map[string]any{"metadata": map[string]any{"name": name}, "spec": spec}); err != nil {
 				return false, "", err
 			}
 			r.logf("entry   %q of another writer", name)
@@ -91,7 +91,7 @@
 		}
 		attempt := req.Header.Get(headerAttempt)
 		if attempt == "" { // as the pages say, it is not run
-			w.Header().Set("Dandelionrill-Not-Executed", "1")
+			w.Header().Set(headerNotRun, "1")
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
@@ -100,7 +100,7 @@
 			return
 		}
 		c.run.Add(1)
-		tenant := req.Header["Dandelionrill-Tenant"]
+		tenant := req.Header.Values(headerTenant)
 		r.logf("run     %s at %s for tenant %q with a body of %d bytes", attempt, id, tenant, len(body))
 		if !slices.Equal(tenant, []string{"desk"}) || string(body) != transferBody(attempt) {
 			c.changed.Add(1)
--- a/review/harness-2/joined.go
+++ b/review/harness-2/joined.go
@@ -33,8 +33,8 @@
 // counterRoute returns a route whose streams can be resumed, of one service or split.
 func counterRoute(split []map[string]any) map[string]any {
 	route := map[string]any{
-		"name": "counter-answer", "host": registryHost, "pathPrefix": counterPrefix, "routeKind": "streaming", "timeoutMs": counterTime.Milliseconds(),
-		"targetLatencyMs": 500, "targetItlMs": 400, "priority": 0, "maxAttempts": 2, "public": false, "sticky": true, "resumable": true,
+		"name": "counter-answer", "host": registryHost, fieldPrefix: counterPrefix, fieldKind: "streaming", "timeoutMs": counterTime.Milliseconds(),
+		fieldTarget: 500, "targetItlMs": 400, "priority": 0, "maxAttempts": 2, "public": false, "sticky": true, "resumable": true,
 	}
 	if split != nil {
 		route["split"] = split
@@ -49,7 +49,7 @@
 	return map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "desk", "apiKeys": []string{deskKey}}},
+		"tenants": []map[string]any{{"name": "desk", fieldKeys: []string{deskKey}}},
 	}
 }
 
--- a/review/harness-2/replicas.go
+++ b/review/harness-2/replicas.go
@@ -15,20 +15,7 @@
 	"time"
 )
 
-// Headers of requests and answers.
-const (
-	headerAttempt   = "Dandelionrill-Attempt-Id"
-	headerExpected  = "Dandelionrill-Expected-Replica"
-	headerReplica   = "Dandelionrill-Replica-Id"
-	headerSignature = "Dandelionrill-Replica-Signature"
-	headerDeadline  = "Dandelionrill-Deadline-Ms"
-	headerModel     = "Dandelionrill-Model"
-	headerTokens    = "Dandelionrill-Token-Usage"
-	headerPrompt    = "Dandelionrill-Prompt-Prefix"
-	headerLastEvent = "Last-Event-Id"
-)
-
-const cacheListPath = "/dandelionrill/kv-list"
+const headerLastEvent = "Last-Event-Id"
 
 // text returns a text that belongs to one attempt.
 func text(attempt string) string {
--- a/review/harness-2/rig.go
+++ b/review/harness-2/rig.go
@@ -187,15 +187,15 @@
 // put writes an object as its owner does: it replaces it, or creates it if it is not there.
 func (r *rig) put(kind, name string, spec any) error {
 	o := map[string]any{"metadata": map[string]any{"name": name}, "spec": spec}
-	if r.call(http.MethodPut, "/dandelionrill/objects/"+kind+"/"+name, o) == nil {
+	if r.call(http.MethodPut, objectsPath+kind+"/"+name, o) == nil {
 		return nil
 	}
-	return r.call(http.MethodPost, "/dandelionrill/objects/"+kind, o)
+	return r.call(http.MethodPost, objectsPath+kind, o)
 }
 
 // remove removes an object.
 func (r *rig) remove(kind, name string) error {
-	return r.call(http.MethodDelete, "/dandelionrill/objects/"+kind+"/"+name, nil)
+	return r.call(http.MethodDelete, objectsPath+kind+"/"+name, nil)
 }
 
 // heartbeatInterval is the time between two writes of a replica's entry.
@@ -287,7 +287,7 @@
 
 func (r *rig) awaitRouters() error {
 	for _, x := range r.routers {
-		if err := waitFor(x.name, func() bool { return isOK("http://" + x.ready + "/dandelionrill/readyz") }); err != nil {
+		if err := waitFor(x.name, func() bool { return isOK("http://" + x.ready + readyPath) }); err != nil {
 			return err
 		}
 	}
