gateway, entry: what left before a start of the router counts against a cache list

Cause: a list of cached parts is a proof only if the lists of all upstreams of other versions are known, and those were counted that the router had listed since its own start. Entries that were gone by then counted as never there, so that a list from an earlier turn decided for streams begun since the last write of the records.

Change: the objects that hold the records of recent streams also list the upstreams that can have begun streams, with the time since each was listed. Partners tell of them in lookups. A router that has not read the objects, and hears no partner that has, takes no list for a proof within its first minute. Upstreams that left later than a minute after the start count too. The records are also written 100 ms after an upstream of a service with several versions has joined, left or begun to leave, four times a second at most, so that few streams are without one.

--- a/entry/apply.go
+++ b/entry/apply.go
@@ -28,7 +28,12 @@
 	current := h.departed.Apply(listing)
 	merged := h.missingEntries.Merge(current, steady)
 	h.departed.Record(listing.Now, s.Revision, merged)
-	h.gateway.SetCatalog(catalog.New(s.Revision, merged))
+	if h.gateway.SetCatalog(catalog.New(s.Revision, merged)) {
+		select {
+		case h.versionsChanged <- struct{}{}:
+		default: // a change is pending already
+		}
+	}
 	h.log.WithFields(log.Fields{
 		"era": s.Era, "revision": s.Revision, "listed": len(listed), "kept": h.missingEntries.Retained(),
 		"restored": h.departed.Restored(), "leaving": countLeaving(current), "store_steady_ms": steady.Milliseconds(),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,6 +94,8 @@
 
 	streamsTried     chan struct{} // closed once the records of recent streams were read, or could not be
 	streamsTriedOnce sync.Once     // closes streamsTried
+	streamsRestored  atomic.Bool   // the records were read, or there are none
+	versionsChanged  chan struct{} // has one element after a change of the upstreams of several versions
 
 	upstreamsMu    sync.Mutex // guards the fields below
 	missingEntries catalog.MissingEntries
@@ -127,8 +129,9 @@
 		departed:       catalog.Departed{Window: reregistrationWindow + leaseHeartbeats*cmp.Or(s.Heartbeat, defaultHeartbeat)},
 		callers:        newCallerConns(),
 
-		streamsTried: make(chan struct{}),
-		stop:         stopState{limit: s.Bounds.Stop},
+		streamsTried:    make(chan struct{}),
+		versionsChanged: make(chan struct{}, 1),
+		stop:            stopState{limit: s.Bounds.Stop},
 	}
 	h.held = &heldConfiguration{host: h}
 	h.confirmed.host = h
@@ -150,6 +153,7 @@
 		},
 		ConfirmUpstreams: h.confirmed.Confirm,
 		AwaitStreams:     h.awaitStreams,
+		StreamsRestored:  h.streamsRestored.Load,
 		CacheShare:       h.cacheShare,
 		Permit: func(ctx context.Context, key catalog.Key, rate float64) (bool, time.Duration) {
 			return h.mesh.Permit(ctx, key.Sum(), rate)
--- a/entry/session_restart_test.go
+++ b/entry/session_restart_test.go
@@ -13,6 +13,7 @@
 	"dandelionrill.example/fleet/store"
 	"dandelionrill.example/standin/replica"
 	"dandelionrill.example/standin/wire"
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
 
@@ -56,6 +57,20 @@
 	return most
 }
 
+// storedUpstreams returns the number of upstreams that the routers have written.
+func (f *restartFleet) storedUpstreams(t *testing.T) int {
+	t.Helper()
+	records, _, err := f.routers[0].host.store.ListKind(t.Context(), platform.KindStreams)
+	must.NoError(t, err)
+	stored, findings := platform.DecodeStreams(records)
+	must.SliceEmpty(t, findings)
+	most := 0
+	for _, s := range stored {
+		most = max(most, len(s.Upstreams))
+	}
+	return most
+}
+
 // Guards against streams of sessions that are joined from two versions after all routers were
 // killed: the upstreams that began some of them are lost too, and another version lists the last
 // part of their prompts from earlier turns. Those that began at the version which is left go on:
@@ -104,17 +119,73 @@
 	}
 }
 
+// Guards against streams that are joined from two versions after all routers were killed: the
+// entries of the upstreams of one version are removed a moment before, so that no router that
+// starts lists them, and streams that began since the last write have no record. The version that
+// is left lists the last part of their prompts from earlier turns. Once the records were written,
+// the streams of the version that is left go on.
+func TestStreamsOfSessionsAfterALeaveAndARestartOfAllRouters(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		written bool // all records, before the routers are killed
+	}{{"at once", false}, {"once the records are written", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newRestartFleet(t)
+			await(t, "upstreams in the store", func() bool { return f.storedUpstreams(t) == len(f.upstreams) })
+			for i := range restartStreams {
+				must.Eq(t, "v2", sessionTurn(t, f.upstreams[1].server.URL, fmt.Sprint("earlier-", i), i, 0))
+			}
+			began := make([]string, restartStreams)
+			for i := range began {
+				began[i] = sessionTurn(t, f.routers[i%restartRouters].server.URL, fmt.Sprint("began-", i), i, 0)
+				must.NotEq(t, "", began[i])
+			}
+			if c.written {
+				await(t, "records in the store", func() bool { return f.storedStreams(t) >= 2*restartStreams })
+			}
+			f.killAll(func(_ int, u *restartUpstream) bool { return u.version == "v1" }, time.Nanosecond)
+			f.restart(t, restartRouters)
+			f.awaitRouters(t, restartRouters)
+			resumed, left := 0, 0
+			for i, version := range began {
+				got := sessionTurn(t, f.routers[(i+1)%restartRouters].server.URL, fmt.Sprint("again-", i), i, 1)
+				if version == "v2" {
+					left++
+				}
+				if got != "" {
+					test.Eq(t, version, got, test.Sprint("session ", i))
+					resumed++
+				}
+			}
+			must.GreaterEq(t, minRestartStreams, left)
+			must.Less(t, restartStreams, left)
+			if c.written {
+				must.GreaterEq(t, left*9, resumed*10)
+			}
+			t.Logf("%d of %d streams that began at v2 went on, %d began at v1; %v", resumed, left, restartStreams-left, f.resumed())
+		})
+	}
+}
+
 // Records that are malformed must be left out, and all others must be read as they were written.
 func TestStoredStreamsAreDecodedAsEncoded(t *testing.T) {
-	want := platform.StoredStreams{Router: "b", At: time.UnixMilli(1700000000000), Streams: []gateway.Stream{
-		{Attempt: 1 << 63, Version: gateway.SeveralVersions}, {Attempt: 1, Version: 7}, {Attempt: 2, Version: 7},
-	}}
+	want := platform.StoredStreams{
+		Router: "b", At: time.UnixMilli(1700000000000),
+		Streams: []gateway.Stream{
+			{Attempt: 1 << 63, Version: gateway.SeveralVersions}, {Attempt: 1, Version: 7}, {Attempt: 2, Version: 7},
+		},
+		Upstreams: []gateway.PastUpstream{
+			{Service: "s", Version: 7, Key: 1 << 31}, {Service: "s", Version: 7, Key: 2, Age: time.Second}, {Service: "t", Version: 8, Key: 3},
+		},
+	}
 	value, err := platform.EncodeStreams(want)
 	must.NoError(t, err)
 	decoded, findings := platform.DecodeStreams([]store.Record{
 		{Name: "b", Value: value}, {Name: "a", Value: []byte("x")}, {Name: "c", Value: []byte(`{"at":1,"versions":[{"version":1,"keys":"AAAA"}]}`)},
+		{Name: "d", Value: []byte(`{"at":1,"upstreams":[{"service":"s","version":1,"keys":"AAAA","ages_ms":[1]}]}`)},
 	})
-	must.Len(t, 2, findings)
+	must.Len(t, 3, findings)
 	must.Eq(t, []platform.StoredStreams{want}, decoded)
 }
 
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -16,6 +16,11 @@
 	// by one router that watches the store. Streams that began since the last write of all of
 	// them are lost if all routers end.
 	storeStreamsInterval = 1500 * time.Millisecond
+	// storeStreamsDelay is the time from a change of the upstreams of several versions to the
+	// write of the records: the streams that other routers have begun until then are known.
+	storeStreamsDelay = 100 * time.Millisecond
+	// storeStreamsMinInterval is the least time between two writes of one router.
+	storeStreamsMinInterval = 250 * time.Millisecond
 	// storedStreamsAge is how long ago the streams that are written were begun or renewed. A
 	// stream in progress is renewed within that time.
 	storedStreamsAge = 20 * time.Second
@@ -33,30 +38,52 @@
 )
 
 // storeStreams keeps the records of recent streams in the store, for a fleet that is killed as
-// a whole, while a service has several versions. The routers that watch the store write what all
-// routers tell each other, so that the calls do not grow with the fleet. It runs until ctx ends.
+// a whole, while a service has several versions, and those of the upstreams that can have begun
+// others. The routers that watch the store write what all routers tell each other, so that the
+// calls do not grow with the fleet. It runs until ctx ends.
 func (h *Host) storeStreams(ctx context.Context) {
-	var written []gateway.Stream
+	var written platform.StoredStreams
+	changed := false // the upstreams, since the last write
 	for ctx.Err() == nil {
-		sleep(ctx, storeStreamsInterval/2+rand.N(storeStreamsInterval))
+		changed = h.awaitStreamsDue(ctx, written.At) || changed
 		if !h.mesh.Watcher() || !h.gateway.SeveralVersions() {
 			continue
 		}
-		streams := h.gateway.Streams().Recent(storedStreamsAge, maxStoredStreams)
-		if !slices.Equal(streams, written) && h.writeStreams(ctx, h.opts.Settings.Host, streams) {
-			written = streams
+		current := platform.StoredStreams{
+			Router: h.opts.Settings.Host, At: time.Now(),
+			Streams: h.gateway.Streams().Recent(storedStreamsAge, maxStoredStreams), Upstreams: h.gateway.PastUpstreams(),
+		}
+		outdated := changed || current.At.Sub(written.At) > storedStreamsAge || !slices.Equal(current.Streams, written.Streams)
+		if outdated && h.writeStreams(ctx, current) {
+			written, changed = current, false
 		}
 	}
 }
 
+// awaitStreamsDue waits until the records of recent streams may have to be written, and reports
+// whether the upstreams of a service with several versions have changed. A stream that began at
+// an upstream that has left can be told from others by its record alone.
+func (h *Host) awaitStreamsDue(ctx context.Context, written time.Time) (changed bool) {
+	timer := time.NewTimer(storeStreamsInterval/2 + rand.N(storeStreamsInterval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-h.versionsChanged:
+		sleep(ctx, max(storeStreamsDelay, storeStreamsMinInterval-time.Since(written)))
+		return true
+	}
+	return false
+}
+
 // writeStreams writes the object of a router, and reports whether it did.
-func (h *Host) writeStreams(ctx context.Context, router string, streams []gateway.Stream) bool {
-	value, err := platform.EncodeStreams(platform.StoredStreams{At: time.Now(), Streams: streams})
+func (h *Host) writeStreams(ctx context.Context, s platform.StoredStreams) bool {
+	value, err := platform.EncodeStreams(s)
 	if err == nil {
-		_, err = h.store.WriteRecord(ctx, platform.KindStreams, router, value)
+		_, err = h.store.WriteRecord(ctx, platform.KindStreams, s.Router, value)
 	}
 	if err != nil && ctx.Err() == nil {
-		h.log.WithError(err).WithField("router", router).Warn("cannot write the records of recent streams")
+		h.log.WithError(err).WithField("router", s.Router).Warn("cannot write the records of recent streams")
 	}
 	return err == nil
 }
@@ -67,6 +94,7 @@
 	tried := func() { h.streamsTriedOnce.Do(func() { close(h.streamsTried) }) }
 	defer tried()
 	if h.opts.Settings.FirstStart {
+		h.streamsRestored.Store(true)
 		return
 	}
 	for began := time.Now(); ctx.Err() == nil && time.Since(began) < gateway.StreamMaxAge; sleep(ctx, registerRetryDelay) {
@@ -79,13 +107,15 @@
 		stored, findings := platform.DecodeStreams(records)
 		h.logInvalidEntries("streams", findings)
 		h.applyStreams(ctx, stored)
+		h.streamsRestored.Store(true)
 		return
 	}
 }
 
-// applyStreams records the streams that are recent, and empties objects that are obsolete.
+// applyStreams records the streams and upstreams that are recent, and empties objects that are
+// obsolete.
 func (h *Host) applyStreams(ctx context.Context, stored []platform.StoredStreams) {
-	restored := 0
+	restored, upstreams := 0, 0
 	for _, s := range stored {
 		switch age := time.Since(s.At); {
 		case age.Abs() <= restoredStreamsAge:
@@ -93,11 +123,16 @@
 				h.gateway.Streams().Record(stream, gateway.OriginStore)
 			}
 			restored += len(s.Streams)
+			for i := range s.Upstreams {
+				s.Upstreams[i].Age += max(0, age)
+			}
+			h.gateway.RestorePastUpstreams(s.Upstreams)
+			upstreams += len(s.Upstreams)
 		case age.Abs() > obsoleteStreamsAge && len(s.Streams) > 0 && h.mesh.Watcher():
-			h.writeStreams(ctx, s.Router, nil)
+			h.writeStreams(ctx, platform.StoredStreams{Router: s.Router, At: time.Now()})
 		}
 	}
-	h.log.WithFields(log.Fields{"routers": len(stored), "streams": restored}).Info("records of recent streams read")
+	h.log.WithFields(log.Fields{"routers": len(stored), "streams": restored, "upstreams": upstreams}).Info("records of recent streams read")
 }
 
 // awaitStreams waits until the records of recent streams were read or cannot be read now, but
--- a/gateway/cachelookup.go
+++ b/gateway/cachelookup.go
@@ -46,6 +46,10 @@
 	// Read are the short hashes of the keys of the upstreams whose lists were read, those of
 	// upstreams that have left since included.
 	Read []uint32
+	// Left are the upstreams of the services that were listed within StreamMaxAge and are not
+	// listed any more. KnowsPast is true if it holds those of before the start of the router too.
+	Left      []PastUpstream
+	KnowsPast bool
 }
 
 // Add adds what another answer tells.
@@ -53,6 +57,8 @@
 	n := min(len(other.Parts), len(other.Versions))
 	a.Parts, a.Versions = append(a.Parts, other.Parts[:n]...), append(a.Versions, other.Versions[:n]...)
 	a.Read = append(a.Read, other.Read...)
+	a.Left = append(a.Left, other.Left...)
+	a.KnowsPast = a.KnowsPast || other.KnowsPast
 }
 
 // versionsOf returns the versions of the upstreams that list a part, each once.
@@ -100,7 +106,16 @@
 			a.Read = append(a.Read, u.Key().Sum())
 		}
 	}
-	a.Read = append(a.Read, g.caches.ReadOfUnlisted(services, lists(g.catalog.Load()))...)
+	current := g.catalog.Load()
+	a.Read = append(a.Read, g.caches.ReadOfUnlisted(services, lists(current))...)
+	for _, service := range services {
+		for _, p := range g.versions.Past(service, nil) {
+			if current.FindSum(p.Key) == nil {
+				a.Left = append(a.Left, p)
+			}
+		}
+	}
+	a.KnowsPast = g.opts.StreamsRestored() || g.versions.Covers()
 	return a
 }
 
@@ -149,10 +164,11 @@
 	result  string // empty: it is not known
 	// For the log.
 	took            time.Duration
-	asked, answered int // routers
-	versions        int // whose upstreams list the part, or that records name
-	unread, listed  int // upstreams of the services
-	others          int // upstreams of other versions than the one found that can have begun the stream too
+	asked, answered int  // routers
+	versions        int  // whose upstreams list the part, or that records name
+	unread, listed  int  // upstreams of the services
+	others          int  // upstreams of other versions than the one found that can have begun the stream too
+	knowsPast       bool // a router knows the upstreams that have left
 }
 
 // lookUp asks other routers for the version that began a stream, and if none has a record of
@@ -201,8 +217,8 @@
 	case l.result == resumedCached && len(answer.Equal) == 0:
 		// The part may be listed from an earlier turn of its session, while the stream began
 		// at an upstream whose list is not known.
-		l.others = g.unreadOthers(q.Services, l.version, missing, caches.Read)
-		if l.others > 0 || !current {
+		l.others, l.knowsPast = unreadOthers(q.Services, l.version, missing, &caches), caches.KnowsPast
+		if l.others > 0 || !l.knowsPast || !current {
 			l.result = ""
 		}
 	case l.result == "" && l.listed > 0 && l.unread == 0:
@@ -247,21 +263,20 @@
 	return l.answered > 0 || g.routerCount.Load() == 1
 }
 
-// unreadOthers returns the number of upstreams of the services, of another version, whose cache
+// unreadOthers returns the number of upstreams of the services, of other versions, whose cache
 // lists are not known: those missing, and those that have left before anybody read them.
-func (g *Gateway) unreadOthers(services []string, version uint32, missing []*catalog.Upstream, read []uint32) int {
-	read = slices.Sorted(slices.Values(read))
-	n := 0
+func unreadOthers(services []string, version uint32, missing []*catalog.Upstream, caches *CacheAnswer) int {
+	read := slices.Sorted(slices.Values(caches.Read))
+	unread := make(map[uint32]bool)
 	for _, u := range missing {
 		if u.VersionSum != version {
-			n++
+			unread[u.Key().Sum()] = true
 		}
 	}
-	current := g.catalog.Load()
-	for _, key := range g.versions.Others(services, version) {
-		if current.FindSum(key) == nil && !containsSorted(read, key) {
-			n++
+	for _, p := range caches.Left {
+		if p.Version != version && slices.Contains(services, p.Service) && !containsSorted(read, p.Key) {
+			unread[p.Key] = true
 		}
 	}
-	return n
+	return len(unread)
 }
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -7,9 +7,10 @@
 	g.streams.start = g.streams.start.Add(-d)
 	g.versions.mu.Lock()
 	defer g.versions.mu.Unlock()
-	for _, versions := range g.versions.listed {
-		for sum, at := range versions {
-			versions[sum] = at.Add(-d)
+	for _, upstreams := range g.versions.services {
+		for key, p := range upstreams {
+			p.at = p.at.Add(-d)
+			upstreams[key] = p
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,9 @@
 	// AwaitStreams waits until the records of streams from before the start of this router are
 	// there, or until ctx ends or they are not to be expected; nil means that there are none.
 	AwaitStreams func(ctx context.Context)
+	// StreamsRestored reports whether the records of streams and of upstreams from before the
+	// start of this router were read, or there are none; nil means that it always does.
+	StreamsRestored func() bool
 	// CacheShare returns which upstreams' cache lists this router reads for lookups of other
 	// routers. It is called for each lookup; nil means all.
 	CacheShare func() func(*catalog.Upstream) bool
@@ -140,6 +143,9 @@
 	if opts.AwaitStreams == nil {
 		opts.AwaitStreams = func(context.Context) {}
 	}
+	if opts.StreamsRestored == nil {
+		opts.StreamsRestored = func() bool { return true }
+	}
 	if opts.PermitTrial == nil {
 		opts.PermitTrial = func(context.Context) bool { return false }
 	}
@@ -273,11 +279,12 @@
 	return 0
 }
 
-// SetCatalog replaces the list of upstreams for requests that arrive from now on.
-func (g *Gateway) SetCatalog(c *catalog.Catalog) {
+// SetCatalog replaces the list of upstreams for requests that arrive from now on. It reports
+// whether upstreams of a service with several versions have joined, left or begun to leave.
+func (g *Gateway) SetCatalog(c *catalog.Catalog) (versionsChanged bool) {
 	previous := g.catalog.Load()
-	changes := g.cold.SetList(c, g.coldTime) // before the list is used
-	g.versions.Update(previous, c)           // before the list is used without a version that has left
+	changes := g.cold.SetList(c, g.coldTime)         // before the list is used
+	versionsChanged = g.versions.Update(previous, c) // before the list is used without a version that has left
 	g.catalog.Store(c)
 	g.markConfigured()
 	g.logListedLeaving(previous, c)
@@ -288,6 +295,7 @@
 	g.caches.RemoveUnlisted(listed)
 	g.limits.RemoveUnlisted(listed)
 	g.loads.RemoveUnlisted(listed)
+	return versionsChanged
 }
 
 // lists returns whether a catalog lists an upstream.
@@ -310,6 +318,23 @@
 	})
 }
 
+// PastUpstreams returns the upstreams that can have begun streams that are taken up: those of
+// services whose requests name prompt parts that are listed, or were within StreamMaxAge.
+func (g *Gateway) PastUpstreams() []PastUpstream {
+	table, current := g.table.Load(), g.catalog.Load()
+	if table == nil {
+		return nil
+	}
+	var past []PastUpstream
+	for _, service := range table.PromptedServices() {
+		past = append(past, g.versions.Past(service, current.Service(service))...)
+	}
+	return past
+}
+
+// RestorePastUpstreams records upstreams that were listed before this router started.
+func (g *Gateway) RestorePastUpstreams(past []PastUpstream) { g.versions.Restore(past) }
+
 // SetRouterCount sets how many routers share the retry budgets and the connection
 // limits of upstreams.
 func (g *Gateway) SetRouterCount(n int) { g.routerCount.Store(int64(max(1, n))) }
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -179,7 +179,7 @@
 	g.opts.Log.WithFields(log.Fields{
 		"id": req.AttemptID, "resumes": req.Resumes, "result": l.result, "ms": l.took.Milliseconds(),
 		"routers_asked": l.asked, "routers_answered": l.answered, "versions": l.versions, "upstreams": l.listed, "unread": l.unread,
-		"others": l.others,
+		"others": l.others, "knows_past": l.knowsPast,
 	}).Info("version of a stream looked up")
 }
 
--- a/gateway/resume_session_test.go
+++ b/gateway/resume_session_test.go
@@ -170,3 +170,75 @@
 		})
 	}
 }
+
+// Guards against a stream that is joined from two versions after a kill of all routers: the
+// upstream that began it left before the first of them started again, so that this router never
+// listed it, and the other version lists the last part of the prompt from an earlier turn.
+// What the store or another router tells of upstreams that have left must count.
+func TestUpstreamThatLeftBeforeTheStartCounts(t *testing.T) {
+	on := &atomic.Bool{}
+	on.Store(true)
+	for _, c := range []struct {
+		name       string
+		past       gateway.PastUpstream
+		atPeer     bool   // another router tells of it, not the store
+		equal      string // version of the record of an equal request
+		unrestored bool   // this router has not read the records of the store
+		peerKnows  bool   // another router has
+		status     int
+	}{
+		{name: "nothing left", status: http.StatusOK},
+		{name: "another version left", past: gateway.PastUpstream{Service: "s", Version: 7}, status: http.StatusServiceUnavailable},
+		{name: "as another router knows", past: gateway.PastUpstream{Service: "s", Version: 7}, atPeer: true, status: http.StatusServiceUnavailable},
+		{name: "long ago", past: gateway.PastUpstream{Service: "s", Version: 7, Age: 2 * gateway.StreamMaxAge}, status: http.StatusOK},
+		{name: "of another service", past: gateway.PastUpstream{Service: "t", Version: 7}, atPeer: true, status: http.StatusOK},
+		{name: "of the same version", past: gateway.PastUpstream{Service: "s"}, status: http.StatusOK},
+		{name: "with a record", past: gateway.PastUpstream{Service: "s", Version: 7}, equal: "v1", status: http.StatusOK},
+		{name: "nobody has read the records", unrestored: true, status: http.StatusServiceUnavailable},
+		{name: "another router has read the records", unrestored: true, peerKnows: true, status: http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			left, atLeft := cachingVersion(t, "i-1", "v1", on, "session")
+			sum := versionSum(left)
+			if c.past.Service != "" {
+				c.past.Key = 1
+				if c.past.Version == 0 {
+					c.past.Version = sum
+				}
+			}
+			f := newStartedWith(t, func(o *gateway.Options) {
+				o.StreamsRestored = func() bool { return !c.unrestored }
+				o.LookUpStream = func(context.Context, gateway.StreamQuery) (a gateway.StreamAnswer) {
+					a.Asked, a.Answered = 1, 1
+					a.Holders.KnowsPast = c.peerKnows
+					if c.atPeer {
+						a.Holders.Left = []gateway.PastUpstream{c.past}
+					}
+					if c.equal != "" {
+						a.Equal = []uint32{sum}
+					}
+					return a
+				}
+			}, left)
+			if !c.atPeer && c.past.Service != "" {
+				f.gateway.RestorePastUpstreams([]gateway.PastUpstream{c.past})
+			}
+			must.Eq(t, c.status, f.takeUpUnnamed(t, "b", "session"))
+			must.Eq(t, c.status == http.StatusOK, atLeft.Load() == 1)
+		})
+	}
+}
+
+// An upstream of another version that leaves later than a minute after the start of the router
+// can have begun a stream as well: the router that did may have ended before it told of that.
+func TestUpstreamThatLeftLongAfterTheStartCounts(t *testing.T) {
+	on, off := &atomic.Bool{}, &atomic.Bool{}
+	on.Store(true)
+	earlier, atEarlier := cachingVersion(t, "i-1", "v1", on, "session")
+	gone, _ := cachingVersion(t, "i-2", "v2", off)
+	f := newStarted(t, earlier, gone)
+	f.gateway.AgeVersionHistory(3 * historyAge)
+	f.setUpstreams(earlier)
+	must.Eq(t, http.StatusServiceUnavailable, f.takeUpUnnamed(t, "b", "session"))
+	must.Zero(t, atEarlier.Load())
+}
--- a/gateway/versionhistory.go
+++ b/gateway/versionhistory.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -9,88 +10,141 @@
 	"dandelionrill.example/fleet/catalog"
 )
 
-// versionHistory records when which versions of each service were last listed. Its
-// methods may be called concurrently.
+// versionHistory records which upstreams were listed within StreamMaxAge, and their versions.
+// Its methods may be called concurrently.
 type versionHistory struct {
-	mu     sync.Mutex
-	since  time.Time                       // of the first catalog; zero before
-	listed map[string]map[uint32]time.Time // last listing by service and hash of the version
-	// upstreams are those listed within the first StreamMaxAge of this process, by the short
-	// hash of their keys: streams that began at them before it started have no record here.
-	upstreams map[uint32]listedUpstream
+	mu    sync.Mutex
+	since time.Time // of the first catalog; zero before
+	// services holds the upstreams by service and by the short hash of their keys.
+	services map[string]map[uint32]pastListing
 }
 
-// listedUpstream is an upstream that was listed.
-type listedUpstream struct {
-	service string
+// pastListing is what is recorded of an upstream that was listed.
+type pastListing struct {
 	version uint32 // short hash
 	at      time.Time
 }
 
-// Update records the versions in a new catalog, and in the one that it replaces.
-func (h *versionHistory) Update(old, current *catalog.Catalog) {
+// PastUpstream is an upstream that can have begun streams, for routers that start later.
+type PastUpstream struct {
+	Service string
+	Version uint32        // short hash of the version
+	Key     uint32        // short hash of the key
+	Age     time.Duration // since it was last listed
+}
+
+// Update records the upstreams in a new catalog, and in the one that it replaces. It reports
+// whether the upstreams of a service that has several versions differ.
+func (h *versionHistory) Update(old, current *catalog.Catalog) (changed bool) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.listed == nil {
-		h.since, h.listed = now, make(map[string]map[uint32]time.Time)
-		h.upstreams = make(map[uint32]listedUpstream)
+	if h.since.IsZero() {
+		h.since = now
 	}
-	starting := now.Sub(h.since) <= StreamMaxAge
-	record := func(u *catalog.Upstream) {
-		if h.listed[u.Service] == nil {
-			h.listed[u.Service] = make(map[uint32]time.Time)
+	differing := make(map[string]bool)
+	old.All(func(u *catalog.Upstream) {
+		h.record(u.Service, u.Key().Sum(), pastListing{version: u.VersionSum, at: now})
+		if listed := current.FindSum(u.Key().Sum()); listed == nil || listed.State != u.State {
+			differing[u.Service] = true
+		}
+	})
+	current.All(func(u *catalog.Upstream) {
+		h.record(u.Service, u.Key().Sum(), pastListing{version: u.VersionSum, at: now})
+		if old.FindSum(u.Key().Sum()) == nil {
+			differing[u.Service] = true
 		}
-		h.listed[u.Service][u.VersionSum] = now
-		if starting {
-			h.upstreams[u.Key().Sum()] = listedUpstream{service: u.Service, version: u.VersionSum, at: now}
+	})
+	for service, upstreams := range h.services {
+		maps.DeleteFunc(upstreams, func(_ uint32, p pastListing) bool { return now.Sub(p.at) > StreamMaxAge })
+		if len(upstreams) == 0 {
+			delete(h.services, service)
 		}
 	}
-	old.All(record)
-	current.All(record)
-	for service, versions := range h.listed {
-		for sum, at := range versions {
-			if now.Sub(at) > StreamMaxAge {
-				delete(versions, sum)
-			}
+	for service := range differing {
+		changed = changed || len(h.versions(service, nil, now)) > 1
+	}
+	return changed
+}
+
+// record records a listing, unless a later one of the upstream is known. h.mu must be held.
+func (h *versionHistory) record(service string, key uint32, p pastListing) {
+	upstreams := h.services[service]
+	if upstreams == nil {
+		if h.services == nil {
+			h.services = make(map[string]map[uint32]pastListing)
 		}
-		if len(versions) == 0 {
-			delete(h.listed, service)
+		upstreams = make(map[uint32]pastListing)
+		h.services[service] = upstreams
+	}
+	if known, ok := upstreams[key]; !ok || known.at.Before(p.at) {
+		upstreams[key] = p
+	}
+}
+
+// versions returns the versions of a service that are listed, or were within StreamMaxAge.
+// h.mu must be held.
+func (h *versionHistory) versions(service string, listed []*catalog.Upstream, now time.Time) map[uint32]bool {
+	versions := make(map[uint32]bool)
+	for _, u := range listed {
+		versions[u.VersionSum] = true
+	}
+	for _, p := range h.services[service] {
+		if now.Sub(p.at) <= StreamMaxAge {
+			versions[p.version] = true
 		}
 	}
-	maps.DeleteFunc(h.upstreams, func(_ uint32, u listedUpstream) bool { return now.Sub(u.at) > StreamMaxAge })
+	return versions
 }
 
 // Several reports whether several versions of a service are listed, or were within
 // StreamMaxAge.
 func (h *versionHistory) Several(service string, listed []*catalog.Upstream) bool {
-	versions := make(map[uint32]bool)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.versions(service, listed, time.Now())) > 1
+}
+
+// Past returns the upstreams of a service that are listed, or were within StreamMaxAge, sorted
+// by key. The age of those that are listed is 0.
+func (h *versionHistory) Past(service string, listed []*catalog.Upstream) []PastUpstream {
+	now := time.Now()
+	present := make(map[uint32]PastUpstream, len(listed))
 	for _, u := range listed {
-		versions[u.VersionSum] = true
+		present[u.Key().Sum()] = PastUpstream{Service: service, Version: u.VersionSum, Key: u.Key().Sum()}
 	}
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	for version, at := range h.listed[service] {
-		if time.Since(at) <= StreamMaxAge {
-			versions[version] = true
+	for key, p := range h.services[service] {
+		if _, ok := present[key]; !ok && now.Sub(p.at) <= StreamMaxAge {
+			present[key] = PastUpstream{Service: service, Version: p.version, Key: key, Age: now.Sub(p.at)}
 		}
 	}
-	return len(versions) > 1
+	h.mu.Unlock()
+	return slices.SortedFunc(maps.Values(present), func(a, b PastUpstream) int { return cmp.Compare(a.Key, b.Key) })
 }
 
-// Others returns the short hashes of the keys of the upstreams of the services that are of
-// another version, and were listed within the first StreamMaxAge of this process and, if they
-// have left since, within StreamMaxAge.
-func (h *versionHistory) Others(services []string, version uint32) []uint32 {
+// Restore records upstreams that another router has recorded, or this one before its restart.
+func (h *versionHistory) Restore(past []PastUpstream) {
+	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var keys []uint32
-	for key, u := range h.upstreams {
-		if u.version != version && time.Since(u.at) <= StreamMaxAge && slices.Contains(services, u.service) {
-			keys = append(keys, key)
+	for _, p := range past {
+		if p.Age <= StreamMaxAge {
+			h.record(p.Service, p.Key, pastListing{version: p.Version, at: now.Add(-max(0, p.Age))})
 		}
 	}
-	return keys
+}
+
+// Covers reports whether the history covers the last StreamMaxAge without what was restored.
+func (h *versionHistory) Covers() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.covers()
+}
+
+// covers is Covers; h.mu must be held.
+func (h *versionHistory) covers() bool {
+	return !h.since.IsZero() && time.Since(h.since) >= StreamMaxAge
 }
 
 // Only returns the only version of a service that can have begun a stream of the last
@@ -100,21 +154,10 @@
 	if len(listed) == 0 {
 		return 0, false
 	}
-	sum = listed[0].VersionSum
-	for _, u := range listed {
-		if u.VersionSum != sum {
-			return 0, false
-		}
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.listed == nil || time.Since(h.since) < StreamMaxAge {
+	if !h.covers() || len(h.versions(service, listed, time.Now())) > 1 {
 		return 0, false
 	}
-	for other, at := range h.listed[service] {
-		if other != sum && time.Since(at) <= StreamMaxAge {
-			return 0, false
-		}
-	}
-	return sum, true
+	return listed[0].VersionSum, true
 }
--- a/gossip/lookups.go
+++ b/gossip/lookups.go
@@ -41,6 +41,10 @@
 	// Read are the short hashes of the keys of the upstreams whose cache lists were read
 	// during the call or a short time before it.
 	Read []uint32
+	// Left are the upstreams of the services that are not listed any more, and KnowsPast is true
+	// if these include those of before the start of the router.
+	Left      []gateway.PastUpstream
+	KnowsPast bool
 }
 
 // PartHolders state which versions list which prompt parts, as parallel slices.
@@ -109,7 +113,9 @@
 	if v, known := version(query.Fingerprint); known {
 		answer.Equal = append(answer.Equal, v)
 	}
-	answer.Holders.Add(gateway.CacheAnswer{Parts: r.Holders.Parts, Versions: r.Holders.Versions, Read: r.Read})
+	answer.Holders.Add(gateway.CacheAnswer{
+		Parts: r.Holders.Parts, Versions: r.Holders.Versions, Read: r.Read, Left: r.Left, KnowsPast: r.KnowsPast,
+	})
 	return false
 }
 
@@ -228,6 +234,7 @@
 	defer cancel()
 	answer := m.opts.Caches(ctx, args.Services[:min(len(args.Services), maxServicesPerCall)], parts)
 	reply.Holders, reply.Read = PartHolders{Parts: answer.Parts, Versions: answer.Versions}, answer.Read
+	reply.Left, reply.KnowsPast = answer.Left, answer.KnowsPast
 	return nil
 }
 
--- a/gossip/streams_test.go
+++ b/gossip/streams_test.go
@@ -53,6 +53,20 @@
 	must.Eq(t, []uint32{3}, answer.Equal)
 }
 
+// What a router knows of upstreams that have left must reach the others: one that has just started
+// never listed them.
+func TestUpstreamsThatLeftAreToldOfInLookups(t *testing.T) {
+	left := []gateway.PastUpstream{{Service: "s", Version: 3, Key: 9, Age: time.Second}}
+	second := newRouter(t, "r2")
+	second.mesh.opts.Caches = func(context.Context, []string, []uint64) gateway.CacheAnswer {
+		return gateway.CacheAnswer{Left: left, KnowsPast: true}
+	}
+	first := newRouter(t, "r1", second.address, startRouter(t, "r3").address)
+	answer := first.mesh.LookUpStream(context.Background(), gateway.StreamQuery{Part: 7, Services: []string{"s"}})
+	must.Eq(t, left, answer.Holders.Left)
+	must.True(t, answer.Holders.KnowsPast)
+}
+
 // After a restart of all routers many streams are taken up at once. Each must be looked up,
 // without a call for each; and a peer that does not answer must hold no lookup beyond its time.
 func TestLookupsShareCalls(t *testing.T) {
