forward: an early answer without a length that is reset is not whole

Callers saw: a replica answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written; the part came as a complete answer (MIXED, reported by users).

Cause: the kernel hands the error of a connection to one call. If the write of the upload gets ECONNRESET, the read of the answer sees the end of the connection, which ends a body without a length.

Change: at the end of such a body the write of the request is stopped and its error asked for. EPIPE is no failure: it means a reset after the upstream's orderly end, so that sound early answers still come whole.

The tests of sound early answers (length, chunks, neither; rest read, left, closed later) pass before and after. The agent was not affected; a test holds that.

--- a/forward/send.go
+++ b/forward/send.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"dandelionrill.example/fleet/internal/errtext"
@@ -88,12 +90,13 @@
 
 // exchange is a request in progress on a connection.
 type exchange struct {
-	pool    *Pool
-	address string
-	conn    *conn
-	written chan error  // nil if the request is written before the answer is read
-	stop    func() bool // detaches the connection from the context of Send
-	once    sync.Once
+	pool       *Pool
+	address    string
+	conn       *conn
+	written    chan error  // nil if the request is written before the answer is read, or its end is known
+	writeError error       // why the request was not written to its end, once that is known
+	stop       func() bool // detaches the connection from the context of Send
+	once       sync.Once
 }
 
 // Send sends the request to the address at most once and returns as soon as the
@@ -225,6 +228,11 @@
 // Read reads the body. It returns io.EOF only at the end of the complete body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if err == io.EOF && r.Framing == FramingClose {
+		if broken := r.ex.connectionError(); broken != nil {
+			err = errors.Wrap(broken, "connection broke off")
+		}
+	}
 	return n, errtext.Bound(err)
 }
 
@@ -249,12 +257,30 @@
 	})
 }
 
+// connectionError returns the error of a connection whose end was read, if it did not end in
+// order. The kernel reports the error of a connection once: if the write of the request gets it,
+// a read sees the end only. A write that the upstream does not wait for any more is stopped.
+func (ex *exchange) connectionError() error {
+	if ex.written != nil {
+		_ = ex.conn.net.SetWriteDeadline(time.Unix(1, 0)) // if this fails, the write does too
+		ex.writeError, ex.written = <-ex.written, nil
+	}
+	switch err := ex.writeError; {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil // nothing was wrong until the end of the answer
+	case errors.Is(err, syscall.EPIPE):
+		return nil // it was reset after its end; a reset before is another error
+	default:
+		return err
+	}
+}
+
 // bodySent reports whether the request was sent completely before its answer
 // ended. If not, the upstream would read the rest of its body as the next
 // request.
 func (ex *exchange) bodySent() bool {
 	if ex.written == nil {
-		return true
+		return ex.writeError == nil
 	}
 	select {
 	case err := <-ex.written:
