forward, agent, router, cli: an answer without a valid status is none

Cause: net/http takes three characters that parse as a number: 000, 099, +20. forward took each status under 200 for that of an interim answer, and what followed, here the body, for the answer. The agent looked at 429 and 503 only and recorded such an answer as whole; the router closed the caller's connection without an answer on 000, 099 and 1000, and passed 101 on. The command line took them for a success. The client of the store compares with the statuses that it knows and was not affected.

Change: internal/answerhead tells interim answers (100 to 199 without 101) from final ones and rejects final ones under 200.

Interim answers are skipped as before.

--- /dev/null
+++ b/agent/badhead_test.go
@@ -0,0 +1,31 @@
+package agent
+
+import (
+	"net"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// callText is callRaw for a short request and an upstream that closes in order.
+func callText(t *testing.T, text string, single bool) (got sinkBytes, complete bool, err error) {
+	t.Helper()
+	return callRaw(t, text, []byte("x"), single, func(*net.TCPConn) {})
+}
+
+// Guards against an answer whose status is no status: it was recorded as whole, and the router
+// that passed it on failed.
+func TestAnswerWithoutAValidStatusIsRejected(t *testing.T) {
+	for _, single := range []bool{false, true} {
+		for _, status := range []string{"000", "099", "+20", "-20", "101", "20", "1000", ""} {
+			got, complete, err := callText(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 2\r\n\r\nok", single)
+			must.Error(t, err, must.Sprintf("%q", status))
+			must.False(t, complete)
+			must.Eq(t, sinkBytes{}, got)
+		}
+		got, complete, err := callText(t, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", single)
+		must.NoError(t, err)
+		must.True(t, complete)
+		must.Eq(t, sinkBytes{200, 2}, got)
+	}
+}
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrill.example/fleet/internal/answerhead"
 	"dandelionrill.example/fleet/wire"
 )
 
@@ -136,6 +137,9 @@
 		return false, errors.Wrap(err, "agent: call upstream")
 	}
 	defer resp.Body.Close()
+	if err := answerhead.Check(resp); err != nil {
+		return false, errors.Wrap(err, "agent: call upstream")
+	}
 	if u.onHead != nil {
 		u.onHead(resp.Header)
 	}
--- a/cli/client.go
+++ b/cli/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 
+	"dandelionrill.example/fleet/internal/answerhead"
 	"dandelionrill.example/fleet/settings"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,9 @@
 		return nil, errors.Mark(errors.Wrapf(err, "%s %s at %s", method, path, address), errNoAnswer)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := answerhead.Check(resp); err != nil {
+		return nil, errors.Wrapf(err, "%s %s at %s", method, path, address)
+	}
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAdminAnswerBytes))
 	if err != nil {
 		return nil, errors.Wrapf(err, "read answer from %s", address)
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"dandelionrill.example/fleet/internal/answerhead"
 	"dandelionrill.example/fleet/internal/errtext"
 	"dandelionrill.example/fleet/internal/netdial"
 	"github.com/cockroachdb/errors"
@@ -123,8 +124,8 @@
 		if err != nil {
 			return nil, errors.Wrap(errtext.Bound(err), "read answer")
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if !answerhead.IsInterim(response) {
+			return response, errors.Wrap(answerhead.Check(response), "read answer")
 		}
 	}
 }
--- /dev/null
+++ b/gateway/badhead_test.go
@@ -0,0 +1,46 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// answeringRaw answers with the text, in which a signed success with a body takes the place of
+// ANSWER.
+func answeringRaw(text string) http.HandlerFunc {
+	return raw(strings.ReplaceAll(text, "ANSWER", "HTTP/1.1 200"+signed+"Content-Length: 5\r\n\r\ninner"), false)
+}
+
+// checkNotPassedOn checks that callers of all kinds of routes get no success, or one of another
+// upstream, if an upstream answers with the text.
+func checkNotPassedOn(t *testing.T, name, text string) {
+	t.Helper()
+	for _, path := range uploadRoutes {
+		t.Run(fmt.Sprint(name, path), func(t *testing.T) {
+			t.Parallel()
+			odd := newReplica(t, "i-1", answeringRaw(text))
+			f := newFixture(t, odd)
+			response, body := f.do(t, f.newRequest(t, http.MethodPost, path, "x"))
+			must.Eq(t, http.StatusBadGateway, response.StatusCode, must.Sprint(body))
+			must.Eq(t, "", response.Header.Get(signature))
+			if path != "/safe/" {
+				return
+			}
+			f.setUpstreams(odd, newReplica(t, "i-2", answering("whole")))
+			response, body = f.do(t, f.newRequest(t, http.MethodPost, path, "x"))
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.Eq(t, "whole", body)
+		})
+	}
+}
+
+// Guards against an answer whose status is no status, passed on as what follows it.
+func TestAnswerWithoutAValidStatusIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "101", "1000"} {
+		checkNotPassedOn(t, fmt.Sprint("status ", status), "HTTP/1.1 "+status+" OK\r\nATTEMPT\r\nANSWER")
+	}
+}
--- a/router/call.go
+++ b/router/call.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dandelionrill.example/fleet/decide/place"
+	"dandelionrill.example/fleet/internal/answerhead"
 	"dandelionrill.example/fleet/internal/panics"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/wire"
@@ -29,7 +30,7 @@
 	errTruncated      = errors.New("router: the upstream ended its answer early")
 	errAgentLost      = errors.New("router: the agent is unreachable or has restarted")
 	errAnswerGone     = errors.New("router: the agent no longer has the answer")
-	errIncomplete     = errors.New("router: the answer is incomplete, or its length or digest does not match")
+	errIncomplete     = errors.New("router: the answer is incomplete, its status is none, or its length or digest does not match")
 	errWrongReply     = errors.New("router: the reply is for another read request or offset")
 	errAnswerTooLarge = errors.New("router: the answer exceeds the size limit")
 )
@@ -173,6 +174,10 @@
 		return nil, errWrongReply
 	}
 	if reply.Started && !rd.started {
+		if answerhead.CheckStatus(reply.Status) != nil {
+			counters.Add("answers_not_whole", 1)
+			return nil, errIncomplete
+		}
 		rd.started = true
 		rd.status = reply.Status
 		rd.header = reply.Header
--- a/router/faulty_agent_test.go
+++ b/router/faulty_agent_test.go
@@ -52,6 +52,10 @@
 		status  int
 	}{
 		{"unaltered", func(*wire.ReadReply) {}, 200},
+		{"status 000", func(r *wire.ReadReply) { r.Status = 0 }, 502},
+		{"status 099", func(r *wire.ReadReply) { r.Status = 99 }, 502},
+		{"status 101", func(r *wire.ReadReply) { r.Status = 101 }, 502},
+		{"status 1000", func(r *wire.ReadReply) { r.Status = 1000 }, 502},
 		{"other digest", func(r *wire.ReadReply) { r.Digest[0]++ }, 502},
 		{"other bytes", func(r *wire.ReadReply) {
 			if len(r.Data) > 0 {
