forward, agent, platform: an answer with a bad field name is none

Callers saw (other operators): in the head of an answer the name of a field held a blank or a control byte; the client got it with that line passed on, or with a body that was not the replica's.

Cause: net/http rejects control bytes, but accepts a blank in a name and does not take "Content-Length " for a length: the body then goes on to the end of the connection, chunk sizes included. A line that begins with a blank it adds to the value before it.

Change: answerhead.Check rejects names that are no tokens in interim and final heads, CheckTrailer in trailers, FoldScanner lines that begin with a blank.

--- a/agent/badhead_test.go
+++ b/agent/badhead_test.go
@@ -29,3 +29,27 @@
 		must.Eq(t, sinkBytes{200, 2}, got)
 	}
 }
+
+// Guards against an answer in whose head the name of a field holds a blank or a control byte: a
+// length in such a field was not seen, so that another body was recorded as whole.
+func TestAnswerWithABadFieldNameIsRejected(t *testing.T) {
+	for _, single := range []bool{false, true} {
+		for _, field := range []string{"X Y: 1", "X : 1", " X: 1", "\tX: 1", "X\tY: 1", "X\x00Y: 1", "X\x7fY: 1", ": 1", "Content-Length : 2", "Transfer-Encoding : chunked"} {
+			for _, text := range []string{
+				"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + field + "\r\n\r\ndata: [DONE]\n\n",
+				"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + field + "\r\n\r\nok",
+				"HTTP/1.1 103 Early Hints\r\nLink: x\r\n" + field + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			} {
+				got, complete, err := callText(t, text, single)
+				must.Error(t, err, must.Sprintf("%q", text))
+				must.False(t, complete)
+				must.Eq(t, sinkBytes{}, got)
+			}
+		}
+		for _, field := range []string{"X Y: 1", "X : 1", "X\x7fY: 1"} {
+			_, complete, err := callText(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+field+"\r\n\r\n", single)
+			must.Error(t, err, must.Sprintf("in the trailer: %q", field))
+			must.False(t, complete)
+		}
+	}
+}
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -59,7 +59,13 @@
 	u.client = &http.Client{
 		CheckRedirect: returnRedirect,
 		Transport: &http.Transport{
-			DialContext: u.dialer.DialContext,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := u.dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &answerhead.Conn{Conn: conn}, nil
+			},
 			// Answers bear no identifier: on a connection that is used again, a late copy of
 			// one can't be told from the next one.
 			DisableKeepAlives:  true,
@@ -98,7 +104,7 @@
 				if used.Swap(true) {
 					return nil, errConnUsed
 				}
-				return conn, nil
+				return &answerhead.Conn{Conn: conn}, nil
 			},
 		},
 	}
@@ -109,6 +115,7 @@
 	target := *u.base
 	target.Path = strings.TrimSuffix(u.base.Path, "/") + args.Path
 	target.RawQuery = args.Query
+	ctx = answerhead.WithInterimCheck(ctx)
 	req, err := http.NewRequestWithContext(ctx, args.Method, target.String(), bytes.NewReader(args.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "agent: build upstream request")
@@ -151,6 +158,9 @@
 	if err != nil {
 		return false, err
 	}
+	if err := answerhead.CheckTrailer(resp); err != nil {
+		return false, errors.Wrap(err, "agent: read upstream answer")
+	}
 	return isComplete(resp, tail), nil
 }
 
--- a/cli/badhead_test.go
+++ b/cli/badhead_test.go
@@ -16,6 +16,7 @@
 // badHeads are heads of answers that must not count as a success.
 var badHeads = map[string]string{
 	"status 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}",
+	"blank":      "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
 	"status 101": "HTTP/1.1 101 Trouble\r\n\r\n",
 }
 
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -117,15 +117,21 @@
 // readHead reads the head of the next final answer. Interim (1xx) answers are
 // skipped.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.begin()
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
 	defer c.limit.end()
+	if err := c.limit.begin(buffered); err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Wrap(errtext.Bound(err), "read answer")
 		}
+		if err := answerhead.Check(response); err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
 		if !answerhead.IsInterim(response) {
-			return response, errors.Wrap(answerhead.Check(response), "read answer")
+			return response, nil
 		}
 	}
 }
--- a/forward/headlimit.go
+++ b/forward/headlimit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 
+	"dandelionrill.example/fleet/internal/answerhead"
 	"github.com/cockroachdb/errors"
 )
 
@@ -12,15 +13,20 @@
 var errHeadTooLong = errors.New("head of the answer over the limit")
 
 // headLimit limits the bytes and lines that are read from a connection while the head of an
-// answer is incomplete.
+// answer is incomplete, and rejects lines that begin with a blank.
 type headLimit struct {
 	source io.Reader
 	active bool
 	bytes  int // left
 	lines  int // left
+	folds  answerhead.FoldScanner
 }
 
-func (l *headLimit) begin() { l.active, l.bytes, l.lines = true, maxHeadBytes, maxHeadLines }
+// begin begins a head. buffered are the bytes that were read before.
+func (l *headLimit) begin(buffered []byte) error {
+	l.active, l.bytes, l.lines, l.folds = true, maxHeadBytes, maxHeadLines, answerhead.FoldScanner{}
+	return l.folds.Scan(buffered)
+}
 
 func (l *headLimit) end() { l.active = false }
 
@@ -36,5 +42,8 @@
 	n, err := l.source.Read(p[:min(len(p), l.bytes)])
 	l.bytes -= n
 	l.lines -= bytes.Count(p[:n], []byte{'\n'})
+	if folded := l.folds.Scan(p[:n]); folded != nil {
+		return 0, folded
+	}
 	return n, err
 }
--- a/forward/send.go
+++ b/forward/send.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"dandelionrill.example/fleet/internal/answerhead"
 	"dandelionrill.example/fleet/internal/errtext"
 	"github.com/cockroachdb/errors"
 )
@@ -83,7 +84,7 @@
 	Length  int64 // of the body; -1 if unknown
 	Framing Framing
 
-	body io.ReadCloser
+	head *http.Response
 	conn *conn
 	ex   *exchange
 }
@@ -184,7 +185,7 @@
 		}
 		response := &Response{
 			Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Framing: framing(head),
-			body: head.Body, conn: ex.conn, ex: ex,
+			head: head, conn: ex.conn, ex: ex,
 		}
 		if ex.pool.opts.Matches(r, response) {
 			ex.conn.keepAliveTimeout = announcedIdle(head.Header)
@@ -227,15 +228,26 @@
 
 // Read reads the body. It returns io.EOF only at the end of the complete body.
 func (r *Response) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	if err == io.EOF && r.Framing == FramingClose {
-		if broken := r.ex.connectionError(); broken != nil {
-			err = errors.Wrap(broken, "connection broke off")
-		}
+	n, err := r.head.Body.Read(p)
+	if err == io.EOF {
+		err = r.checkEnd()
 	}
 	return n, errtext.Bound(err)
 }
 
+// checkEnd returns io.EOF if the answer, whose body was read to its end, is complete.
+func (r *Response) checkEnd() error {
+	if err := answerhead.CheckTrailer(r.head); err != nil {
+		return errors.Wrap(err, "read trailer")
+	}
+	if r.Framing == FramingClose {
+		if err := r.ex.connectionError(); err != nil {
+			return errors.Wrap(err, "connection broke off")
+		}
+	}
+	return io.EOF
+}
+
 // Close ends the exchange. complete means that the body was read to its end, so
 // that the connection may carry another request. Otherwise the connection is
 // reset, which makes the upstream stop.
--- a/gateway/badhead_test.go
+++ b/gateway/badhead_test.go
@@ -44,3 +44,11 @@
 		checkNotPassedOn(t, fmt.Sprint("status ", status), "HTTP/1.1 "+status+" OK\r\nATTEMPT\r\nANSWER")
 	}
 }
+
+// Guards against an answer in whose head the name of a field holds a blank or a control byte,
+// passed on with that line or with another body.
+func TestAnswerWithABadFieldNameIsNotPassedOn(t *testing.T) {
+	for _, field := range []string{"X Y: 1", "X : 1", " X: 1", "X\x01Y: 1", "X\x7f: 1", "Content-Length : 5", "Transfer-Encoding : chunked"} {
+		checkNotPassedOn(t, fmt.Sprintf("%q", field), "HTTP/1.1 200"+signed+field+"\r\n\r\n"+twoEvents)
+	}
+}
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -116,6 +116,8 @@
 		{"status 000", raw("HTTP/1.1 000"+signed+"\r\nHTTP/1.1 200"+signed+chunk(event(4))+chunkedEnd, false)},
 		{"status 099", raw("HTTP/1.1 099"+signed+chunk(event(4))+chunkedEnd, false)},
 		{"status +20", raw("HTTP/1.1 +20"+signed+"\r\nHTTP/1.1 200"+signed+chunk(event(3)+event(5))+chunkedEnd, false)},
+		{"blank in a name", raw("HTTP/1.1 200"+signed+"X Y: 1\r\n"+chunk(event(3)+event(5))+chunkedEnd, false)},
+		{"blank before the colon", raw("HTTP/1.1 200"+signed+"Content-Length : 5\r\n\r\n"+event(3)+event(5), false)},
 		{"half a head", raw("HTTP/1.1 200 OK\r\nATTEMPTContent-", false)},
 		{"half a head, reset", raw("HTTP/1.1 200 OK\r\nATTEMPTContent-", true)},
 		{"no head", raw(errorText+"\r\n\r\n", false)},
--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -3,7 +3,11 @@
 package answerhead
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -11,11 +15,46 @@
 // ErrStatus means that an answer has no status with which one can end.
 var ErrStatus = errors.New("status of the answer is not valid")
 
-// Check returns an error if an answer as net/http has parsed it is not a valid final one.
+// ErrField means that the name of a field is no token (RFC 9110, section 5.6.2). A blank before
+// the colon hides a field from the parser, such as a length, and not from others.
+var ErrField = errors.New("name of a field of the answer is not valid")
+
+// Check returns an error if the head of an answer as net/http has parsed it, with the answer's
+// status if it is a final one, is not valid.
 func Check(answer *http.Response) error {
+	if err := checkFields(answer.Header); err != nil || IsInterim(answer) {
+		return err
+	}
 	return CheckStatus(answer.StatusCode)
 }
 
+// CheckTrailer is Check for the trailer of an answer, whose body has been read to its end.
+func CheckTrailer(answer *http.Response) error { return checkFields(answer.Trailer) }
+
+func checkFields(fields http.Header) error {
+	for name := range fields {
+		if !isToken(name) {
+			return errors.Wrapf(ErrField, "%.50q", name)
+		}
+	}
+	return nil
+}
+
+func isToken(text string) bool {
+	return text != "" && !strings.ContainsFunc(text, func(c rune) bool {
+		letterOrDigit := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		return !letterOrDigit && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+	})
+}
+
+// WithInterimCheck returns a context with which an http.Client fails a request that gets an interim
+// answer with fields that are not valid: it passes only the final one on.
+func WithInterimCheck(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return checkFields(http.Header(fields)) },
+	})
+}
+
 // maxStatus is the highest number of three digits.
 const maxStatus = 999
 
