--- a/agent/badhead_test.go
+++ b/agent/badhead_test.go
@@ -53,3 +53,21 @@
 		}
 	}
 }
+
+// Guards against an answer whose upstream stops in the middle of its head, recorded as a whole one
+// with a short body.
+func TestHeadThatEndsEarlyIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		for n := range len(head) {
+			for _, single := range []bool{false, true} {
+				got, complete, err := callText(t, head[:n], single)
+				must.Error(t, err, must.Sprintf("%q", head[:n]))
+				must.False(t, complete)
+				must.Eq(t, sinkBytes{}, got)
+			}
+		}
+	}
+}
--- a/gateway/badhead_test.go
+++ b/gateway/badhead_test.go
@@ -52,3 +52,12 @@
 		checkNotPassedOn(t, fmt.Sprintf("%q", field), "HTTP/1.1 200"+signed+field+"\r\n\r\n"+twoEvents)
 	}
 }
+
+// Guards against an answer whose upstream stops in the middle of its head, passed on as a whole one
+// with an empty or short body.
+func TestHeadThatEndsEarlyIsNotPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 200" + signed + "Content-Length: 1000\r\n\r\n"
+	for n := range len(head) {
+		checkNotPassedOn(t, fmt.Sprint("byte ", n), head[:n])
+	}
+}
