soak: sessions across a leave and a kill of all routers, and heads that are none

Change: a fault "sessions": streams of sessions of several turns, callers that do not name the attempt, the entries of one version removed up to 0.4 s before the kill. Three kinds of trouble more: a status of 000, 099 or +20, a blank in a name of the head, a head that ends in its middle.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -27,6 +27,7 @@
 	deadline time.Duration // as sent with the request
 	pause    time.Duration // in the middle of its body
 	first    string        // attempt that began the stream; equal to attempt if this one did
+	session  string        // last prompt part, if the stream is a turn of a session
 	received int           // events of the stream over all attempts
 	version  string        // of the events received
 	crashing string        // prompt part or path that crashes upstreams; empty if it has none
@@ -83,6 +84,9 @@
 		}
 		if n%4 != 0 && c.soak.comeBack.Load() {
 			o.route, o.path, o.deadline = "/resume/", "slow", slowTimeout
+			if c.soak.sessions.Load() {
+				o.session, o.path = fmt.Sprintf("s%d-session%d-%d", c.soak.opts.Seed, c.index, c.random.IntN(sessionsPerCaller)), o.first+"/slow"
+			}
 		}
 		if n%3 == 0 && c.soak.slowBodies.Load() {
 			o.pause, o.deadline = time.Duration(c.random.Int64N(int64(maxBodyPause))), slowTimeout
@@ -147,6 +151,9 @@
 	}
 }
 
+// sessionsPerCaller is the number of sessions whose turns a caller begins one after another.
+const sessionsPerCaller = 3
+
 // documentCount is the number of distinct document prompt parts that the
 // callers share.
 const documentCount = 8
@@ -171,13 +178,19 @@
 	wire.SetRequestHeaders(r.Header, o.attempt, cmp.Or(o.key, apiKey), o.deadline)
 	if isStream(o.route) {
 		document := int(o.first[len(o.first)-1]) % documentCount
-		prompt := []string{"a0:300", fmt.Sprintf("d%d:4000", document), o.first + ":100"}
+		prompt := []string{"a0:300", fmt.Sprintf("d%d:4000", document), cmp.Or(o.session, o.first) + ":100"}
 		if o.crashing != "" && o.path != o.crashing {
 			prompt = slices.Insert(prompt, 1+document%2, o.crashing+":200")
 		}
 		wire.SetPrompt(r.Header, "m", prompt...)
 	}
-	if o.received > 0 {
+	switch {
+	case o.session != "":
+		r.Header.Set(wire.HeaderStream, o.first)
+		if o.received > 0 {
+			r.Header.Set(wire.HeaderLastEvent, fmt.Sprint(o.received))
+		}
+	case o.received > 0:
 		wire.SetResume(r.Header, o.first, o.received)
 	}
 	client := http.Client{Transport: c.client.Transport, Timeout: o.deadline + time.Second}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -23,6 +23,7 @@
 	FaultRequests   = "requests"    // a request that comes again and crashes each upstream that runs it
 	FaultStops      = "stops"       // stops of routers with repeated signals, and slow streams meanwhile
 	FaultRestart    = "restart"     // all routers killed at once, with upstreams of several versions
+	FaultSessions   = "sessions"    // as restart, with streams of sessions, after the upstreams of a version have left
 	FaultCold       = "cold"        // new upstreams that are cold for a time
 	FaultEvacuation = "evacuation"  // evacuated failure domains
 	FaultQueue      = "queue"       // more plain requests than their pool has slots
@@ -30,7 +31,7 @@
 	FaultCrowd      = "crowd"       // callers that do not end their bodies
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultRequests, FaultStops, FaultRestart, FaultCold, FaultEvacuation, FaultQueue, FaultCopies, FaultCrowd}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultRequests, FaultStops, FaultRestart, FaultSessions, FaultCold, FaultEvacuation, FaultQueue, FaultCopies, FaultCrowd}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
@@ -49,6 +50,8 @@
 }
 
 // hasVersions reports whether there are upstreams of several versions.
-func (f Faults) hasVersions() bool { return f.has(FaultVersions) || f.has(FaultRestart) }
+func (f Faults) hasVersions() bool {
+	return f.has(FaultVersions) || f.has(FaultRestart) || f.has(FaultSessions)
+}
 
 func (f Faults) has(name string) bool { return slices.Contains(f, name) }
--- a/soak/restart.go
+++ b/soak/restart.go
@@ -47,6 +47,14 @@
 			}
 		}
 	}
+	phase = s.endRestartPhase(phase)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restarts = append(s.restarts, phase)
+}
+
+// endRestartPhase waits for the end of a phase, and replaces the upstreams that went.
+func (s *Soak) endRestartPhase(phase restartPhase) restartPhase {
 	time.Sleep(restartPhaseTime)
 	s.comeBack.Store(false)
 	phase.to = time.Now()
@@ -56,9 +64,40 @@
 			break
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.restarts = append(s.restarts, phase)
+	return phase
+}
+
+// maxLeaveBefore is the longest time from the end of entries to the kill of all routers.
+const maxLeaveBefore = 400 * time.Millisecond
+
+// runSessionPhase removes the entries of the upstreams of one version, kills all routers at once a
+// moment later, and ends these upstreams. Streams belong to sessions of several turns, and their
+// callers do not name the attempt that they continue: what lists a session's prompt part may have
+// read it in an earlier turn. Streams that began since the routers last wrote their records may
+// be refused, so that the phase is not among those that checkRestart judges.
+func (s *Soak) runSessionPhase() {
+	s.sessions.Store(true)
+	defer s.sessions.Store(false)
+	s.comeBack.Store(true)
+	time.Sleep(2 * restartCalm)
+	active := s.fleet.active()
+	gone := active[s.random.IntN(len(active))].version
+	s.logf("the upstreams of %s leave", gone)
+	for _, u := range active {
+		if u.version == gone {
+			s.fleet.remove(u)
+		}
+	}
+	time.Sleep(time.Duration(s.random.Int64N(int64(maxLeaveBefore))))
+	for _, r := range s.fleet.routers {
+		r.signal(syscall.SIGKILL)
+	}
+	for _, u := range active {
+		if u.version == gone {
+			u.proxy.SetMode(ModeReset)
+		}
+	}
+	s.endRestartPhase(restartPhase{})
 }
 
 // takeUpAfterRestart takes up a stream that a kill of all routers broke off, as often as there
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,6 +36,7 @@
 	slowStreams  atomic.Bool                  // callers open slow streams too
 	slowBodies   atomic.Bool                  // the bodies of some requests pause
 	comeBack     atomic.Bool                  // callers come back to streams that a kill of all routers broke off
+	sessions     atomic.Bool                  // the streams to which callers come back belong to sessions
 	leaveStreams atomic.Bool                  // callers leave streams and take them up again
 	crashingWork atomic.Pointer[crashingWork] // that some requests are; nil if none is
 
@@ -173,6 +174,10 @@
 			s.logf("round %d: all routers are killed at once", round)
 			s.runRestartPhase()
 		}
+		if s.opts.Faults.has(FaultSessions) {
+			s.logf("round %d: upstreams leave, and all routers are killed at once", round)
+			s.runSessionPhase()
+		}
 		if s.opts.Faults.has(FaultCold) {
 			s.logf("round %d: cold upstreams", round)
 			s.runColdPhase()
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -92,7 +92,7 @@
 func (c *caller) nextTakeUp(o *outcome) outcome {
 	c.takeUps++
 	return outcome{
-		attempt: fmt.Sprintf("%s-again%d", o.first, c.takeUps), first: o.first, received: o.received, version: o.version,
+		attempt: fmt.Sprintf("%s-again%d", o.first, c.takeUps), first: o.first, session: o.session, received: o.received, version: o.version,
 		route: o.route, path: o.path, deadline: o.deadline, router: (o.router + 1) % len(c.soak.fleet.routers),
 	}
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -252,7 +252,7 @@
 	}
 	w.Header().Set(wire.HeaderSignature, r.opts.ID+"."+attempt)
 	isStream := strings.HasPrefix(req.URL.Path, "/stream/") || strings.HasPrefix(req.URL.Path, "/resume/")
-	first := cmp.Or(req.Header.Get(wire.HeaderResumes), attempt)
+	first := cmp.Or(req.Header.Get(wire.HeaderStream), req.Header.Get(wire.HeaderResumes), attempt)
 	if kind := r.currentTrouble(); kind != TroubleNone {
 		r.spoil(w, kind, isStream, first, lastEvent)
 		return
--- a/standin/replica/trouble.go
+++ b/standin/replica/trouble.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -24,6 +25,9 @@
 	TroubleSlowBody            // a body goes on without end, a byte now and then
 	TroubleFields              // a head of short fields without end
 	TroubleNoAnswer            // long lines that are no answer, without end
+	TroubleStatus              // an answer whose status is 000, 099 or +20, with an answer to the attempt as its body
+	TroubleFieldName           // a blank stands in a name of the head
+	TroubleHalfHead            // a head ends in its middle
 	troubleCount
 )
 
@@ -89,6 +93,21 @@
 		writeHead(out, http.StatusOK, header)
 		_, _ = io.WriteString(out, "\r\n"+Body(attempt))
 		_ = out.Flush()
+	case kind == TroubleStatus:
+		status := []string{"000", "099", "+20"}[rand.N(3)]
+		fmt.Fprintf(out, "HTTP/1.1 %s Trouble\r\n%s: %s\r\n\r\n", status, wire.HeaderAttempt, header.Get(wire.HeaderAttempt))
+		writeHead(out, http.StatusOK, header)
+		fmt.Fprintf(out, "Content-Length: %d\r\n\r\n%s", len(event), event)
+		_ = out.Flush()
+	case kind == TroubleFieldName:
+		writeHead(out, http.StatusOK, header)
+		name := []string{"Content-Length ", "X Y", " X"}[rand.N(3)]
+		fmt.Fprintf(out, "%s: %d\r\n\r\n%s", name, len(event), event)
+		_ = out.Flush()
+	case kind == TroubleHalfHead:
+		writeHead(out, http.StatusOK, header)
+		_, _ = io.WriteString(out, "Content-Length: 1"[:rand.N(18)])
+		_ = out.Flush()
 	case kind == TroubleEndlessBody && isStream:
 		writeHead(out, http.StatusOK, header)
 		_, _ = io.WriteString(out, "\r\n"+event+"data: ")
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -21,13 +21,16 @@
 	HeaderNotRun    = "Dandelionrill-Not-Executed"
 	HeaderLastEvent = "Last-Event-Id"
 	HeaderResumes   = "Resumes" // the attempt that brought the first event of the stream
-	HeaderLeaving   = "Server-Leaving"
-	HeaderLimit     = "Server-Limit" // requests a second that the replica takes of all routers together
-	HeaderModel     = "Dandelionrill-Model"
-	HeaderPrompt    = "Dandelionrill-Prompt-Prefix"
-	HeaderTenant    = "Dandelionrill-Tenant"  // the customer, as the replica gets to know it
-	HeaderCold      = "Dandelionrill-Cold-Ms" // for how much longer the replica is cold
-	headerDeadline  = "Dandelionrill-Deadline-Ms"
+	// HeaderStream names, to a stand-in, the stream of a caller that does not name the attempt it
+	// continues. Routers pass it on unread.
+	HeaderStream   = "Stand-In-Stream"
+	HeaderLeaving  = "Server-Leaving"
+	HeaderLimit    = "Server-Limit" // requests a second that the replica takes of all routers together
+	HeaderModel    = "Dandelionrill-Model"
+	HeaderPrompt   = "Dandelionrill-Prompt-Prefix"
+	HeaderTenant   = "Dandelionrill-Tenant"  // the customer, as the replica gets to know it
+	HeaderCold     = "Dandelionrill-Cold-Ms" // for how much longer the replica is cold
+	headerDeadline = "Dandelionrill-Deadline-Ms"
 )
 
 // CacheListPath is the path at which a replica lists its cached prompt parts.
