entry, gateway: records are written twice a second at most, lookups sort nothing

A release of many upstreams would have made each of the three watchers write up to 200 KB four times a second, on links of 10 Mbit/s; and each lookup sorted all upstreams of its services to find those that have left.

Change: 0.5 s between two writes of one router. versionHistory.Left goes through the upstreams once.

Measured: the tests of ./forward, and of streams in ./entry and ./gateway twice.

--- a/entry/session_restart_test.go
+++ b/entry/session_restart_test.go
@@ -43,8 +43,8 @@
 	return version
 }
 
-// storedStreams returns the number of records that the routers have written.
-func (f *restartFleet) storedStreams(t *testing.T) int {
+// mostStored returns the largest count of one object of the routers in the store.
+func (f *restartFleet) mostStored(t *testing.T, count func(platform.StoredStreams) int) int {
 	t.Helper()
 	records, _, err := f.routers[0].host.store.ListKind(t.Context(), platform.KindStreams)
 	must.NoError(t, err)
@@ -52,23 +52,21 @@
 	must.SliceEmpty(t, findings)
 	most := 0
 	for _, s := range stored {
-		most = max(most, len(s.Streams))
+		most = max(most, count(s))
 	}
 	return most
 }
 
+// storedStreams returns the number of records of streams that the routers have written.
+func (f *restartFleet) storedStreams(t *testing.T) int {
+	t.Helper()
+	return f.mostStored(t, func(s platform.StoredStreams) int { return len(s.Streams) })
+}
+
 // storedUpstreams returns the number of upstreams that the routers have written.
 func (f *restartFleet) storedUpstreams(t *testing.T) int {
 	t.Helper()
-	records, _, err := f.routers[0].host.store.ListKind(t.Context(), platform.KindStreams)
-	must.NoError(t, err)
-	stored, findings := platform.DecodeStreams(records)
-	must.SliceEmpty(t, findings)
-	most := 0
-	for _, s := range stored {
-		most = max(most, len(s.Upstreams))
-	}
-	return most
+	return f.mostStored(t, func(s platform.StoredStreams) int { return len(s.Upstreams) })
 }
 
 // Guards against streams of sessions that are joined from two versions after all routers were
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -20,7 +20,7 @@
 	// write of the records: the streams that other routers have begun until then are known.
 	storeStreamsDelay = 100 * time.Millisecond
 	// storeStreamsMinInterval is the least time between two writes of one router.
-	storeStreamsMinInterval = 250 * time.Millisecond
+	storeStreamsMinInterval = 500 * time.Millisecond
 	// storedStreamsAge is how long ago the streams that are written were begun or renewed. A
 	// stream in progress is renewed within that time.
 	storedStreamsAge = 20 * time.Second
--- a/forward/badhead_test.go
+++ b/forward/badhead_test.go
@@ -11,18 +11,23 @@
 	"github.com/shoenig/test/must"
 )
 
-// sendRaw sends a request to an upstream that answers it with the text and keeps the connection
-// open, or closes it.
-func sendRaw(t *testing.T, text string, closes bool) (body string, err error) {
+// What an upstream does after its answer, before it closes the connection.
+var (
+	closeNow = func(*net.TCPConn) {}
+	resetNow = func(c *net.TCPConn) { _ = c.SetLinger(0) }
+	keepOpen = func(c *net.TCPConn) { _, _ = c.Read(make([]byte, 1)) } // until the pool closes it
+)
+
+// sendRaw sends a request to an upstream that answers it with the text, and returns the body of the
+// answer.
+func sendRaw(t *testing.T, text string, after func(*net.TCPConn)) (body string, err error) {
 	t.Helper()
 	u := serve(t, func(_ *upstream, c net.Conn, reader *bufio.Reader) {
 		if _, err := http.ReadRequest(reader); err != nil {
 			return
 		}
 		_, _ = io.WriteString(c, text)
-		if !closes {
-			_, _ = reader.ReadByte() // until the pool closes it
-		}
+		after(c.(*net.TCPConn))
 	})
 	response, err := newPool().Send(t.Context(), u.listener.Addr().String(), request("1"))
 	if err != nil {
@@ -38,7 +43,7 @@
 func TestAnswerWithoutAValidStatusIsRejected(t *testing.T) {
 	for _, status := range []string{"000", "020", "099", "+20", "+00", "-20", "101", "20", "1000", ""} {
 		for _, before := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"} {
-			_, err := sendRaw(t, before+"HTTP/1.1 "+status+" Trouble\r\nTest-Id: 1\r\n\r\n"+answer("1", "inner"), false)
+			_, err := sendRaw(t, before+"HTTP/1.1 "+status+" Trouble\r\nTest-Id: 1\r\n\r\n"+answer("1", "inner"), keepOpen)
 			must.Eq(t, MayHaveRun, outcomeOf(t, err), must.Sprintf("%q", status))
 		}
 	}
@@ -47,7 +52,7 @@
 // Interim answers must be skipped, and final ones come with the status that the upstream gave.
 func TestInterimAnswersOfEachStatusAreSkipped(t *testing.T) {
 	for _, interim := range []string{"100 Continue", "102 Processing", "103 Early Hints", "199 Other"} {
-		body, err := sendRaw(t, strings.Repeat("HTTP/1.1 "+interim+"\r\nLink: x\r\n\r\n", 3)+answer("1", "own"), false)
+		body, err := sendRaw(t, strings.Repeat("HTTP/1.1 "+interim+"\r\nLink: x\r\n\r\n", 3)+answer("1", "own"), keepOpen)
 		must.NoError(t, err)
 		must.Eq(t, "own", body)
 	}
@@ -70,13 +75,13 @@
 			"HTTP/1.1 103 Early Hints\r\nLink: x\r\n" + field + "\r\n\r\n" + answer("1", "ok"),
 			answer("0", "late") + "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 2\r\n" + field + "\r\n\r\nok",
 		} {
-			_, err := sendRaw(t, text, true)
+			_, err := sendRaw(t, text, closeNow)
 			must.Eq(t, MayHaveRun, outcomeOf(t, err), must.Sprintf("%q", text))
 		}
 		if field[0] == ' ' || field[0] == '\t' {
 			continue // a folded value of a trailer, which nobody gets
 		}
-		_, err := sendRaw(t, "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: 1\r\n"+field+"\r\n\r\n", true)
+		_, err := sendRaw(t, "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: 1\r\n"+field+"\r\n\r\n", closeNow)
 		must.Error(t, err, must.Sprintf("in the trailer: %q", field))
 	}
 }
@@ -89,7 +94,7 @@
 		"HTTP/1.1 200 OK\r\nTest-Id: 1\r\n" + fields + "\r\n ok",
 		"HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n ok\r\n0\r\n" + fields + "\r\n",
 	} {
-		body, err := sendRaw(t, text, true)
+		body, err := sendRaw(t, text, closeNow)
 		must.NoError(t, err)
 		must.Eq(t, " ok", body)
 	}
--- a/forward/cuthead_test.go
+++ b/forward/cuthead_test.go
@@ -1,10 +1,7 @@
 package forward
 
 import (
-	"bufio"
-	"io"
 	"net"
-	"net/http"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -27,9 +24,9 @@
 func TestHeadThatEndsEarlyIsNoAnswer(t *testing.T) {
 	for _, c := range cutHeads {
 		for n := range len(c.text) {
-			for _, reset := range []bool{false, true} {
-				_, err := sendEnding(t, c.text[:n], reset)
-				must.Error(t, err, must.Sprintf("%s: %q, reset %v", c.name, c.text[:n], reset))
+			for end, after := range map[string]func(*net.TCPConn){"closed": closeNow, "reset": resetNow} {
+				_, err := sendRaw(t, c.text[:n], after)
+				must.Error(t, err, must.Sprintf("%s: %q, %s", c.name, c.text[:n], end))
 			}
 		}
 	}
@@ -39,32 +36,10 @@
 func TestChunksThatEndEarlyAreIncomplete(t *testing.T) {
 	const head, rest = "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n0\r\nX: 1\r\nY: 2\r\n\r\n"
 	for n := range len(rest) {
-		_, err := sendEnding(t, head+rest[:n], false)
+		_, err := sendRaw(t, head+rest[:n], closeNow)
 		must.Error(t, err, must.Sprintf("%q", rest[:n]))
 	}
-	body, err := sendEnding(t, head+rest, false)
+	body, err := sendRaw(t, head+rest, closeNow)
 	must.NoError(t, err)
 	must.Eq(t, "ok", body)
 }
-
-// sendEnding sends a request to an upstream that answers it with the text and closes or resets the
-// connection.
-func sendEnding(t *testing.T, text string, reset bool) (body string, err error) {
-	t.Helper()
-	u := serve(t, func(_ *upstream, c net.Conn, reader *bufio.Reader) {
-		if _, err := http.ReadRequest(reader); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, text)
-		if reset {
-			_ = c.(*net.TCPConn).SetLinger(0)
-		}
-	})
-	response, err := newPool().Send(t.Context(), u.listener.Addr().String(), request("1"))
-	if err != nil {
-		return "", err
-	}
-	defer response.Close(false)
-	p, err := io.ReadAll(response)
-	return string(p), err
-}
--- a/gateway/cachelookup.go
+++ b/gateway/cachelookup.go
@@ -108,13 +108,7 @@
 	}
 	current := g.catalog.Load()
 	a.Read = append(a.Read, g.caches.ReadOfUnlisted(services, lists(current))...)
-	for _, service := range services {
-		for _, p := range g.versions.Past(service, nil) {
-			if current.FindSum(p.Key) == nil {
-				a.Left = append(a.Left, p)
-			}
-		}
-	}
+	a.Left = g.versions.Left(services, current)
 	a.KnowsPast = g.opts.StreamsRestored() || g.versions.Covers()
 	return a
 }
--- a/gateway/versionhistory.go
+++ b/gateway/versionhistory.go
@@ -123,6 +123,23 @@
 	return slices.SortedFunc(maps.Values(present), func(a, b PastUpstream) int { return cmp.Compare(a.Key, b.Key) })
 }
 
+// Left returns the upstreams of the services that were listed within StreamMaxAge and are not in the
+// current catalog.
+func (h *versionHistory) Left(services []string, current *catalog.Catalog) []PastUpstream {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var left []PastUpstream
+	for _, service := range services {
+		for key, p := range h.services[service] {
+			if age := now.Sub(p.at); age <= StreamMaxAge && current.FindSum(key) == nil {
+				left = append(left, PastUpstream{Service: service, Version: p.version, Key: key, Age: age})
+			}
+		}
+	}
+	return left
+}
+
 // Restore records upstreams that another router has recorded, or this one before its restart.
 func (h *versionHistory) Restore(past []PastUpstream) {
 	now := time.Now()
