--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"context"
 	"expvar"
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -310,38 +309,6 @@
 // SetPolicy replaces the policy, except for its ejection options.
 func (g *Gateway) SetPolicy(p Policy) { g.policy.Store(&p) }
 
-// SeveralVersions reports whether a service whose requests name prompt parts has several
-// versions, or had within StreamMaxAge.
-func (g *Gateway) SeveralVersions() bool {
-	table, current := g.table.Load(), g.catalog.Load()
-	return table != nil && slices.ContainsFunc(table.PromptedServices(), func(service string) bool {
-		return g.versions.Several(service, current.Service(service))
-	})
-}
-
-// PastUpstreams returns the upstreams that can have begun streams that are taken up: those of
-// services whose requests name prompt parts that are listed, or were within StreamMaxAge.
-func (g *Gateway) PastUpstreams() []PastUpstream {
-	table, current := g.table.Load(), g.catalog.Load()
-	if table == nil {
-		return nil
-	}
-	var past []PastUpstream
-	for _, service := range table.PromptedServices() {
-		past = append(past, g.versions.Past(service, current.Service(service))...)
-	}
-	return past
-}
-
-// SessionServices returns the services whose callers have sessions, by what this router knows.
-func (g *Gateway) SessionServices() []string { return g.sessions.Services() }
-
-// RestoreSessionServices records services whose callers have sessions.
-func (g *Gateway) RestoreSessionServices(services []string) { g.sessions.Restore(services) }
-
-// RestorePastUpstreams records upstreams that were listed before this router started.
-func (g *Gateway) RestorePastUpstreams(past []PastUpstream) { g.versions.Restore(past) }
-
 // SetRouterCount sets how many routers share the retry budgets and the connection
 // limits of upstreams.
 func (g *Gateway) SetRouterCount(n int) { g.routerCount.Store(int64(max(1, n))) }
--- a/gateway/sessions.go
+++ b/gateway/sessions.go
@@ -67,3 +67,9 @@
 	defer s.mu.Unlock()
 	return slices.ContainsFunc(services, func(service string) bool { return s.services[service] })
 }
+
+// SessionServices returns the services whose callers have sessions, by what this router knows.
+func (g *Gateway) SessionServices() []string { return g.sessions.Services() }
+
+// RestoreSessionServices records services whose callers have sessions.
+func (g *Gateway) RestoreSessionServices(services []string) { g.sessions.Restore(services) }
--- a/gateway/versionhistory.go
+++ b/gateway/versionhistory.go
@@ -181,3 +181,29 @@
 	}
 	return listed[0].VersionSum, true
 }
+
+// SeveralVersions reports whether a service whose requests name prompt parts has several
+// versions, or had within StreamMaxAge.
+func (g *Gateway) SeveralVersions() bool {
+	table, current := g.table.Load(), g.catalog.Load()
+	return table != nil && slices.ContainsFunc(table.PromptedServices(), func(service string) bool {
+		return g.versions.Several(service, current.Service(service))
+	})
+}
+
+// PastUpstreams returns the upstreams that can have begun streams that are taken up: those of
+// services whose requests name prompt parts that are listed, or were within StreamMaxAge.
+func (g *Gateway) PastUpstreams() []PastUpstream {
+	table, current := g.table.Load(), g.catalog.Load()
+	if table == nil {
+		return nil
+	}
+	var past []PastUpstream
+	for _, service := range table.PromptedServices() {
+		past = append(past, g.versions.Past(service, current.Service(service))...)
+	}
+	return past
+}
+
+// RestorePastUpstreams records upstreams that were listed before this router started.
+func (g *Gateway) RestorePastUpstreams(past []PastUpstream) { g.versions.Restore(past) }
