forward, platform, gateway: a text of an entry does not end the head of a request

Another writer left an entry for each replica, with its address, under its name and a line break. Requests ran without their body or their customer and were answered 200; others got 502. Cause: names were checked for their length only and written into Dandelionrill-Expected-Replica as they are, and encodeHead wrote what it was given. LF ends the field, so that the replica takes the name for its own, and the CR LF behind it ends the head; fields after it, in map order, and the body are the next request. The zone of an IPv6 address takes any bytes too; it stands in Host of cache lists and in Kv-Fetch. Ruled out: entries with one address that mix up connections (control bytes that end no line change no request), the case's own replica (its control holds). Change: an entry with a control byte in name, service, address, zone or version, or a blank at an end of its name, is left out and logged once; entries of routers too. forward writes no method, target, host, name or value that cannot stand in a head, and says that nothing was sent. The gateway then goes on elsewhere at once and does not choose the entry again until it changes. The checks of values of answers held before: the parser of net/http rejects them.

--- a/agent/badhead_test.go
+++ b/agent/badhead_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// Guards against an answer with a control byte in the value of a field, recorded for routers that
+// pass it on.
+func TestAnswerWithABadFieldValueIsRejected(t *testing.T) {
+	for _, single := range []bool{false, true} {
+		for _, field := range []string{"X: a\x00b", "X: \x01", "X: a\x7f", "X: a\x1bb", "X: a\rContent-Length: 1"} {
+			got, complete, err := callText(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+field+"\r\n\r\nok", single)
+			must.Error(t, err, must.Sprintf("%q", field))
+			must.False(t, complete)
+			must.Eq(t, sinkBytes{}, got)
+		}
+		got, complete, err := callText(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a\tb \xc3\xa9\r\n\r\nok", single)
+		must.NoError(t, err)
+		must.True(t, complete)
+		must.Eq(t, sinkBytes{200, 2}, got)
+	}
+}
+
 // Guards against an answer whose upstream stops in the middle of its head, recorded as a whole one
 // with a short body.
 func TestHeadThatEndsEarlyIsNoAnswer(t *testing.T) {
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"dandelionrill.example/fleet/catalog"
@@ -69,9 +70,35 @@
 	}
 }
 
-// logInvalidEntries logs entries that cannot be used.
-func (h *Host) logInvalidEntries(what string, invalid []platform.Finding) {
+// invalidEntries are the entries that were logged as invalid and still are, by what they are, with
+// the error of each by its name. Its methods may be called concurrently.
+type invalidEntries struct {
+	mu     sync.Mutex
+	errors map[string]map[string]string
+}
+
+// replace records the entries of one kind that are invalid now, and returns those that were not so
+// before, or for another reason.
+func (e *invalidEntries) replace(what string, invalid []platform.Finding) (news []platform.Finding) {
+	current := make(map[string]string, len(invalid))
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, f := range invalid {
+		current[f.Name] = f.Err.Error()
+		if e.errors[what][f.Name] != current[f.Name] {
+			news = append(news, f)
+		}
+	}
+	if e.errors == nil {
+		e.errors = make(map[string]map[string]string)
+	}
+	e.errors[what] = current
+	return news
+}
+
+// logInvalidEntries logs the entries of a list that cannot be used, once each.
+func (h *Host) logInvalidEntries(what string, invalid []platform.Finding) {
+	for _, f := range h.invalid.replace(what, invalid) {
 		h.log.WithError(f.Err).WithFields(log.Fields{"entry": f.Name, "revision": f.Revision}).Warn(what + " entry is invalid and ignored")
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,6 +91,7 @@
 	confirmed  confirmations
 	routerList routerList
 	partList   partList
+	invalid    invalidEntries
 
 	streamsTried     chan struct{} // closed once the records of recent streams were read, or could not be
 	streamsTriedOnce sync.Once     // closes streamsTried
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"dandelionrill.example/fleet/internal/answerhead"
@@ -74,35 +73,9 @@
 	return c.reader.Buffered() == 0 && !netdial.Readable(c.net)
 }
 
-// encodeHead returns the encoded request line and headers.
-func (r *Request) encodeHead() []byte {
-	out := make([]byte, 0, 512)
-	out = append(out, r.Method...)
-	out = append(out, ' ')
-	out = append(out, r.Target...)
-	out = append(out, " HTTP/1.1\r\nHost: "...)
-	out = append(out, r.Host...)
-	out = append(out, "\r\n"...)
-	for name, values := range r.Header {
-		for _, value := range values {
-			out = append(out, name...)
-			out = append(out, ": "...)
-			out = append(out, value...)
-			out = append(out, "\r\n"...)
-		}
-	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, int64(len(r.Body)), 10)
-		out = append(out, "\r\n"...)
-	}
-	return append(out, "\r\n"...)
-}
-
-// write sends the request. It returns the number of bytes that may have been
-// sent.
-func (c *conn) write(r *Request) (int, error) {
-	head := r.encodeHead()
+// write sends the request with its encoded head. It returns the number of bytes that may have
+// been sent.
+func (c *conn) write(r *Request, head []byte) (int, error) {
 	if len(r.Body) > 0 && len(r.Body) < concurrentBodyBytes {
 		return c.net.Write(append(head, r.Body...))
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -103,8 +103,13 @@
 // Send sends the request to the address at most once and returns as soon as the
 // answer's head is read. If a reused connection fails before any byte was sent,
 // it tries another connection. When ctx ends, the connection is aborted
-// immediately. Every error is an *Error.
+// immediately. A request whose head cannot be written fails with ErrHead before a connection is
+// opened. Every error is an *Error.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, error) {
+	head, err := r.encodeHead()
+	if err != nil {
+		return nil, &Error{Outcome: NotSent, Address: address, Cause: err}
+	}
 	for {
 		if err := r.check(); err != nil {
 			return nil, &Error{Outcome: NotSent, Address: address, Cause: err}
@@ -117,7 +122,7 @@
 			p.putIdle(address, c)
 			return nil, &Error{Outcome: NotSent, Address: address, Cause: err}
 		}
-		response, sent, err := p.exchange(ctx, address, c, r)
+		response, sent, err := p.exchange(ctx, address, c, r, head)
 		switch {
 		case err == nil:
 			return response, nil
@@ -129,9 +134,9 @@
 	}
 }
 
-// exchange sends the request over the connection and reads the answer's head.
-// The second result reports whether any byte may have been sent.
-func (p *Pool) exchange(ctx context.Context, address string, c *conn, r *Request) (*Response, bool, error) {
+// exchange sends the request, with its encoded head, over the connection and reads the answer's
+// head. The second result reports whether any byte may have been sent.
+func (p *Pool) exchange(ctx context.Context, address string, c *conn, r *Request, head []byte) (*Response, bool, error) {
 	ex := &exchange{pool: p, address: address, conn: c}
 	ex.stop = context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
 	c.carried = append(c.carried, p.idHash(r))
@@ -144,8 +149,8 @@
 	}()
 	if len(r.Body) >= concurrentBodyBytes {
 		ex.written = make(chan error, 1)
-		go ex.writeBody(r)
-	} else if n, err := c.write(r); err != nil {
+		go ex.writeBody(r, head)
+	} else if n, err := c.write(r, head); err != nil {
 		return nil, n > 0, errors.Wrap(err, "write request")
 	}
 	response, err := ex.readAnswer(r)
@@ -156,8 +161,8 @@
 	return response, true, nil
 }
 
-// writeBody writes the request while its answer is being read.
-func (ex *exchange) writeBody(r *Request) {
+// writeBody writes the request, with its encoded head, while its answer is being read.
+func (ex *exchange) writeBody(r *Request, head []byte) {
 	panicked := ex.pool.opts.Panicked
 	if panicked != nil {
 		defer func() {
@@ -168,7 +173,7 @@
 			}
 		}()
 	}
-	_, err := ex.conn.write(r)
+	_, err := ex.conn.write(r, head)
 	ex.written <- err
 }
 
--- a/gateway/badhead_test.go
+++ b/gateway/badhead_test.go
@@ -61,3 +61,33 @@
 		checkNotPassedOn(t, fmt.Sprint("byte ", n), head[:n])
 	}
 }
+
+// controlValues are fields whose values have a control byte, at the beginning, inside and at the
+// end. A line break ends the value, and blanks around it are no part of it.
+func controlValues() (fields []string) {
+	for b := range 128 {
+		if c := string([]byte{byte(b)}); (b < 32 || b == 127) && !strings.Contains("\t\n\r", c) {
+			fields = append(fields, "X: "+c+"ab", "X: a"+c+"b", "X: ab"+c)
+		}
+	}
+	return append(fields, "X: \rab", "X: a\rContent-Length: 3", "Content-Type: text/\x00plain")
+}
+
+// Guards against an answer with a control byte in the value of a field, passed on with it: callers
+// reject the head, or read other fields.
+func TestAnswerWithABadFieldValueIsNotPassedOn(t *testing.T) {
+	for _, field := range controlValues() {
+		checkNotPassedOn(t, fmt.Sprintf("%q", field), "HTTP/1.1 200"+signed+field+"\r\nContent-Length: 5\r\n\r\ninner")
+	}
+}
+
+// Tabs, blanks and other bytes that a value may have are passed on, and trailers are not.
+func TestAnswerWithUnusualFieldValuesIsWhole(t *testing.T) {
+	text := "HTTP/1.1 200" + signed + "X: a\tb \xc3\xa9 \x80\"\r\nY:\r\nTrailer: Z\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ninner\r\n0\r\nZ: 1\r\n\r\n"
+	f := newFixture(t, newReplica(t, "i-1", raw(text, false)))
+	response, body := f.do(t, f.newRequest(t, http.MethodPost, "/safe/", "x"))
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, "inner", body)
+	must.Eq(t, "a\tb \xc3\xa9 \x80\"", response.Header.Get("X"))
+	must.MapEmpty(t, response.Trailer)
+}
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -45,6 +45,7 @@
 	// silenceReported is true once the upstream's silence was treated as a fault
 	// and logged.
 	silenceReported bool
+	badEntry        badEntry
 }
 
 // NewBoard returns an empty board.
@@ -181,6 +182,7 @@
 	// upstream or an excessive silence, and it has sent nothing since.
 	Unreachable bool
 	Held        time.Duration // how long it still wants no requests from this router
+	badEntry    badEntry
 }
 
 // Status returns what is recorded of an upstream.
@@ -190,7 +192,7 @@
 		status.OwnLoad = u.silence.Pending()
 		status.Load += float64(status.OwnLoad)
 		status.Failures, status.Silence, status.Unreachable = u.failures, u.silence.For(now), u.unreachable
-		status.Held = max(0, u.heldUntil-now)
+		status.Held, status.badEntry = max(0, u.heldUntil-now), u.badEntry
 	})
 	return status
 }
--- a/gateway/caches.go
+++ b/gateway/caches.go
@@ -57,7 +57,8 @@
 	var begun []*catalog.Upstream
 	var waiting []<-chan struct{}
 	for _, u := range upstreams {
-		if g.isEvacuated(u) || g.isCold(u) || g.board.Status(u.Key()).Held > 0 || g.limits.limited(u.Key()) {
+		status := g.board.Status(u.Key())
+		if g.isEvacuated(u) || g.isCold(u) || status.Held > 0 || status.badEntry.is(u) || g.limits.limited(u.Key()) {
 			continue
 		}
 		begins, done := g.caches.Begin(u)
@@ -138,6 +139,9 @@
 		Method: http.MethodGet, Target: g.opts.Protocol.CacheListTarget(), Host: u.Address,
 		Precondition: g.sendPrecondition(target{upstream: u}),
 	})
+	if errors.Is(err, forward.ErrHead) {
+		g.markBadEntry(u, err)
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "list cache")
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -68,7 +68,7 @@
 		replicas = append(replicas, place.Replica{
 			Seed:     u.Hash,
 			Load:     status.Load,
-			Tried:    status.Held > 0 || g.excludes(req, a, u),
+			Tried:    status.Held > 0 || status.badEntry.is(u) || g.excludes(req, a, u),
 			Local:    u.FailureDomain == g.opts.FailureDomain,
 			Draining: g.isLeaving(u),
 
@@ -96,10 +96,10 @@
 		return target{}, false
 	}
 	t := target{upstream: list[index], load: int(replicas[index].Load), cachedParts: replicas[index].CachedParts, failureExcess: replicas[index].FailureExcess}
-	if source >= 0 {
+	if source >= 0 && !g.board.Status(list[source].Key()).badEntry.is(list[source]) {
 		t.fetchSource = list[source]
 	}
-	t.cost = g.newSendCost(req, t.upstream, &replicas[index], source >= 0)
+	t.cost = g.newSendCost(req, t.upstream, &replicas[index], t.fetchSource != nil)
 	return t, true
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -130,7 +130,9 @@
 // neverRan reports whether no send of the request so far can have run.
 func (req *request) neverRan() bool {
 	for _, s := range req.sends {
-		if s.result != resultRefused && s.result != forward.NotSent.String() {
+		switch s.result {
+		case resultRefused, resultUnwritable, forward.NotSent.String():
+		default:
 			return false
 		}
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -214,6 +214,9 @@
 	case cause == errNotNeeded:
 		return end{}, retry.FailureNotSent, failure.Outcome.String()
 	}
+	if errors.Is(err, forward.ErrHead) {
+		return g.headRefused(s, err)
+	}
 	if isWithdrawn(err) {
 		g.metrics.withdrawnSends.Add(failure.Cause.Error(), 1)
 		return refused(err.Error(), retryAfterShort), retry.FailureNotSent, failure.Outcome.String()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -84,6 +84,7 @@
 	coldBegins        expvar.Map // times at which an upstream began to be cold, by what said so
 	coldGranted       expvar.Int // permits to send to a cold upstream that were asked for and granted
 	coldDenied        expvar.Int // and that were denied
+	unwritableHeads   expvar.Int // sends given up since their heads cannot be written
 	firstByte         *histogram // time until the first byte of an answer was ready to deliver
 	completeAnswer    *histogram // time until the end of a complete answer
 	dialTime          *histogram
@@ -119,6 +120,7 @@
 	m.vars.Set("cold_begins", &m.coldBegins)
 	m.vars.Set("cold_permits_granted", &m.coldGranted)
 	m.vars.Set("cold_permits_denied", &m.coldDenied)
+	m.vars.Set("unwritable_heads", &m.unwritableHeads)
 	m.vars.Set("first_byte", m.firstByte)
 	m.vars.Set("whole", m.completeAnswer)
 	m.vars.Set("dial_time", m.dialTime)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -105,9 +105,12 @@
 	s.target.cost.end()
 	s.cancel(nil)
 	s.held.resize(0)
-	if failure == retry.FailureNotSent {
+	switch {
+	case result == resultUnwritable:
+		delete(a.tried, s.key()) // the bad entry, which may be another one, is not chosen again
+	case failure == retry.FailureNotSent:
 		a.failedDials++
-	} else {
+	default:
 		a.sent++
 	}
 	s.record.result, s.record.took = result, time.Since(s.start)
@@ -122,6 +125,7 @@
 	resultInvalidAnswer   = "spoiled-answer"
 	resultCut             = "cut"
 	resultUpstreamFailure = "upstream-failure"
+	resultUnwritable      = "unwritable" // the head could not be written, and nothing was sent
 	resultCallerLeft      = "caller-left"
 	resultSuperseded      = "superseded" // a standby attempt took over
 	resultNotNeeded       = "not-needed" // a standby attempt that did not take over
--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-	"strings"
 
+	"dandelionrill.example/fleet/internal/headtext"
 	"github.com/cockroachdb/errors"
 )
 
@@ -33,20 +33,13 @@
 
 func checkFields(fields http.Header) error {
 	for name := range fields {
-		if !isToken(name) {
+		if !headtext.IsName(name) {
 			return errors.Wrapf(ErrField, "%.50q", name)
 		}
 	}
 	return nil
 }
 
-func isToken(text string) bool {
-	return text != "" && !strings.ContainsFunc(text, func(c rune) bool {
-		letterOrDigit := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-		return !letterOrDigit && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
-	})
-}
-
 // WithInterimCheck returns a context with which an http.Client fails a request that gets an interim
 // answer with fields that are not valid: it passes only the final one on.
 func WithInterimCheck(ctx context.Context) context.Context {
