gateway, routing: the name of a customer does not end the head of a request

What callers would see: with a line break in the name of a customer, its requests ran without their body, or for the customer that the rest of the name spells; with a blank at an end, for another one. No record of a user. Cause: the same as for names of entries: Dandelionrill-Tenant was written as the configuration has it. Change: requests with a key of such a customer are refused at once (503, not run, Retry-After 0.5 s); other customers and public routes are served, and the configuration is in force. Logged once for each version; config check warns. Ruled out: a refusal of the whole configuration, which would cost all others; a denial, which is final for a caller who made no mistake.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -61,6 +61,15 @@
 	}
 }
 
+// logInvalidCustomers logs the customers whose requests are refused for their names.
+func (h *Host) logInvalidCustomers(c *routing.Configuration) {
+	for i := range c.Customers {
+		if customer := &c.Customers[i]; !customer.HasValidName() {
+			h.log.WithFields(log.Fields{"config": c.Version, "customer": customer.Name}).Warn("name of a customer is not valid; its requests are refused")
+		}
+	}
+}
+
 // applyConfiguration puts a newer configuration in force. If it cannot be decoded,
 // the previous one stays in force.
 func (h *Host) applyConfiguration(s feed.Snapshot) {
@@ -79,6 +88,7 @@
 			"config": c.Version, "era": s.Era, "revision": s.Revision, "routes": len(c.Routes), "customers": len(c.Customers),
 			"idle_ms": c.Limits.IdleTimeout.Milliseconds(),
 		}).Info("configuration in force")
+		h.logInvalidCustomers(c)
 		return
 	}
 	if c.Version < h.gateway.Version() {
--- a/entry/configuration_test.go
+++ b/entry/configuration_test.go
@@ -34,3 +34,19 @@
 		}
 	}
 }
+
+// A customer whose requests are refused for its name must be named, once for each configuration
+// that is put in force.
+func TestCustomersWithBadNamesAreLogged(t *testing.T) {
+	lines := memory.New()
+	h, err := New(Options{Settings: platform.Settings{StoreAddress: "127.0.0.1:1"}, Log: &log.Logger{Handler: lines, Level: log.WarnLevel}})
+	must.NoError(t, err)
+	for version := 1; version <= 2; version++ {
+		spec := fmt.Sprintf(`{"version": %d, "tenants": [{"name": "c", "apiKeys": ["k"]}, {"name": "d\n", "apiKeys": ["l"]}]}`, version)
+		for range 3 {
+			h.applyConfiguration(feed.Snapshot{Records: []store.Record{{Name: wire.NameConfiguration, Value: []byte(spec)}}})
+		}
+		must.Len(t, version, lines.Entries)
+		must.Eq(t, "d\n", lines.Entries[version-1].Fields["customer"])
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -200,6 +200,9 @@
 		if req.customer = req.table.Customer(req.Key); req.customer == nil {
 			return g.deny(http.StatusUnauthorized, "unknown key"), false
 		}
+		if !req.customer.HasValidName() {
+			return refused("name of the customer is not valid", retryAfterUnknown), false
+		}
 	}
 	req.service = req.route.Service(req.AttemptID)
 	if req.takesUp() && req.Resumes != "" {
--- a/routing/check/check.go
+++ b/routing/check/check.go
@@ -62,6 +62,7 @@
 	CodeColdStart          Code = "cold-start"
 	CodeDuplicateCustomer  Code = "duplicate-customer"
 	CodeCustomerWithoutKey Code = "customer-without-key"
+	CodeCustomerName       Code = "customer-name"
 	CodeEmptyKey           Code = "empty-key"
 	CodeKeyRepeated        Code = "key-repeated"
 	CodeKeyOnManyCustomers Code = "key-on-several-customers"
--- a/routing/check/parts.go
+++ b/routing/check/parts.go
@@ -87,6 +87,9 @@
 		} else {
 			first[c.Name] = i
 		}
+		if !c.HasValidName() {
+			k.warn(place+".name", CodeCustomerName, "name %s has a control byte other than a tab inside, or a blank at an end; requests with its keys are refused", k.quote(c.Name))
+		}
 		if c.Priority != nil {
 			k.checkPriority(place+".priority", *c.Priority)
 		}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"dandelionrill.example/fleet/internal/headtext"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -103,6 +104,10 @@
 	Regions  []string // whose upstreams may get its requests; empty allows all
 }
 
+// HasValidName reports whether upstreams can be told the customer by its name, which they read from
+// the head of a request. They are not told an empty one.
+func (c *Customer) HasValidName() bool { return c.Name == "" || headtext.IsIdentifier(c.Name) }
+
 // Limits are the limits on requests and connections of callers.
 type Limits struct {
 	HeaderBytes int
