gateway: a stream is not continued after an identifier that cannot be sent

What callers would see: a resumable stream breaks off after an event whose identifier has a control byte; it was asked for at another upstream, which rejects that, and cut after a retry of the budget. No record of a user. Cause: the length of an identifier was checked, not its bytes. Change: after it the place cannot be named, as after a long one: the stream is cut at once, and goes on after a later one that can be sent. A tab inside can. Failed before: TestStreamIsNotContinuedAfterAnIdentifierWithAControlByte (a second upstream got the request).

--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -234,6 +234,34 @@
 	}
 }
 
+// Guards against an identifier of an event that is sent to the next upstream though it has a
+// control byte: the request is another one there, or none. The stream must be cut at once; with an
+// identifier behind it that can be sent it must go on.
+func TestStreamIsNotContinuedAfterAnIdentifierWithAControlByte(t *testing.T) {
+	const last = "id: 9\ndata: x\n\n"
+	for b := range 128 {
+		if b >= 32 && b != 127 || b == '\n' || b == '\r' {
+			continue
+		}
+		ids := []string{"5\x01" + string(rune(b)), string(rune(b)) + "\x015"}
+		if b != '\t' { // which a value may have inside
+			ids = append(ids, "5"+string(rune(b))+"6")
+		}
+		for _, id := range ids {
+			odd := "id: 1\ndata: x\n\nid: " + id + "\ndata: x\n\n"
+			for first, continued := range map[string]bool{odd: false, odd + "id: 8\ndata: x\n\n": true} {
+				handle := firstThen(raw("HTTP/1.1 200"+signed+chunk(first), false), raw("HTTP/1.1 200"+signed+chunk(last)+chunkedEnd, false))
+				one, two := newReplica(t, "i-1", handle), newReplica(t, "i-2", handle)
+				f := newFixture(t, one, two)
+				body, whole := f.callRaw(t, "HTTP/1.1", "/resume/")
+				must.Eq(t, continued, whole, must.Sprintf("%q", first))
+				must.True(t, body == first || continued && body == first+last)
+				must.Eq(t, continued, one.runs.Load()+two.runs.Load() == 2)
+			}
+		}
+	}
+}
+
 // An upstream whose events have no identifiers falls silent. No other one can go on in its
 // place.
 func TestSilentStreamWithoutIdentifiersGetsNoStandby(t *testing.T) {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"dandelionrill.example/fleet/forward"
+	"dandelionrill.example/fleet/internal/headtext"
 	"github.com/cockroachdb/errors"
 )
 
@@ -65,7 +66,7 @@
 	partial  []byte // bytes behind the last complete event
 	complete []byte // complete events that were not returned yet
 	lastID   string // id of the last complete event that has one; empty if lostID
-	lostID   bool   // that identifier is empty, or over maxEventIDBytes
+	lostID   bool   // that identifier cannot be sent in a header, or is over maxEventIDBytes
 	// needsEvent is true if an end without any event is an error too: nothing shows then
 	// that the answer is whole.
 	needsEvent bool
@@ -171,7 +172,7 @@
 	r.complete, r.partial = append(r.partial, p[:boundary]...), append(r.complete[:0], p[boundary:]...)
 	if id, ok := lastEventID(r.complete); ok {
 		r.lastID = ""
-		if r.lostID = len(id) == 0 || len(id) > maxEventIDBytes; !r.lostID {
+		if r.lostID = len(id) > maxEventIDBytes || !headtext.IsIdentifier(string(id)); !r.lostID {
 			r.lastID = string(id)
 		}
 	}
