agent, router: what other processes send is checked before it is written

Cause: net/http checks what it parses; messages between processes it does not. Change: an agent refuses such a request before its ticket starts (malformed, 400, not run, not tried elsewhere). A router takes such an answer as not whole. Failed before: three rows of TestInvalidAnswersAreNotDelivered (200 for 502); TestRequestThatCannotBeWrittenIsRefused guards the agent.

--- a/agent/submit.go
+++ b/agent/submit.go
@@ -8,6 +8,7 @@
 	"dandelionrill.example/fleet/config"
 	"dandelionrill.example/fleet/decide/limit"
 	"dandelionrill.example/fleet/decide/ticket"
+	"dandelionrill.example/fleet/internal/headtext"
 	"dandelionrill.example/fleet/timeline"
 	"dandelionrill.example/fleet/wire"
 	"github.com/apex/log"
@@ -94,6 +95,11 @@
 func (a *Agent) admit(args *wire.SubmitArgs, nonce string) verdict {
 	a.admitting.Add(1)
 	defer a.admitting.Add(-1)
+	if part := unwritablePart(args); part != "" {
+		a.opts.Log.WithFields(log.Fields{"request": args.Request, "router": args.From, "part": part}).
+			Warn("request cannot be written into a head; it is refused")
+		return a.refuse(args, wire.ReasonMalformed)
+	}
 	index, reason := a.checkRules(args)
 	if reason != "" {
 		return a.refuse(args, reason)
@@ -125,6 +131,21 @@
 	return verdict{verdict: wire.VerdictAccepted}
 }
 
+// unwritablePart returns the name of a part of a request that cannot be written into the head of a
+// message to the upstream, or would be read as another one there; empty if all can. A path is
+// written escaped.
+func unwritablePart(args *wire.SubmitArgs) string {
+	switch {
+	case !headtext.IsName(args.Method):
+		return "method"
+	case args.Query != "" && !headtext.IsTarget(args.Query):
+		return "query"
+	case !headtext.AreFields(args.Header):
+		return "header"
+	}
+	return ""
+}
+
 // evictionTargetTenths is the share of Options.KeptAnswerBytes, in tenths, that
 // may remain in use after an eviction.
 const evictionTargetTenths = 9
--- a/router/call.go
+++ b/router/call.go
@@ -13,6 +13,7 @@
 
 	"dandelionrill.example/fleet/decide/place"
 	"dandelionrill.example/fleet/internal/answerhead"
+	"dandelionrill.example/fleet/internal/headtext"
 	"dandelionrill.example/fleet/internal/panics"
 	"dandelionrill.example/fleet/link"
 	"dandelionrill.example/fleet/wire"
@@ -174,7 +175,7 @@
 		return nil, errWrongReply
 	}
 	if reply.Started && !rd.started {
-		if answerhead.CheckStatus(reply.Status) != nil {
+		if answerhead.CheckStatus(reply.Status) != nil || !headtext.AreFields(reply.Header) {
 			counters.Add("answers_not_whole", 1)
 			return nil, errIncomplete
 		}
--- a/router/faulty_agent_test.go
+++ b/router/faulty_agent_test.go
@@ -56,6 +56,10 @@
 		{"status 099", func(r *wire.ReadReply) { r.Status = 99 }, 502},
 		{"status 101", func(r *wire.ReadReply) { r.Status = 101 }, 502},
 		{"status 1000", func(r *wire.ReadReply) { r.Status = 1000 }, 502},
+		{"line break in a value", func(r *wire.ReadReply) { r.Header = map[string][]string{"X": {"a\r\nY: b"}} }, 502},
+		{"control byte in a value", func(r *wire.ReadReply) { r.Header = map[string][]string{"X": {"1", "a\x00"}} }, 502},
+		{"blank in a name", func(r *wire.ReadReply) { r.Header = map[string][]string{"X Y": {"a"}} }, 502},
+		{"unusual value", func(r *wire.ReadReply) { r.Header = map[string][]string{"X": {"a\tb \x80", ""}} }, 200},
 		{"other digest", func(r *wire.ReadReply) { r.Digest[0]++ }, 502},
 		{"other bytes", func(r *wire.ReadReply) {
 			if len(r.Data) > 0 {
--- a/router/problems.go
+++ b/router/problems.go
@@ -71,6 +71,8 @@
 	switch e.reason {
 	case wire.ReasonForbidden:
 		p.Status, p.Code = http.StatusForbidden, problem.CodeForbidden
+	case wire.ReasonMalformed:
+		p.Status, p.Code = http.StatusBadRequest, problem.CodeBadRequest
 	case wire.ReasonCustomerLimit, wire.ReasonQueueFull:
 		p.Status, p.Code, p.RetryAfter = http.StatusTooManyRequests, problem.CodeCustomerLimit, r.retryAfterRefusal(e)
 	case wire.ReasonOverload, wire.ReasonKeptAnswersFull, wire.ReasonUpstreamBusy:
--- a/router/submit.go
+++ b/router/submit.go
@@ -147,7 +147,7 @@
 // classifyRefusal classifies the reason of a refusal for the retry decision.
 func classifyRefusal(reason wire.Reason) retry.Failure {
 	switch reason {
-	case wire.ReasonForbidden, wire.ReasonCustomerLimit, wire.ReasonDeadline:
+	case wire.ReasonForbidden, wire.ReasonMalformed, wire.ReasonCustomerLimit, wire.ReasonDeadline:
 		return retry.FailureFinal
 	case wire.ReasonRevoked, wire.ReasonConnectionLost:
 		return retry.FailureRevoked
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -56,6 +56,7 @@
 	ReasonCustomerLimit   Reason = "customer-limit" // the customer's limit on running and queued requests is reached
 	ReasonLeaving         Reason = "leaving"
 	ReasonForbidden       Reason = "forbidden" // no rule of the configuration in force allows it, the customer is unknown, the service is not the agent's, or the ticket is invalid
+	ReasonMalformed       Reason = "malformed" // it cannot be written into a head for the upstream
 	ReasonNoConfig        Reason = "no-configuration"
 	ReasonBehind          Reason = "behind" // the agent's configuration is older than the router's, and the agent has not caught up
 	ReasonDeadline        Reason = "deadline"
