--- a/entry/evacuations.go
+++ b/entry/evacuations.go
@@ -11,7 +11,8 @@
 // applyEvacuations stops all sends to the failure domains that the list names, and permits
 // them again to those that it no longer names.
 func (h *Host) applyEvacuations(s feed.Snapshot) {
-	domains := platform.DecodeEvacuations(s.Records)
+	domains, findings := platform.DecodeEvacuations(s.Records)
+	h.logInvalidEntries("evacuation", findings)
 	source := "store"
 	if h.evacuations.FromPeer() {
 		source = "peer"
