logging: control bytes do not end a line on a terminal

What operators would see: a line break in a name or an error of another process ended a line of text, and an escape byte commanded the terminal. Cause: text lines, for terminals only, were written as they are; JSON escapes. Change: messages and values with a control byte are quoted there. Failed before: TestControlBytesDoNotEndALogLine (text); json held.

--- a/logging/logging.go
+++ b/logging/logging.go
@@ -53,7 +53,7 @@
 
 func newHandler(w io.Writer) log.Handler {
 	if isTerminal(w) {
-		return text.New(w)
+		return escapingHandler{text.New(w)}
 	}
 	return json.New(w)
 }
