--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -257,6 +257,7 @@
 				must.Eq(t, continued, whole, must.Sprintf("%q", first))
 				must.True(t, body == first || continued && body == first+last)
 				must.Eq(t, continued, one.runs.Load()+two.runs.Load() == 2)
+				must.StrContains(t, f.gateway.Metrics().String(), `"unwritable_heads": 0`)
 			}
 		}
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -67,6 +67,11 @@
 }
 
 func (s *Soak) checkOutcome(o *outcome, runs []replica.Run) {
+	for _, run := range runs {
+		if len(run.Customers) != 1 || run.BodyBytes != len(requestBody) {
+			s.addViolation("UNASKED", o.attempt, "request to %s ran for customers %q, with a body of %d bytes", o.route, run.Customers, run.BodyBytes)
+		}
+	}
 	if (o.route == "/once/" || o.route == "/stream/" || o.route == bookRoute) && len(runs) > 1 {
 		s.addViolation("TWICE", o.attempt, "%d runs of a request to %s", len(runs), o.route)
 	}
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -21,7 +21,7 @@
 	flaggy.Int(&b.options.Upstreams, "", "upstreams", "upstreams in each soak; 0: default")
 	flaggy.Int(&b.options.Callers, "", "callers", "concurrent callers in each soak; 0: default")
 	faults := ""
-	flaggy.String(&faults, "", "faults", "further faults, separated by commas: silence, versions, leaving, retry-after, limits, trouble, parts, requests, stops, restart, cold, evacuation, queue")
+	flaggy.String(&faults, "", "faults", "further faults, separated by commas: silence, versions, leaving, retry-after, limits, trouble, parts, requests, stops, restart, sessions, cold, evacuation, queue, copies, crowd, entries")
 	flaggy.String(&b.dir, "", "dir", "directory for logs; those of seeds that passed are removed")
 	flaggy.Parse()
 	var err error
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -29,9 +29,10 @@
 	FaultQueue      = "queue"       // more plain requests than their pool has slots
 	FaultCopies     = "copies"      // upstreams that write answers a second time, late
 	FaultCrowd      = "crowd"       // callers that do not end their bodies
+	FaultEntries    = "entries"     // entries of another writer beside those of the upstreams
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultRequests, FaultStops, FaultRestart, FaultSessions, FaultCold, FaultEvacuation, FaultQueue, FaultCopies, FaultCrowd}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultRequests, FaultStops, FaultRestart, FaultSessions, FaultCold, FaultEvacuation, FaultQueue, FaultCopies, FaultCrowd, FaultEntries}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -129,6 +129,9 @@
 	if s.opts.Faults.has(FaultCrowd) {
 		callers.Go(func() { s.runCrowd(stop) })
 	}
+	if s.opts.Faults.has(FaultEntries) {
+		callers.Go(func() { s.writeEntries(stop) })
+	}
 	for round := range s.opts.Rounds {
 		s.logf("round %d: injecting faults", round)
 		if s.opts.Faults.has(FaultVersions) {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -34,6 +34,9 @@
 	At      time.Time
 	Resumed bool // continued after events that an earlier run had sent
 	Held    int  // requests that the replica ran or had waiting then, with this one
+	// Customers are the customers that the request names, and BodyBytes is the size of its body.
+	Customers []string
+	BodyBytes int
 }
 
 // Arrival is a request that reached the replica, whether it ran or was refused.
@@ -238,7 +241,8 @@
 		return
 	}
 	lastEvent, _ := strconv.Atoi(req.Header.Get(wire.HeaderLastEvent)) // a missing header means 0
-	if !r.begin(Run{Attempt: attempt, At: time.Now(), Resumed: lastEvent > 0}) {
+	run := Run{Attempt: attempt, At: time.Now(), Resumed: lastEvent > 0, Customers: req.Header.Values(wire.HeaderTenant), BodyBytes: len(body)}
+	if !r.begin(run) {
 		w.Header().Set(wire.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
