gossip, gateway: a stream of a large fleet is found at once by its home routers

Cause: each router asks its partners, those of its failure domain; the record is at the router that began the stream, and reaches others by reports, up to 2 s later. The log of each refused lookup says what it had: not-held 217, unknown 153, ambiguous 61 of 592. Change: while several versions are in service, or a route has several services, the router that begins a stream tells two home routers at its first event, by a hash of the request; lookups ask the first three beside the partners.

--- a/decide/place/hash.go
+++ b/decide/place/hash.go
@@ -31,9 +31,13 @@
 func Owner(key uint64, hosts []string) int {
 	best, bestScore := -1, uint64(0)
 	for i, host := range hosts {
-		if score := mix(key ^ Key(host)); best < 0 || score > bestScore {
+		if score := Weight(key, Key(host)); best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
 	return best
 }
+
+// Weight returns the weight of a host for key, by the key of the host. The hosts with the highest
+// weights are the same on every router; losing another host does not change them.
+func Weight(key, host uint64) uint64 { return mix(key ^ host) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -152,6 +152,8 @@
 		LookUpStream: func(ctx context.Context, query gateway.StreamQuery) gateway.StreamAnswer {
 			return h.mesh.LookUpStream(ctx, query)
 		},
+		TellStreams: func(home uint64, streams []gateway.Stream) { h.mesh.TellStreams(home, streams) },
+
 		ConfirmUpstreams: h.confirmed.Confirm,
 		AwaitStreams:     h.awaitStreams,
 		StreamsRestored:  h.streamsRestored.Load,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,10 @@
 	// LookUpStream asks other routers for the version that began a stream; nil means that
 	// none knows. It returns when ctx ends.
 	LookUpStream func(ctx context.Context, query StreamQuery) StreamAnswer
+	// TellStreams tells other routers of records of a stream whose first event is delivered, so that
+	// its caller can take it up there; home is the hash by which they are chosen. It does not wait
+	// for them; nil means that there are none.
+	TellStreams func(home uint64, streams []Stream)
 	// ConfirmUpstreams reads what has changed in the list of upstreams, puts it in use, and
 	// reports whether the list is the newest one of a moment after the call. Nil means that it
 	// always is.
@@ -137,6 +141,9 @@
 	if opts.LookUpStream == nil {
 		opts.LookUpStream = func(context.Context, StreamQuery) StreamAnswer { return StreamAnswer{} }
 	}
+	if opts.TellStreams == nil {
+		opts.TellStreams = func(uint64, []Stream) {}
+	}
 	if opts.ConfirmUpstreams == nil {
 		opts.ConfirmUpstreams = func(context.Context) bool { return true }
 	}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -72,6 +72,27 @@
 	if part, _ := g.cacheQuery(req); part != 0 && req.resumable() {
 		g.sessions.Record(u.Service, part, req.fingerprint(req.Parts))
 	}
+	if req.resumable() && g.severalServe(req.route) {
+		g.tellStream(req, u)
+	}
+}
+
+// tellStream tells other routers of a stream whose first event is delivered: by its attempt, and
+// by its request if that has a prompt, which then chooses the routers.
+func (g *Gateway) tellStream(req *request, u *catalog.Upstream) {
+	records := []Stream{{Attempt: req.streamKey(), Version: u.VersionSum}}
+	if part, _ := g.cacheQuery(req); part != 0 {
+		records = append(records, Stream{Attempt: req.fingerprint(req.Parts), Version: u.VersionSum})
+	}
+	g.opts.TellStreams(records[len(records)-1].Attempt, records)
+}
+
+// severalServe reports whether streams of a route can begin at several versions or services.
+func (g *Gateway) severalServe(route *routing.Route) bool {
+	current := g.catalog.Load()
+	return len(route.Shares) > 1 || slices.ContainsFunc(route.Shares, func(s routing.Share) bool {
+		return g.versions.Several(s.Service, current.Service(s.Service))
+	})
 }
 
 // renewStream renews the record of a stream of which events were delivered.
--- a/gossip/fuzz_test.go
+++ b/gossip/fuzz_test.go
@@ -111,18 +111,24 @@
 	f.Add(byte(2), call(FetchArgs{Kind: -1}))
 	f.Add(byte(3), call(PermitArgs{Upstream: 1, Rate: math.Inf(1)}))
 	f.Add(byte(4), call(StreamsArgs{Attempts: []uint64{1}}))
+	f.Add(byte(5), call(BegunArgs{Domain: "a", Streams: StreamRecords{Attempts: []uint64{1, 2}, Versions: []uint32{3}}}))
 	f.Fuzz(func(t *testing.T, method byte, data []byte) {
 		r := fuzzRouter(t)
 		receiver := &receiver{mesh: r.mesh}
 		decode := func(args any) bool { return gob.NewDecoder(bytes.NewReader(data)).Decode(args) == nil }
 		var err error
-		switch method % 5 {
+		switch method % 6 {
 		case 0:
 			var args, reply Report
 			if decode(&args) {
 				args.Address = ""
 				err = receiver.Exchange(&args, &reply)
 			}
+		case 5:
+			var args BegunArgs
+			if decode(&args) {
+				err = receiver.Begun(&args, &BegunReply{})
+			}
 		case 1:
 			var args ChangesArgs
 			if decode(&args) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -187,6 +187,7 @@
 	news          atomic.Bool // the next announcement also goes to other failure domains
 	owners        limitOwners
 	lookups       lookupQueues
+	untold        untoldStreams
 	coldMembers   coldMembers
 	coldPermits   *gateway.ColdPermits
 	introduced    chan struct{} // closed by introduce
--- a/gossip/lookups.go
+++ b/gossip/lookups.go
@@ -73,19 +73,25 @@
 	replies chan<- *StreamsReply // gets nil if the call fails; has room
 }
 
-// LookUpStream asks the responsive peers with which this router exchanges reports for the
-// version that began a stream. It returns with the first that has a record, and otherwise when
+// LookUpStream asks the responsive peers with which this router exchanges reports, and the home
+// routers of the stream, for the version that began it. It returns with the first that has a record, and otherwise when
 // all have answered or ctx ends, with what they know of the upstreams that list its prompt.
 func (m *Mesh) LookUpStream(ctx context.Context, query gateway.StreamQuery) (answer gateway.StreamAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	addresses := m.lookupPeers(query.Part != 0)
-	answer.Asked = len(addresses)
-	replies := make(chan *StreamsReply, len(addresses))
+	homes := m.otherHomes(&query, addresses)
+	answer.Asked = len(addresses) + len(homes)
+	replies := make(chan *StreamsReply, answer.Asked)
 	for _, address := range addresses {
 		m.enqueueLookup(address, waitingLookup{ctx: ctx, query: query, replies: replies})
 	}
-	for range addresses {
+	records := query
+	records.Part, records.Services = 0, nil // the lists that homes read are known from the partners
+	for _, address := range homes {
+		m.enqueueLookup(address, waitingLookup{ctx: ctx, query: records, replies: replies})
+	}
+	for range answer.Asked {
 		select {
 		case r := <-replies:
 			if r != nil && r.addTo(&answer, &query) {
--- a/soak/cmd/soak/batch.go
+++ b/soak/cmd/soak/batch.go
@@ -15,6 +15,7 @@
 	seedCount int
 	parallel  int
 	dir       string
+	keepLogs  bool
 	options   soak.Options // of each soak, except for Seed, Dir and Log
 }
 
@@ -77,6 +78,8 @@
 		return false
 	}
 	fmt.Printf("seed %d: passed\n", seed)
-	_ = os.RemoveAll(opts.Dir) // the logs of a seed that passed are not needed
+	if !b.keepLogs {
+		_ = os.RemoveAll(opts.Dir)
+	}
 	return true
 }
--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	faults := ""
 	flaggy.String(&faults, "", "faults", "further faults, separated by commas: silence, versions, leaving, retry-after, limits, trouble, parts, requests, stops, restart, sessions, cold, evacuation, queue, copies, crowd, entries")
 	flaggy.String(&b.dir, "", "dir", "directory for logs; those of seeds that passed are removed")
+	flaggy.Bool(&b.keepLogs, "", "keep", "keep the logs of seeds that passed too")
 	flaggy.Parse()
 	var err error
 	if b.options.Faults, err = soak.ParseFaults(faults); err != nil {
