gateway: the service that began a stream of a split route is not guessed

Streams of a split route that broke off within 0.2 s of their first event were taken up at the service that had not begun them. Cause: the new attempt's identifier chose a service, and its one version was taken for the only one without asking anybody, since the list was confirmed. Ruled out: a wrong record (would break at any age), a list that lags (the case has no change of it). Change: where the attempt is not named, the one version must be that of all services of the route; otherwise others are asked by the request. Failed before: TestUnnamedStreamOfASplitRouteIsNotGuessed, both cases.

--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -207,14 +207,18 @@
 	}).Info("version of a stream looked up")
 }
 
-// onlyVersion returns the version of a request's service if that has only one, and nothing
-// tells that the stream began elsewhere. A router whose list of upstreams was not confirmed
-// recently may have missed another one.
+// onlyVersion returns the version of the services that can have begun the stream of a request if
+// they have only one, and nothing tells that it began elsewhere. A router whose list of upstreams
+// was not confirmed recently may have missed another one.
 func (g *Gateway) onlyVersion(req *request) (sum uint32, ok bool) {
 	if _, age := g.opts.ConfirmationAges(); age > maxConfirmationAge {
 		return 0, false
 	}
-	sum, ok = g.versions.Only(req.service, g.catalog.Load().Service(req.service))
+	services := []string{req.service}
+	if req.Resumes == "" {
+		services = servicesOf(req.route) // the attempt that chose the service is not known
+	}
+	sum, ok = g.versions.Only(services, g.catalog.Load())
 	if !ok {
 		return 0, false
 	}
--- a/gateway/resume_service_test.go
+++ b/gateway/resume_service_test.go
@@ -1,11 +1,13 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"testing"
 
 	"dandelionrill.example/fleet/catalog"
+	"dandelionrill.example/fleet/gateway"
 	"dandelionrill.example/fleet/routing"
 	"github.com/shoenig/test/must"
 )
@@ -92,3 +94,64 @@
 		})
 	}
 }
+
+// Guards against a stream of a split route that goes on at the service that did not begin it: its
+// caller does not name the attempt that chose the service, and that service's one version was
+// taken for the only one. It must go on where another router has the record, and be refused where
+// none can know.
+func TestUnnamedStreamOfASplitRouteIsNotGuessed(t *testing.T) {
+	for name, recorded := range map[string]bool{"recorded elsewhere": true, "not recorded": false} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newVersion(t, "i-1", "v1", breaking), newVersion(t, "i-2", "v2", breaking)
+			var equal []uint32
+			f := newFixtureWith(t, func(o *gateway.Options) {
+				o.LookUpStream = func(_ context.Context, query gateway.StreamQuery) gateway.StreamAnswer {
+					if !recorded || query.Fingerprint == 0 {
+						return gateway.StreamAnswer{}
+					}
+					return gateway.StreamAnswer{Asked: 1, Answered: 1, Equal: equal}
+				}
+			}, first)
+			routes := defaultRoutes()
+			for i := range routes {
+				routes[i].Shares = []routing.Share{{Service: "s", Weight: 1}, {Service: "s2", Weight: 1}}
+				routes[i].NamesPromptParts = true
+			}
+			f.gateway.SetTable(routing.NewTable(&routing.Configuration{
+				Version: 2, Routes: routes, Limits: routing.Limits{HeaderBytes: 4096, BodyBytes: 64 << 10},
+				Customers: []routing.Customer{{Name: "c1", Keys: []string{"key"}}},
+			}))
+			one, other := first.upstream(), second.upstream()
+			other.Service = "s2"
+			listed := catalog.New(2, []catalog.Upstream{one, other})
+			f.gateway.SetCatalog(listed)
+			f.gateway.AgeVersionHistory(2 * historyAge)
+			for i := range 20 {
+				at := []*replica{first, second}[i%2]
+				equal = []uint32{listed.Find(at.id).VersionSum}
+				r := f.newRequest(t, http.MethodPost, "/resume/", strconv.Itoa(i))
+				r.Header.Set(attemptID, "again-"+strconv.Itoa(i))
+				r.Header.Set(lastEvent, "2")
+				r.Header.Set(parts, "a:10,own-"+strconv.Itoa(i)+":5")
+				response, _ := f.do(t, r)
+				if !recorded {
+					must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+					must.Eq(t, 0, len(first.requestsWith(lastEvent))+len(second.requestsWith(lastEvent)))
+					continue
+				}
+				must.Eq(t, http.StatusOK, response.StatusCode)
+				must.Eq(t, i/2+1, len(at.requestsWith(lastEvent)))
+			}
+		})
+	}
+}
+
+// requestsWith returns the requests that the replica has received with a header.
+func (r *replica) requestsWith(header string) (found []*http.Request) {
+	for _, request := range r.requests() {
+		if request.Header.Get(header) != "" {
+			found = append(found, request)
+		}
+	}
+	return found
+}
--- a/gateway/versionhistory.go
+++ b/gateway/versionhistory.go
@@ -167,19 +167,25 @@
 	return !h.since.IsZero() && time.Since(h.since) >= StreamMaxAge
 }
 
-// Only returns the only version of a service that can have begun a stream of the last
+// Only returns the only version of the services that can have begun a stream of the last
 // StreamMaxAge: the one that is listed, if no other one was listed in that time. There is none
 // until the history covers that time: a version may have left before this router started.
-func (h *versionHistory) Only(service string, listed []*catalog.Upstream) (sum uint32, ok bool) {
-	if len(listed) == 0 {
-		return 0, false
-	}
+func (h *versionHistory) Only(services []string, current *catalog.Catalog) (sum uint32, ok bool) {
+	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.covers() || len(h.versions(service, listed, time.Now())) > 1 {
+	if !h.covers() {
 		return 0, false
 	}
-	return listed[0].VersionSum, true
+	versions, listed := 0, 0
+	for _, service := range services {
+		upstreams := current.Service(service)
+		versions += len(h.versions(service, upstreams, now)) // those of two services differ
+		if listed += len(upstreams); len(upstreams) > 0 {
+			sum = upstreams[0].VersionSum
+		}
+	}
+	return sum, versions == 1 && listed > 0
 }
 
 // SeveralVersions reports whether a service whose requests name prompt parts has several
