gateway: short streams without a length count as answered once proven

After replicas had crashed, each router refused each request of a route for good, also after a restart of all. Cause: an answer whose end is that of its connection counted only half a second after its first event; short ones never did, so that the prompt part that all requests of the route share was blamed, and no trial released it. Ruled out: reports of others and the store (one router alone shows it), trials that do not come (they were answered). Change: such an end counts, at its own time, once its upstream has answered a request sent 0.1 s later or more. TestUnframedEndDoesNotProveThatAPartIsSound held that no such end ever counts; it now ends the upstream with its answer there, and has rows for one that goes on.

--- a/gateway/blocked.go
+++ b/gateway/blocked.go
@@ -97,15 +97,17 @@
 	g.crashes.RecordCrash(s.key().Sum(), req.ids)
 }
 
-// recordAnswering records that a request is being answered, or was answered. A stream
-// whose end is only that of its connection proves nothing by its end.
+// recordAnswering records that a request is being answered, or was answered. An answer whose end
+// is only that of its connection proves nothing by its end alone.
 func (g *Gateway) recordAnswering(req *request, s *send, ended bool) {
 	proven := ended && s.record.framing != forward.FramingClose ||
 		!s.firstDelivered.IsZero() && time.Since(s.firstDelivered) >= answeringTime
-	if !proven || req.answering.Swap(true) {
-		return
+	switch {
+	case proven && !req.answering.Swap(true):
+		g.crashes.RecordAnswered(req.ids)
+	case ended && !proven:
+		g.recordEnded(req, s)
 	}
-	g.crashes.RecordAnswered(req.ids)
 }
 
 // CheckBlockedParts blocks and releases requests and prompt parts by what is known now, and
--- a/gateway/blocked_test.go
+++ b/gateway/blocked_test.go
@@ -80,22 +80,30 @@
 	must.Eq(t, 0, f.crashesOf("own"))
 }
 
-// An answer whose end is only that of its connection may have broken off: it must not
-// release a part that crashes upstreams.
+// An answer whose end is only that of its connection may have broken off: it must not release a
+// part that crashes upstreams, unless its upstream goes on answering.
 func TestUnframedEndDoesNotProveThatAPartIsSound(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		answer http.HandlerFunc
+		ends   bool // the upstream ends with its answer
 		want   bool
 	}{
-		{"unframed", unframed, true},
-		{"chunked", streaming(0, false), false},
+		{"unframed, and ends", unframed, true, true},
+		{"unframed, and goes on", unframed, false, false},
+		{"chunked", streaming(0, false), false, false},
+		{"chunked, and ends", streaming(0, false), true, false},
 	} {
-		f := newFixture(t, newReplica(t, "i-1", c.answer))
+		upstream := newReplica(t, "i-1", c.answer)
+		f := newFixture(t, upstream)
 		crashes, ids := f.gateway.Crashes(), []uint64{gateway.PartID("subject")}
 		crashes.RecordCrash(1, ids)
 		crashes.RecordCrash(2, ids)
 		must.Eq(t, http.StatusOK, f.status(t, f.prompted(t, "/prompt/x", "a:1,subject:1,own:1")))
+		if c.ends {
+			upstream.server.CloseClientConnections()
+			upstream.server.Close()
+		}
 		crashes.RecordCrash(3, ids)
 		time.Sleep(gateway.CrashSettleTime)
 		f.gateway.CheckBlockedParts()
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -69,6 +69,7 @@
 	answered answeredParts // prompt parts
 	requests answeredParts // fingerprints, of which there are many more
 	any      atomic.Bool   // there are records
+	unproven unprovenEnds
 	blocked  atomic.Pointer[map[uint64]struct{}]
 	changed  func() // called when there is something to tell others; may be nil
 
@@ -125,10 +126,12 @@
 }
 
 // RecordAnswered records that requests with the parts are being answered.
-func (c *Crashes) RecordAnswered(parts []uint64) {
-	now := c.now()
+func (c *Crashes) RecordAnswered(parts []uint64) { c.recordAnsweredAt(parts, c.now()) }
+
+// recordAnsweredAt records that requests with the parts were being answered at a time.
+func (c *Crashes) recordAnsweredAt(parts []uint64, at time.Duration) {
 	for _, part := range parts {
-		c.answeredOf(part).record(part, now)
+		c.answeredOf(part).record(part, at)
 	}
 	if !c.any.Load() {
 		return
@@ -138,7 +141,7 @@
 	known := false
 	for _, part := range parts {
 		if p := c.parts[part]; p != nil {
-			p.setAnswered(now)
+			p.setAnswered(at)
 			known = true
 		}
 	}
@@ -238,10 +241,11 @@
 // RecordAlive records that an upstream has answered a request that was sent the given time
 // ago: it has not ended just before.
 func (c *Crashes) RecordAlive(upstream uint32, sentAgo time.Duration) {
+	sent := c.now() - sentAgo
+	c.proveEnds(upstream, sent)
 	if !c.any.Load() {
 		return
 	}
-	sent := c.now() - sentAgo
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := false
@@ -286,6 +290,7 @@
 
 // Tick evaluates the records again, and forgets old ones.
 func (c *Crashes) Tick() {
+	c.unproven.expire(c.now())
 	if !c.any.Load() {
 		return
 	}
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -75,3 +75,6 @@
 func (g *Gateway) RecordSlowAnswer(route string, took time.Duration) {
 	g.slowest.record(route, took, time.Now())
 }
+
+// AgeCrashes makes all records of crashes older.
+func (g *Gateway) AgeCrashes(d time.Duration) { g.crashes.start = g.crashes.start.Add(-d) }
