--- a/gateway/cachelookup.go
+++ b/gateway/cachelookup.go
@@ -167,6 +167,46 @@
 	unread, listed  int  // upstreams of the services
 	others          int  // upstreams of other versions than the one found that can have begun the stream too
 	knowsPast       bool // a router knows the upstreams that have left
+	missing         missingKnowledge
+}
+
+// missingKnowledge is what would have told the version of a stream whose lookup did not.
+type missingKnowledge string
+
+// What can be missing, as logged and counted.
+const (
+	missingRecord     missingKnowledge = "record"      // lists name several versions, and no record says which
+	missingAgreement  missingKnowledge = "agreement"   // records and lists name different versions
+	missingOneVersion missingKnowledge = "one-version" // equal requests began at several
+	missingHolder     missingKnowledge = "holder"      // no record, and all lists were read without the part
+	missingLists      missingKnowledge = "lists"       // no record, and lists that may have the part were not read
+	missingOthers     missingKnowledge = "others"      // the lists of other versions that can have begun it too
+	missingPast       missingKnowledge = "past"        // no router knows which upstreams have left
+	missingNewestList missingKnowledge = "newest-list" // nobody confirms that the list of upstreams is the newest one
+)
+
+// explain sets what is missing, by the versions of lists and records. current is true if the list
+// of upstreams is the newest one.
+func (l *lookup) explain(listing, recorded []uint32, current bool) {
+	switch {
+	case l.result == resumedAmbiguous && slices.Contains(recorded, SeveralVersions):
+		l.missing = missingOneVersion
+	case l.result == resumedAmbiguous && len(recorded) == 0:
+		l.missing = missingRecord
+	case l.result == resumedAmbiguous:
+		l.missing = missingAgreement
+	case l.result == resumedNotHeld:
+		l.missing = missingHolder
+	case l.result != "":
+	case len(listing) == 0:
+		l.missing = missingLists
+	case l.others > 0:
+		l.missing = missingOthers
+	case !l.knowsPast:
+		l.missing = missingPast
+	case !current:
+		l.missing = missingNewestList
+	}
 }
 
 // lookUp asks other routers for the version that began a stream, and if none has a record of
@@ -210,7 +250,8 @@
 	}
 	missing, l.listed = g.unread(q.Services, caches.Read)
 	l.unread = len(missing)
-	l.decide(caches.versionsOf(q.Part), g.addEqual(&answer, q.Fingerprint))
+	listing, recorded := caches.versionsOf(q.Part), g.addEqual(&answer, q.Fingerprint)
+	l.decide(listing, recorded)
 	switch {
 	case l.result == resumedCached && len(answer.Equal) == 0:
 		// The part may be listed from an earlier turn of its session, while the stream began
@@ -222,6 +263,7 @@
 	case l.result == "" && l.listed > 0 && l.unread == 0:
 		l.result = resumedNotHeld
 	}
+	l.explain(listing, recorded, current)
 	return l
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -65,6 +65,7 @@
 	standbys          expvar.Int // standby attempts while an upstream was silent
 	standbysUsed      expvar.Int // standby attempts that took over
 	resumed           expvar.Map // streams that callers took up, by how their version was found
+	resumedMissing    expvar.Map // streams that callers took up and that were refused, by what was missing
 	leaving           expvar.Map // upstreams that leave, by what said so first
 	holds             expvar.Int // times at which an upstream asked for no requests for a time
 	blockedParts      expvar.Int // prompt parts that crash upstreams
@@ -101,6 +102,7 @@
 	m.vars.Set("standbys", &m.standbys)
 	m.vars.Set("standbys_used", &m.standbysUsed)
 	m.vars.Set("resumed", &m.resumed)
+	m.vars.Set("resumed_missing", &m.resumedMissing)
 	m.vars.Set("leaving", &m.leaving)
 	m.vars.Set("holds", &m.holds)
 	m.vars.Set("blocked_parts", &m.blockedParts)
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -166,6 +166,11 @@
 			found.version, found.result = only, resumedOnlyVersion
 		}
 	}
+	if _, refuses := resumeRefusals[found.result]; !refuses {
+		found.missing = ""
+	} else if found.missing != "" {
+		g.metrics.resumedMissing.Add(string(found.missing), 1)
+	}
 	g.logLookup(req, &found)
 	return found.version, found.result
 }
@@ -203,7 +208,7 @@
 	g.opts.Log.WithFields(log.Fields{
 		"id": req.AttemptID, "resumes": req.Resumes, "result": l.result, "ms": l.took.Milliseconds(),
 		"routers_asked": l.asked, "routers_answered": l.answered, "versions": l.versions, "upstreams": l.listed, "unread": l.unread,
-		"others": l.others, "knows_past": l.knowsPast,
+		"others": l.others, "knows_past": l.knowsPast, "missing": string(l.missing),
 	}).Info("version of a stream looked up")
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -24,6 +24,7 @@
 	FaultStops      = "stops"       // stops of routers with repeated signals, and slow streams meanwhile
 	FaultRestart    = "restart"     // all routers killed at once, with upstreams of several versions
 	FaultSessions   = "sessions"    // as restart, with streams of sessions, after the upstreams of a version have left
+	FaultTurns      = "turns"       // all routers killed at once, with streams of sessions; no upstream leaves
 	FaultCold       = "cold"        // new upstreams that are cold for a time
 	FaultEvacuation = "evacuation"  // evacuated failure domains
 	FaultQueue      = "queue"       // more plain requests than their pool has slots
@@ -32,7 +33,7 @@
 	FaultEntries    = "entries"     // entries of another writer beside those of the upstreams
 )
 
-var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultRequests, FaultStops, FaultRestart, FaultSessions, FaultCold, FaultEvacuation, FaultQueue, FaultCopies, FaultCrowd, FaultEntries}
+var knownFaults = Faults{FaultSilence, FaultVersions, FaultLeaving, FaultRetryAfter, FaultLimits, FaultTrouble, FaultParts, FaultRequests, FaultStops, FaultRestart, FaultSessions, FaultTurns, FaultCold, FaultEvacuation, FaultQueue, FaultCopies, FaultCrowd, FaultEntries}
 
 // ParseFaults reads names separated by commas. It returns an error for a name that is
 // not known.
@@ -52,7 +53,7 @@
 
 // hasVersions reports whether there are upstreams of several versions.
 func (f Faults) hasVersions() bool {
-	return f.has(FaultVersions) || f.has(FaultRestart) || f.has(FaultSessions)
+	return f.has(FaultVersions) || f.has(FaultRestart) || f.has(FaultSessions) || f.has(FaultTurns)
 }
 
 func (f Faults) has(name string) bool { return slices.Contains(f, name) }
--- a/soak/restart.go
+++ b/soak/restart.go
@@ -100,6 +100,24 @@
 	s.endRestartPhase(restartPhase{})
 }
 
+// runTurnPhase kills all routers at once while upstreams of several versions serve turns of
+// sessions, and records the phase for check: all upstreams stay.
+func (s *Soak) runTurnPhase() {
+	s.sessions.Store(true)
+	defer s.sessions.Store(false)
+	phase := restartPhase{period: period{from: time.Now()}}
+	s.comeBack.Store(true)
+	time.Sleep(2 * restartCalm)
+	phase.killed = time.Now()
+	for _, r := range s.fleet.routers {
+		r.signal(syscall.SIGKILL)
+	}
+	phase = s.endRestartPhase(phase)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restarts = append(s.restarts, phase)
+}
+
 // takeUpAfterRestart takes up a stream that a kill of all routers broke off, as often as there
 // is time.
 func (c *caller) takeUpAfterRestart(o *outcome) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -181,6 +181,10 @@
 			s.logf("round %d: upstreams leave, and all routers are killed at once", round)
 			s.runSessionPhase()
 		}
+		if s.opts.Faults.has(FaultTurns) {
+			s.logf("round %d: all routers are killed at once during turns of sessions", round)
+			s.runTurnPhase()
+		}
 		if s.opts.Faults.has(FaultCold) {
 			s.logf("round %d: cold upstreams", round)
 			s.runColdPhase()
