gateway: failures quote no address and no bytes of an upstream

Cause: the error of the send was the reason, for the log and for the caller. Change: the reason is a constant text; the error is the field cause of the log line of the request. The fleet's own interface had constant texts already.

--- a/gateway/badentry.go
+++ b/gateway/badentry.go
@@ -39,7 +39,7 @@
 	g.metrics.unwritableHeads.Add(1)
 	u := badEntryOf(s.target)
 	if u == nil {
-		return denied(http.StatusBadRequest, "request cannot be passed on"), 0, resultUnwritable
+		return denied(http.StatusBadRequest, "request cannot be passed on").because(err), 0, resultUnwritable
 	}
 	g.markBadEntry(u, err)
 	return refused("entry of an upstream is not valid", retryAfterShort), retry.FailureNotSent, resultUnwritable
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -95,7 +95,7 @@
 // which part was delivered is cut, since anything else would make it look complete.
 func (req *request) afterDelivery(e end) end {
 	if req.headWritten && e.kind != endAnswered && e.kind != endCallerLeft {
-		return end{kind: endCut, reason: e.reason}
+		return end{kind: endCut, reason: e.reason, cause: e.cause}
 	}
 	return e
 }
@@ -174,14 +174,17 @@
 func (g *Gateway) endWithoutRetry(ctx context.Context, req *request, e end, failure retry.Failure) end {
 	switch {
 	case req.headWritten:
-		return end{kind: endCut, reason: e.reason}
+		return end{kind: endCut, reason: e.reason, cause: e.cause}
 	case req.http.Context().Err() != nil:
 		return end{kind: endCallerLeft, reason: "caller left"}
 	case failure == retry.FailureNotSent || failure == retry.FailureRefused:
 		if !req.neverRan() {
-			return failed(http.StatusBadGateway, e.reason)
+			e.kind, e.status, e.retryAfter = endFailed, http.StatusBadGateway, 0
+			return e
 		}
-		return g.refuse(req, e.reason, retryAfterShort)
+		refusal := g.refuse(req, e.reason, retryAfterShort)
+		refusal.cause = e.cause
+		return refusal
 	case ctx.Err() != nil:
 		return g.interrupted()
 	}
--- a/gateway/end.go
+++ b/gateway/end.go
@@ -27,11 +27,18 @@
 // of an upstream was delivered.
 type end struct {
 	kind       endKind
-	status     int // of the router's response; 0 if there is none
-	reason     string
+	status     int           // of the router's response; 0 if there is none
+	reason     string        // for the caller and the log; it quotes no upstream
+	cause      string        // for the log only: errors, addresses and bytes of upstreams
 	retryAfter time.Duration // 0 if retrying soon is of no use
 }
 
+// because returns the end with its cause.
+func (e end) because(err error) end {
+	e.cause = err.Error()
+	return e
+}
+
 func refused(reason string, retryAfter time.Duration) end {
 	return end{kind: endRefused, status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -204,7 +204,7 @@
 func (g *Gateway) sendFailed(ctx context.Context, req *request, s *send, err error) (end, retry.Failure, string) {
 	var failure *forward.Error
 	if !errors.As(err, &failure) {
-		return failed(http.StatusBadGateway, err.Error()), retry.FailureMayHaveRun, err.Error()
+		return failed(http.StatusBadGateway, reasonNoAnswer).because(err), retry.FailureMayHaveRun, err.Error()
 	}
 	switch cause := s.canceled(); {
 	case cause == errSuperseded:
@@ -219,7 +219,7 @@
 	}
 	if isWithdrawn(err) {
 		g.metrics.withdrawnSends.Add(failure.Cause.Error(), 1)
-		return refused(err.Error(), retryAfterShort), retry.FailureNotSent, failure.Outcome.String()
+		return refused("request was not sent to an upstream", retryAfterShort).because(err), retry.FailureNotSent, failure.Outcome.String()
 	}
 	err = g.attributeFailure(ctx, s.key(), err)
 	if failure.Outcome == forward.MayHaveRun && ctx.Err() == nil {
@@ -229,7 +229,7 @@
 		g.recordBrokenOff(req, s, err)
 	}
 	if failure.Outcome == forward.NotSent {
-		return refused(err.Error(), retryAfterShort), retry.FailureNotSent, failure.Outcome.String()
+		return refused("upstream cannot be reached", retryAfterShort).because(err), retry.FailureNotSent, failure.Outcome.String()
 	}
 	if ctx.Err() != nil {
 		if req.http.Context().Err() != nil {
@@ -238,5 +238,8 @@
 		e := g.interrupted()
 		return e, 0, e.reason
 	}
-	return failed(http.StatusBadGateway, err.Error()), retry.FailureMayHaveRun, failure.Outcome.String()
+	return failed(http.StatusBadGateway, reasonNoAnswer).because(err), retry.FailureMayHaveRun, failure.Outcome.String()
 }
+
+// reasonNoAnswer is the reason of a failure without an answer of the upstream.
+const reasonNoAnswer = "upstream gave no answer"
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -49,6 +49,9 @@
 	if f.end.reason != "" {
 		fields["reason"] = f.end.reason
 	}
+	if f.end.cause != "" {
+		fields["cause"] = f.end.cause
+	}
 	if f.req.retryDenied {
 		fields["retry"] = "no budget"
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -190,7 +190,7 @@
 	} else {
 		g.recordBrokenOff(req, s, err)
 	}
-	e := failed(http.StatusBadGateway, "upstream's answer broke off: "+err.Error())
+	e := failed(http.StatusBadGateway, "upstream's answer broke off").because(err)
 	if req.headWritten {
 		return e, retry.FailureCut, resultCut
 	}
