--- a/gateway/unprovenends.go
+++ b/gateway/unprovenends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -32,7 +33,7 @@
 	count  atomic.Int64 // of upstreams with ends
 	mu     sync.Mutex
 	ends   map[uint32][]unprovenEnd
-	probed map[uint32]time.Duration
+	probed map[uint32]time.Duration // within livenessProbeInterval
 }
 
 // unprovenEnd is the end of an answer to a request with prompt parts, or its fingerprint.
@@ -88,7 +89,6 @@
 	for upstream, ends := range u.ends {
 		if now-ends[len(ends)-1].at > unprovenEndMemory {
 			delete(u.ends, upstream)
-			delete(u.probed, upstream)
 		}
 	}
 	u.count.Store(int64(len(u.ends)))
@@ -98,7 +98,8 @@
 func (u *unprovenEnds) mayProbe(upstream uint32, now time.Duration) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if at, known := u.probed[upstream]; known && now-at < livenessProbeInterval || u.probed == nil {
+	maps.DeleteFunc(u.probed, func(_ uint32, at time.Duration) bool { return now-at >= livenessProbeInterval })
+	if _, recently := u.probed[upstream]; recently || u.probed == nil {
 		return false
 	}
 	u.probed[upstream] = now
