soak: the test of its checks has runs with a customer and a body

Change: sound runs in its rows, and a test of the check itself: no customer, two, or a part of the body must be found. Result: both pass; the rows and their wanted numbers are as before.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -114,7 +115,9 @@
 // accepts permitted outcomes.
 func TestCheckOutcomeFindsViolations(t *testing.T) {
 	now := time.Now()
-	run := func(n int) []replica.Run { return make([]replica.Run, n) }
+	run := func(n int) []replica.Run {
+		return slices.Repeat([]replica.Run{{Customers: []string{"c"}, BodyBytes: len(requestBody)}}, n)
+	}
 	for _, c := range []struct {
 		name    string
 		outcome outcome
@@ -152,3 +155,14 @@
 		must.Len(t, c.want, s.violations, must.Sprint(c.name))
 	}
 }
+
+// A request that ran for no customer, for two, or with a part of its body must be found.
+func TestCheckOutcomeFindsWhatWasNotAsked(t *testing.T) {
+	for _, run := range []replica.Run{
+		{BodyBytes: len(requestBody)}, {Customers: []string{"c", "c"}, BodyBytes: len(requestBody)}, {Customers: []string{"c"}, BodyBytes: len(requestBody) - 1},
+	} {
+		s := &Soak{}
+		s.checkOutcome(&outcome{route: "/safe/", status: 200}, []replica.Run{run})
+		must.Len(t, 1, s.violations)
+	}
+}
