--- a/gossip/lookups.go
+++ b/gossip/lookups.go
@@ -74,8 +74,9 @@
 }
 
 // LookUpStream asks the responsive peers with which this router exchanges reports, and the home
-// routers of the stream, for the version that began it. It returns with the first that has a record, and otherwise when
-// all have answered or ctx ends, with what they know of the upstreams that list its prompt.
+// routers of the stream, for the version that began it. It returns with the first that has a
+// record, and otherwise when all have answered or ctx ends, with what they know of the upstreams
+// that list its prompt.
 func (m *Mesh) LookUpStream(ctx context.Context, query gateway.StreamQuery) (answer gateway.StreamAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
