--- a/review/harness-3/cmd/partial-entry/main.go
+++ b/review/harness-3/cmd/partial-entry/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	_ "embed"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
@@ -21,29 +23,15 @@
 	length   = 6 * time.Second
 )
 
-func main() { lab.Main(run) }
+// configuration is that of the operator.
+//
+//go:embed config.json
+var configuration []byte
 
-func configuration() map[string]any {
-	route := func(name, prefix, kind, service string) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 1500, "targetLatencyMs": 150,
-			"priority": 2, "service": service, "maxAttempts": 2, "public": false, "sticky": false, "resumable": false,
-		}
-	}
-	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false}
-	}
-	return map[string]any{
-		"version":  7,
-		"routes":   []any{route("r-transfer", "/transfer/", "non_idempotent", ledger), route("r-lookup", "/lookup/", "idempotent", index)},
-		"services": []any{service(ledger), service(index)},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []map[string]any{{"name": "desk", "apiKeys": []string{key}, "priority": 1}},
-	}
-}
+func main() { lab.Main(run) }
 
 func run(l *lab.Lab) (bool, error) {
-	l.Store.Set("config", "main", configuration())
+	l.Store.Set("config", "main", json.RawMessage(configuration))
 	var mu sync.Mutex
 	wrong := make(map[string]string) // replica of another service, by the attempt that it ran
 	replica := func(id, service string) (*lab.Replica, error) {
--- a/review/harness-3/cmd/stale-list/main.go
+++ b/review/harness-3/cmd/stale-list/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	_ "embed"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -17,29 +19,21 @@
 	host     = "chat.example"
 	path     = "/chat/2f"
 	key      = "key-of-the-desk"
-	chats    = 240
-	newer    = 8 // replicas of the newer version
-	interval = 8 * time.Millisecond
+	rounds   = 2
+	chats    = 400
+	newer    = 6 // replicas of the newer version that start in each round
+	interval = 7 * time.Millisecond
 	pieces   = 60
+	// untilKill is the time from the first second turn of a round to the kill.
+	untilKill = 900 * time.Millisecond
 )
 
-func main() { lab.Main(run) }
+// configuration is that of the operator.
+//
+//go:embed config.json
+var configuration []byte
 
-func configuration() map[string]any {
-	return map[string]any{
-		"version": 7,
-		"routes": []map[string]any{{
-			"name": "r-chat", "host": host, "pathPrefix": "/chat/", "routeKind": "streaming", "timeoutMs": 15000, "targetLatencyMs": 500,
-			"priority": 0, "service": "registry-llm", "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "targetItlMs": 400,
-		}},
-		"services": []map[string]any{{
-			"name": "registry-llm", "healthPath": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false,
-			"runtime": map[string]any{"slots": 64, "kvCapacity": 530331, "kvBytes": 163840, "tokenStride": 5, "most": 2},
-		}},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "desk", "apiKeys": []string{key}, "priority": 1}},
-	}
-}
+func main() { lab.Main(run) }
 
 // request returns one turn of a chat. The last part of its prompt belongs to the chat.
 func request(router, attempt string, chat int, turn string, last int) lab.Request {
@@ -64,139 +58,179 @@
 	return out
 }
 
+// play is the state of the case.
+type play struct {
+	*lab.Lab
+	x, y     *lab.Router
+	settings lab.Settings
+	caller   *lab.Caller
+
+	mu                               sync.Mutex
+	ranAt                            map[string]string // replica, by attempt
+	whole, broken, refused, joinedUp int
+}
+
 func run(l *lab.Lab) (bool, error) {
-	l.Store.Set("config", "main", configuration())
-	var mu sync.Mutex
-	first := make(map[string]string) // replica of the first turn, by attempt
-	replica := func(id, version string) (*lab.Replica, error) {
-		r, err := l.Replica(lab.ReplicaOptions{
-			ID: id, Service: "registry-llm", Version: version, Zone: "a", Pieces: pieces, Gap: 20 * time.Millisecond,
-			Ran: func(run lab.Run) {
-				mu.Lock()
-				defer mu.Unlock()
-				first[run.Attempt] = id
-			},
-		})
-		if err == nil {
-			r.Register(l.Store)
+	l.Store.Set("config", "main", json.RawMessage(configuration))
+	p := &play{Lab: l, caller: lab.NewCaller(), ranAt: make(map[string]string)}
+	defer p.caller.Close()
+	var old []*lab.Replica
+	for n := range rounds + 1 {
+		r, err := p.replica(fmt.Sprintf("i-old-%d", n), "v1")
+		if err != nil {
+			return false, err
 		}
-		return r, err
+		old = append(old, r)
 	}
-	old, err := replica("i-old-1", "v1")
-	if err != nil {
+	if err := p.startRouters(); err != nil {
 		return false, err
 	}
-	if _, err := replica("i-old-2", "v1"); err != nil {
-		return false, err
+	p.firstTurns()
+	for round := range rounds {
+		if err := p.round(round, old[round]); err != nil {
+			return false, err
+		}
 	}
-	x, err := l.Router("edge-a-1", "a")
-	if err != nil {
-		return false, err
+	l.Result("second turns whole %d, broken off %d; of these refused at their take-up %d, joined from two versions %d", p.whole, p.broken, p.refused, p.joinedUp)
+	return p.joinedUp > 0, nil
+}
+
+// replica starts and registers a replica.
+func (p *play) replica(id, version string) (*lab.Replica, error) {
+	r, err := p.Replica(lab.ReplicaOptions{
+		ID: id, Service: "registry-llm", Version: version, Zone: "a", Pieces: pieces, Gap: 20 * time.Millisecond,
+		Ran: func(run lab.Run) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.ranAt[run.Attempt] = id
+		},
+	})
+	if err == nil {
+		r.Register(p.Store)
+	}
+	return r, err
+}
+
+func (p *play) startRouters() (err error) {
+	if p.x, err = p.Router("edge-a-1", "a"); err != nil {
+		return err
 	}
-	y, err := l.Router("edge-a-2", "a")
-	if err != nil {
-		return false, err
+	if p.y, err = p.Router("edge-a-2", "a"); err != nil {
+		return err
 	}
-	settings := lab.Settings{Store: l.Store.Address, Seeds: []string{x.Control, y.Control}, Bootstrap: true}
-	for _, r := range []*lab.Router{x, y} {
-		if err := r.Start(settings); err != nil {
-			return false, err
+	p.settings = lab.Settings{Store: p.Store.Address, Seeds: []string{p.x.Control, p.y.Control}, Bootstrap: true}
+	for _, r := range []*lab.Router{p.x, p.y} {
+		if err := r.Start(p.settings); err != nil {
+			return err
 		}
 	}
-	for _, r := range []*lab.Router{x, y} {
+	for _, r := range []*lab.Router{p.x, p.y} {
 		if err := r.AwaitReady(10 * time.Second); err != nil {
-			return false, err
+			return err
 		}
 	}
+	p.settings.Bootstrap = false
 	time.Sleep(time.Second) // the routers have found each other
+	return nil
+}
 
-	// The first turn of each chat.
-	caller := lab.NewCaller()
-	defer caller.Close()
+// startAgain starts a router that has ended.
+func (p *play) startAgain(r *lab.Router) error {
+	if err := r.Start(p.settings); err != nil {
+		return err
+	}
+	err := r.AwaitReady(10 * time.Second)
+	p.Record.Printf("%s is ready again", r.Name)
+	return err
+}
+
+// firstTurns makes the first turn of each chat.
+func (p *play) firstTurns() {
 	var wg sync.WaitGroup
 	for chat := range chats {
 		wg.Go(func() {
 			attempt := fmt.Sprintf("1%07x", chat)
-			router := []string{x.Frontend, y.Frontend}[chat%2]
-			a := caller.Do(context.Background(), request(router, attempt, chat, "first turn", 0), nil)
-			l.Record.Printf("first-turn chat=%d attempt=%s status=%d pieces=%d ended=%v versions=%v", chat, attempt, a.Status, len(a.Pieces), a.Ended, versions(a.Pieces))
+			router := []string{p.x.Frontend, p.y.Frontend}[chat%2]
+			a := p.caller.Do(context.Background(), request(router, attempt, chat, "first turn", 0), nil)
+			p.Record.Printf("first-turn chat=%d attempt=%s status=%d pieces=%d ended=%v versions=%v", chat, attempt, a.Status, len(a.Pieces), a.Ended, versions(a.Pieces))
 		})
 		time.Sleep(interval)
 	}
 	wg.Wait()
-	var returning []int
-	for chat := range chats {
-		if first[fmt.Sprintf("1%07x", chat)] == old.ID {
-			returning = append(returning, chat)
-		}
-	}
-	l.Record.Printf("chats whose first turn was at %s: %d", old.ID, len(returning))
+}
 
-	// Planned work: replicas of the newer version start, the old one drains.
+// round replaces one replica of v1, stops and starts router y, and lets the chats return whose first
+// turn was at that replica. In the midst of that router x is killed.
+func (p *play) round(round int, old *lab.Replica) error {
 	for n := range newer {
-		if _, err := replica(fmt.Sprintf("i-new-%d", n), "v2"); err != nil {
-			return false, err
+		if _, err := p.replica(fmt.Sprintf("i-new-%d-%d", round, n), "v2"); err != nil {
+			return err
 		}
 	}
-	l.Record.Printf("release: %d replicas of v2 are ready", newer)
+	p.Record.Printf("release: %d replicas of v2 are ready", newer)
 	time.Sleep(time.Second)
 	old.Drain()
-	l.Record.Printf("release: %s drains", old.ID)
-	// Planned work: a router is stopped and started.
-	l.Record.Printf("roll: %s gets SIGTERM", y.Name)
-	y.Terminate(8 * time.Second)
-	settings.Bootstrap = false
-	if err := y.Start(settings); err != nil {
-		return false, err
-	}
-	if err := y.AwaitReady(10 * time.Second); err != nil {
-		return false, err
+	p.Record.Printf("release: %s drains; roll: %s gets SIGTERM", old.ID, p.y.Name)
+	p.y.Terminate(8 * time.Second)
+	if err := p.startAgain(p.y); err != nil {
+		return err
 	}
-	l.Record.Printf("roll: %s is ready again", y.Name)
 	time.Sleep(300 * time.Millisecond)
-
-	// The chats return. In the midst of that the other router is killed.
-	broken, refused, joined, whole := 0, 0, 0, 0
-	if l.Trouble {
-		time.AfterFunc(time.Second, func() {
-			l.Record.Printf("node_kill: %s gets SIGKILL", x.Name)
-			x.Signal(syscall.SIGKILL)
+	if p.Trouble {
+		time.AfterFunc(untilKill, func() {
+			p.Record.Printf("node_kill: %s gets SIGKILL", p.x.Name)
+			p.x.Signal(syscall.SIGKILL)
 		})
 	}
-	for i, chat := range returning {
-		router := x.Frontend
-		if i >= int(time.Second/interval) && l.Trouble {
-			break // the router is dead
+	var wg sync.WaitGroup
+	began := time.Now()
+	for chat := range chats {
+		if p.ranAt[fmt.Sprintf("1%07x", chat)] != old.ID {
+			continue
 		}
-		wg.Go(func() {
-			attempt := fmt.Sprintf("2%07x", chat)
-			a := caller.Do(context.Background(), request(router, attempt, chat, "second turn", 0), nil)
-			l.Record.Printf("second-turn chat=%d attempt=%s status=%d pieces=%d ended=%v versions=%v", chat, attempt, a.Status, len(a.Pieces), a.Ended, versions(a.Pieces))
-			if a.Ended || len(a.Pieces) == 0 {
-				mu.Lock()
-				defer mu.Unlock()
-				if a.Ended {
-					whole++
-				}
-				return
-			}
-			// The connection broke: the client takes the stream up at another node.
-			again, last := fmt.Sprintf("3%07x", chat), a.Pieces[len(a.Pieces)-1].ID
-			b := caller.Do(context.Background(), request(y.Frontend, again, chat, "second turn", last), nil)
-			seen := versions(a.Pieces, b.Pieces)
-			l.Record.Printf("taken-up chat=%d attempt=%s after=%d status=%d pieces=%d ended=%v versions=%v", chat, again, last, b.Status, len(b.Pieces), b.Ended, seen)
-			mu.Lock()
-			defer mu.Unlock()
-			broken++
-			if b.Status != 200 {
-				refused++
-			} else if len(seen) > 1 {
-				joined++
-			}
-		})
+		if time.Since(began) >= untilKill {
+			break
+		}
+		wg.Go(func() { p.secondTurn(chat) })
 		time.Sleep(interval)
 	}
 	wg.Wait()
-	l.Result("second turns whole %d, broken off %d; of these refused at their take-up %d, joined from two versions %d", whole, broken, refused, joined)
-	return joined > 0, nil
+	if !p.Trouble {
+		return nil
+	}
+	p.x.Kill() // it has ended
+	return p.startAgain(p.x)
+}
+
+// secondTurn makes the second turn of a chat at router x, and takes it up at y if it breaks off.
+func (p *play) secondTurn(chat int) {
+	attempt := fmt.Sprintf("2%07x", chat)
+	a := p.caller.Do(context.Background(), request(p.x.Frontend, attempt, chat, "second turn", 0), nil)
+	p.Record.Printf("second-turn chat=%d attempt=%s status=%d pieces=%d ended=%v versions=%v", chat, attempt, a.Status, len(a.Pieces), a.Ended, versions(a.Pieces))
+	if a.Ended || len(a.Pieces) == 0 {
+		p.count(func() {
+			if a.Ended {
+				p.whole++
+			}
+		})
+		return
+	}
+	again, last := fmt.Sprintf("3%07x", chat), a.Pieces[len(a.Pieces)-1].ID
+	b := p.caller.Do(context.Background(), request(p.y.Frontend, again, chat, "second turn", last), nil)
+	seen := versions(a.Pieces, b.Pieces)
+	p.Record.Printf("taken-up chat=%d attempt=%s after=%d status=%d pieces=%d ended=%v versions=%v", chat, again, last, b.Status, len(b.Pieces), b.Ended, seen)
+	p.count(func() {
+		p.broken++
+		if b.Status != 200 {
+			p.refused++
+		} else if len(seen) > 1 {
+			p.joinedUp++
+		}
+	})
+}
+
+func (p *play) count(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
 }
--- a/review/harness-3/lab/caller.go
+++ b/review/harness-3/lab/caller.go
@@ -67,13 +67,13 @@
 		return a
 	}
 	req.Host = r.Host
-	req.Header.Set("Dandelionrill-Attempt-Id", r.Attempt)
-	req.Header.Set("Dandelionrill-Deadline-Ms", strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	req.Header.Set(names["attempt"], r.Attempt)
+	req.Header.Set(names["deadline"], strconv.FormatInt(r.Deadline.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Bearer "+r.Key)
 	if r.Prompt != "" {
-		req.Header.Set("Dandelionrill-Model", "m")
-		req.Header.Set("Dandelionrill-Token-Usage", "1100,80")
-		req.Header.Set("Dandelionrill-Prompt-Prefix", r.Prompt)
+		req.Header.Set(names["model"], "m")
+		req.Header.Set(names["tokens"], "1100,80")
+		req.Header.Set(names["prompt"], r.Prompt)
 	}
 	if r.LastEvent > 0 {
 		req.Header.Set("Last-Event-Id", strconv.Itoa(r.LastEvent))
@@ -84,7 +84,7 @@
 		return a
 	}
 	defer response.Body.Close()
-	a.Status, a.Replica = response.StatusCode, response.Header.Get("Dandelionrill-Replica-Signature")
+	a.Status, a.Replica = response.StatusCode, response.Header.Get(names["signature"])
 	a.Signed = a.Replica != ""
 	if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		data, err := io.ReadAll(response.Body)
--- a/review/harness-3/lab/replica.go
+++ b/review/harness-3/lab/replica.go
@@ -133,17 +133,17 @@
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	switch req.URL.Path {
-	case "/dandelionrill/kv-list":
+	case names["cacheList"]:
 		r.listCache(w)
 		return
 	case "/healthz":
-		w.Header().Set("Dandelionrill-Replica-Id", r.ID)
+		w.Header().Set(names["replica"], r.ID)
 		return
 	}
-	attempt := req.Header.Get("Dandelionrill-Attempt-Id")
-	w.Header().Set("Dandelionrill-Attempt-Id", attempt)
-	if expected := req.Header.Get("Dandelionrill-Expected-Replica"); expected != "" && expected != r.ID {
-		w.Header().Set("Dandelionrill-Replica-Id", r.ID)
+	attempt := req.Header.Get(names["attempt"])
+	w.Header().Set(names["attempt"], attempt)
+	if expected := req.Header.Get(names["expected"]); expected != "" && expected != r.ID {
+		w.Header().Set(names["replica"], r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -155,8 +155,8 @@
 	if r.Ran != nil {
 		r.Ran(run)
 	}
-	w.Header().Set("Dandelionrill-Replica-Signature", r.ID+"."+attempt)
-	if prompt := req.Header.Get("Dandelionrill-Prompt-Prefix"); prompt != "" && r.Pieces > 0 {
+	w.Header().Set(names["signature"], r.ID+"."+attempt)
+	if prompt := req.Header.Get(names["prompt"]); prompt != "" && r.Pieces > 0 {
 		r.cache(prompt)
 		r.stream(w, req)
 		return
--- a/review/harness-3/lab/router.go
+++ b/review/harness-3/lab/router.go
@@ -193,7 +193,7 @@
 	client := &http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		response, err := client.Get("http://" + r.Ready + "/dandelionrill/readyz")
+		response, err := client.Get("http://" + r.Ready + names["ready"])
 		if err != nil {
 			continue
 		}
--- a/review/harness-3/lab/store.go
+++ b/review/harness-3/lab/store.go
@@ -59,11 +59,11 @@
 	}
 	s := &Store{Address: l.Addr().String(), revision: 1, objects: make(map[string]map[string]object), changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /dandelionrill/objects/{kind}", s.listOrWatch)
-	mux.HandleFunc("GET /dandelionrill/objects/{kind}/{name}", s.get)
-	mux.HandleFunc("POST /dandelionrill/objects/{kind}", s.create)
-	mux.HandleFunc("PUT /dandelionrill/objects/{kind}/{name}", s.replace)
-	mux.HandleFunc("DELETE /dandelionrill/objects/{kind}/{name}", s.remove)
+	mux.HandleFunc("GET "+names["objects"]+"{kind}", s.listOrWatch)
+	mux.HandleFunc("GET "+names["objects"]+"{kind}/{name}", s.get)
+	mux.HandleFunc("POST "+names["objects"]+"{kind}", s.create)
+	mux.HandleFunc("PUT "+names["objects"]+"{kind}/{name}", s.replace)
+	mux.HandleFunc("DELETE "+names["objects"]+"{kind}/{name}", s.remove)
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
