--- a/review/harness-3/lab/replica.go
+++ b/review/harness-3/lab/replica.go
@@ -130,6 +130,12 @@
 	r.Close()
 }
 
+// Crash ends the replica. The store removes its entry after a time.
+func (r *Replica) Crash(lapse time.Duration) {
+	r.Close()
+	time.AfterFunc(lapse, func() { r.store.Delete("servers", r.ID) })
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	switch req.URL.Path {
